--- /dev/null
+++ b/src/main/java/onyxpaddle/Balancing.java
@@ -0,0 +1,201 @@
+package onyxpaddle;
+
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * What {@link RatioBalancer} exchanges with the world: the settings it starts with, the events it is told
+ * and the actions it returns. Times are nanoseconds of the caller's own monotonic clock; spans are
+ * nanoseconds; a time or span of 0 means "none" where the field says so.
+ */
+public final class Balancing {
+
+    private Balancing() {
+    }
+
+    /** What repeating a request may do. */
+    public enum Effect {
+        /** May run any number of times. */
+        SAFE,
+        /** Carries a key: one group of servers discards repeats for a while. */
+        KEYED,
+        /** Must never run twice. */
+        UNSAFE
+    }
+
+    /** The servers that discard each other's repeats of a keyed request. */
+    public enum KeyGroup { ALL, ZONE, CELL }
+
+    /** How one attempt ended. */
+    public enum Outcome {
+        OK(false), ERROR(false), FULL(true), TIMED_OUT(false), CONNECT_FAILED(true), RESET(false),
+        CANCELLED(false), NOT_SENT(true);
+
+        /** Whether this outcome proves that the request never ran at the server. */
+        public final boolean neverRan;
+
+        Outcome(boolean neverRan) {
+            this.neverRan = neverRan;
+        }
+    }
+
+    /** A server's state in the membership list. */
+    public enum ServerState { READY, DRAINING, GONE }
+
+    /** What a membership event carries: changed entries, a whole list, the last list held, or nothing. */
+    public enum ListKind { CHANGES, ALL, REMEMBERED, REFUSED }
+
+    /** What a server's weight in the membership list means. */
+    public enum Weights { NONE, NOMINAL, ROUGH, LIVE }
+
+    /** Values a load report may hold. */
+    public enum LoadField { IN_FLIGHT, QUEUE, UTILIZATION, LATENCY_MS, PER_SECOND, ERRORS_PER_SECOND, OTHER }
+
+    /** A class of requests. */
+    public record RequestClass(String name, Effect effect, KeyGroup group, long memory, long aim,
+            double aimStretch, long deadline, double worth, double lateWorth, boolean streamed) {
+        public RequestClass {
+            Objects.requireNonNull(name, "classes.name");
+            Objects.requireNonNull(effect, "classes.effect");
+            Objects.requireNonNull(group, "classes.group");
+            require(memory >= 0, "classes.memory");
+            require(aim >= 0, "classes.aim");
+            require(deadline >= 0, "classes.deadline");
+            require(worth >= 0, "classes.worth");
+        }
+    }
+
+    /** A tenant and the requests a second that all nodes together owe it; 0 is no quota. */
+    public record Tenant(String name, double quotaPerSecond) {
+        public Tenant {
+            Objects.requireNonNull(name, "tenants.name");
+            require(quotaPerSecond >= 0, "tenants.quotaPerSecond");
+        }
+    }
+
+    /** What the site permits. */
+    public record Limits(int maxAttempts, boolean secondCopies, boolean cancel, boolean probes,
+            boolean retryAfter, long maxRetryAfter, long connectTimeout) {
+        public Limits {
+            require(maxAttempts >= 1, "limits.maxAttempts");
+            require(maxRetryAfter >= 0, "limits.maxRetryAfter");
+            require(connectTimeout >= 0, "limits.connectTimeout");
+        }
+    }
+
+    /** The figures of the cold-start and membership rules. */
+    public record Rules(double startCapacity, long coldSpan, double fallMultiple, long fallSpan,
+            long drainGrace, long answerSlack, long askEvery) {
+        public Rules {
+            require(startCapacity >= 0 && startCapacity <= 1, "rules.startCapacity");
+            require(coldSpan >= 0, "rules.coldSpan");
+            require(fallMultiple >= 0, "rules.fallMultiple");
+            require(fallSpan >= 0, "rules.fallSpan");
+            require(drainGrace >= 0, "rules.drainGrace");
+            require(answerSlack >= 0, "rules.answerSlack");
+            require(askEvery >= 0, "rules.askEvery");
+        }
+    }
+
+    /** What this node is told at its start: it is number {@code self} of {@code siblings}. {@code tick} is the shortest time between two events' clocks. */
+    public record Settings(String zone, List<String> zones, int tier, int self, int siblings,
+            List<RequestClass> classes, List<Tenant> tenants, double overShareWorth, boolean worthByWork,
+            boolean mustAskMembership, Weights weights, List<LoadField> loadFields, double crossZonePrice,
+            long tick, Limits limits, Rules rules) {
+        public Settings {
+            zones = List.copyOf(zones);
+            classes = List.copyOf(classes);
+            tenants = List.copyOf(tenants);
+            loadFields = List.copyOf(loadFields);
+            Objects.requireNonNull(limits, "limits");
+            Objects.requireNonNull(rules, "rules");
+            Objects.requireNonNull(weights, "weights");
+            require(zones.size() < 2 || (zone != null && !zone.isEmpty()), "zone");
+            require(tier >= 0, "tier");
+            require(siblings >= 1, "siblings");
+            require(self >= 0, "self");
+            require(!classes.isEmpty(), "classes");
+            require(overShareWorth >= 0, "overShareWorth");
+            require(crossZonePrice >= 0, "crossZonePrice");
+            require(tick >= 0, "tick");
+        }
+    }
+
+    /** One line of a membership list; {@code startedAt} 0 means long ago. */
+    public record ServerEntry(String server, String zone, long cell, ServerState state, double weight,
+            long startedAt) {
+    }
+
+    /** Something the node is told. */
+    public sealed interface Event permits Membership, Arrival, FirstByte, AttemptEnded, ClientGone, Timer,
+            Probed {
+    }
+
+    /** News of the server list. */
+    public record Membership(ListKind kind, List<ServerEntry> entries) implements Event {
+    }
+
+    /** A request landed here; {@code cost} is a hint of its work in seconds, 0 for none. */
+    public record Arrival(String request, String requestClass, long deadline, String tenant, double cost,
+            boolean clientRetry) implements Event {
+    }
+
+    /** The answer of a streamed request has started. */
+    public record FirstByte(String request, int attempt, String server, long latency) implements Event {
+    }
+
+    /** An attempt has ended; {@code finished} says that the request has its final answer. */
+    public record AttemptEnded(String request, int attempt, String server, Outcome outcome, long latency,
+            boolean finished, double[] load) implements Event {
+    }
+
+    /** The client left, or its request is over for another reason. */
+    public record ClientGone(String request) implements Event {
+    }
+
+    /** A timer that a {@link SetTimer} asked for has come due. */
+    public record Timer(String token) implements Event {
+    }
+
+    /** A probe was answered, or was not. */
+    public record Probed(String server, Outcome outcome, long latency, double[] load) implements Event {
+    }
+
+    /** Something the node shall do, in the order returned. */
+    public sealed interface Action permits Send, Cancel, Refuse, Fail, SetTimer, Subscribe, Report {
+    }
+
+    /** Start an attempt; attempts of a request count from 0. A time-out of 0 runs to the deadline. */
+    public record Send(String request, String server, long timeout) implements Action {
+    }
+
+    /** Stop waiting for an attempt. */
+    public record Cancel(String request, int attempt) implements Action {
+    }
+
+    /** Final answer: not run, a retry does no harm; {@code retryAfter} 0 is no advice. */
+    public record Refuse(String request, long retryAfter) implements Action {
+    }
+
+    /** Final answer: failed, with no word on its effect. */
+    public record Fail(String request) implements Action {
+    }
+
+    /** Ask for a {@link Timer} after this span. */
+    public record SetTimer(long after, String token) implements Action {
+    }
+
+    /** Ask discovery for changes from now on. */
+    public record Subscribe() implements Action {
+    }
+
+    /** A line for the people on call. */
+    public record Report(String text) implements Action {
+    }
+
+    private static void require(boolean sound, String setting) {
+        if (!sound) {
+            throw new IllegalArgumentException("setting out of range: " + setting);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/onyxpaddle/RatioBalancer.java
@@ -0,0 +1,879 @@
+package onyxpaddle;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import onyxpaddle.Balancing.*;
+
+/**
+ * All decisions of a balancer node. Its settings, events and actions are in Balancing.java.
+ *
+ * <p>Mechanism: the averaged Ratio approach (Kueting et al., section 3.2). A server's mean t is that of this
+ * node's own last completed round trips; with t_b the lowest, f = t_b / t and p = f / sum(f); two servers are
+ * drawn by p with replacement and the lower mean is sent to.
+ *
+ * <p>Rules, and where each is kept: one final answer in time (deadlines, {@link #finish}); no effect twice
+ * ({@link #mayAttempt}, {@link #mayRefuse}); drains ({@link #draw}: only READY servers); cold servers
+ * ({@link #earnCredit}). Single-threaded; time is what the caller hands over; only the seed is random.
+ */
+public final class RatioBalancer {
+    /** Round trips a server's mean is taken over (the paper's averaged variant). */
+    private static final int WINDOW = 20;
+    /** Time in which an old mean loses most of its distance to t_b, and a failure count its height. */
+    private static final double FADE = 10e9;
+    private static final double FAILURE_FADE = 5e9;
+    private static final double ERROR_STEP = 0.1;
+    /** Share of the draws that is left to a server however often it failed. */
+    private static final double LEAST_CHANCE = 0.02;
+    /** Weight of one more round trip in a class's usual one. */
+    private static final double USUAL_STEP = 0.02;
+    /** Further attempts of possibly-run requests, as a share of arrivals: tiers multiply them. */
+    private static final double RETRY_SHARE = 0.1;
+    private static final double MOST_RETRIES_SAVED = 10;
+    /** How much of a warm server's served calls, scaled by its present capacity, a cold one is sent. */
+    private static final double COLD_SHARE = 1.0;
+    /** Share of late outcomes at which the number of requests let in at once stays as it is. */
+    private static final double LATE_SHARE = 0.12;
+    /** Share of the aim after which a round trip counts as late for admission. */
+    private static final double LATE_AFTER = 1.0;
+    /** Part of the limit open to what is worth less than usual for its work. */
+    private static final double OPEN_TO_ALL = 0.7;
+    private static final double FIRST_LIMIT = 8;
+    /** Sound servers a node draws from, met often enough to keep windows and connections fresh. */
+    private static final int SPAN = 12;
+    /** Nodes that draw from each server at the least, so that every server is somebody's. */
+    private static final int SHARERS = 4;
+    /** How much slower a server of another zone reads, for each unit of the price of crossing. */
+    private static final double CROSSING = 50;
+    private static final long HOLD_STEP = 20_000_000L;
+
+    private final Settings settings;
+    private final SplittableRandom random;
+    private final Map<String, Server> servers = new LinkedHashMap<>();
+    private final Map<String, Failures> zones = new HashMap<>();
+    /** The servers that may be sent to, in an order that all nodes share; and from this node's place on. */
+    private final List<Server> ready = new ArrayList<>();
+    private final List<Server> around = new ArrayList<>();
+    private final List<Server> cold = new ArrayList<>();
+    private final Map<String, ClassUse> classes = new HashMap<>();
+    private final ClassUse unknownClass;
+    private final Map<String, Request> requests = new HashMap<>();
+    private final PriorityQueue<Due> due = new PriorityQueue<>();
+    private final PriorityQueue<Request> waiting = new PriorityQueue<>();
+    private final Map<String, Quota> quotas = new HashMap<>();
+    private boolean metLate;
+    private double usualRank;
+    private double usualWorth;
+    private double admitted;
+    private double admitLimit = FIRST_LIMIT;
+    private double[] chance = new double[16];
+    private double retriesSaved = MOST_RETRIES_SAVED / 2;
+    private long armedFor = Long.MAX_VALUE;
+    private long dueCount;
+    private boolean started;
+    private boolean asked;
+    private boolean subscribed;
+    private int refusedAsks;
+    private long now;
+    private List<Action> actions;
+
+    public RatioBalancer(Settings settings, long seed) {
+        this.settings = java.util.Objects.requireNonNull(settings, "settings");
+        this.random = new SplittableRandom(seed);
+        for (RequestClass c : settings.classes()) {
+            classes.put(c.name(), new ClassUse(c));
+        }
+        for (Tenant tenant : settings.tenants()) {
+            if (tenant.quotaPerSecond() > 0) {
+                quotas.put(tenant.name(), new Quota(tenant.quotaPerSecond() / settings.siblings()));
+            }
+        }
+        // A class the settings do not name is treated as the most careful kind.
+        unknownClass = new ClassUse(
+            new RequestClass("", Effect.UNSAFE, KeyGroup.ALL, 0, 0, 0, 0, 1, 0, false));
+    }
+
+    /** Takes one event at the caller's time and returns what to do, in order. */
+    public List<Action> handle(long nowNanos, Event event) {
+        now = nowNanos;
+        actions = new ArrayList<>(4);
+        if (!started) {
+            started = true;
+            planFirstSubscription();
+        }
+        if (event instanceof Arrival arrival) {
+            onArrival(arrival);
+        } else if (event instanceof AttemptEnded ended) {
+            onEnded(ended);
+        } else if (event instanceof Membership news) {
+            onMembership(news);
+        } else if (event instanceof Timer) {
+            onTimer();
+        } else if (event instanceof FirstByte first) {
+            onFirstByte(first);
+        } else if (event instanceof ClientGone gone) {
+            Request r = requests.get(gone.request());
+            if (r != null) {
+                close(r);
+            }
+        }
+        admitWaiting();
+        armTimer();
+        return actions;
+    }
+
+    // ---- membership ----
+
+    private void onMembership(Membership news) {
+        if (news.kind() == ListKind.REFUSED) {
+            // The list held stays valid; ask again, later each time, so that discovery is not run over.
+            asked = false;
+            subscribed = false;
+            refusedAsks = Math.min(refusedAsks + 1, 6);
+            double wait = Math.min(1e9 * (1 << refusedAsks), 0.8 * settings.rules().askEvery());
+            plan(now + (long) (wait * (0.5 + random.nextDouble() / 2)), null);
+            return;
+        }
+        if (news.kind() != ListKind.REMEMBERED && asked) {
+            subscribed = true;
+            refusedAsks = 0;
+        }
+        if (news.kind() != ListKind.CHANGES) {
+            Map<String, Server> before = new HashMap<>(servers);
+            news.entries().forEach(e -> before.remove(e.server()));
+            before.keySet().forEach(servers::remove);
+        }
+        news.entries().forEach(this::applyEntry);
+        ready.clear();
+        cold.clear();
+        for (Server server : servers.values()) {
+            if (server.state == ServerState.READY) {
+                ready.add(server);
+                if (isCold(server)) {
+                    cold.add(server);
+                }
+            }
+        }
+        ready.sort(Comparator.<Server>comparingInt(s -> s.place).thenComparing(s -> s.id));
+        around.clear();
+        around.addAll(ready);
+        if (admitLimit == FIRST_LIMIT) {
+            admitLimit = Math.max(FIRST_LIMIT, 6.0 * ready.size() / settings.siblings());
+        }
+        chance = chance.length < ready.size() ? new double[ready.size() * 2] : chance;
+    }
+
+    private void applyEntry(ServerEntry entry) {
+        if (entry.state() == ServerState.GONE) {
+            servers.remove(entry.server());
+            return;
+        }
+        Server server = servers.get(entry.server());
+        if (server == null || server.startedAt != entry.startedAt()) {
+            server = new Server(entry, zones.computeIfAbsent(entry.zone(), z -> new Failures()));
+            // Spread over the nodes, or all of them would send their first call in the same moment.
+            server.credit = random.nextDouble();
+            servers.put(entry.server(), server);
+        }
+        server.state = entry.state();
+        server.size = entry.weight() > 0 ? entry.weight() : 1;
+    }
+
+    private void planFirstSubscription() {
+        if (settings.mustAskMembership()) {
+            double spread = Math.min(0.4 * settings.rules().askEvery(), 50e6 * settings.siblings());
+            plan(now + (long) (random.nextDouble() * spread), null);
+        }
+    }
+
+    private void subscribe() {
+        if (!asked && !subscribed) {
+            asked = true;
+            actions.add(new Subscribe());
+        }
+    }
+
+    // ---- observation ----
+
+    private void served(Request r, Attempt attempt, long latency) {
+        Server server = attempt.server;
+        server.add(latency / r.use.usual(r.cost), now);
+        server.failures.clear();
+        server.errorShare -= ERROR_STEP * server.errorShare;
+        server.zoneFailures.clear();
+        r.use.learn(r.cost, latency);
+        if (!server.isColdListed) {
+            earnCredit(1.0 / Math.max(1, ready.size() - cold.size()));
+        }
+    }
+
+    private void failed(Server server, Outcome outcome) {
+        if (outcome == Outcome.ERROR) {
+            double errors = server.errorsNow(now);
+            server.errorShare = errors + ERROR_STEP * (1 - errors);
+        }
+        server.failures.add(now);
+        if (outcome == Outcome.CONNECT_FAILED || outcome == Outcome.TIMED_OUT) {
+            // A zone cut off fails server by server; no answer from any of it soon speaks for all of it.
+            server.zoneFailures.add(now);
+        }
+    }
+
+    /**
+     * A server's mean for the draw: that of its window, sliding to t_b as it ages. A silent or stalled server
+     * keeps its old mean, so the time since it was last heard of, with a call out, is a lower bound.
+     */
+    private double meanNow(Server server, double best) {
+        double mean = best;
+        if (server.count > 0) {
+            mean = best + (server.mean() - best) * Math.exp((server.sampledAt - now) / FADE);
+        }
+        Attempt oldest = server.out.peekFirst();
+        if (oldest != null) {
+            double silence = (now - Math.max(oldest.sentAt, server.heardAt))
+                / oldest.request.use.usual(oldest.request.cost);
+            mean = Math.max(mean, silence) * (1 + server.out.size());
+        }
+        return server.zone.equals(settings.zone()) ? mean : mean * (1 + CROSSING * settings.crossZonePrice());
+    }
+
+    // ---- the draw ----
+
+    /** Draws a server for the request, or null where none may take it now. */
+    private Server draw(Request r) {
+        int first = ready.isEmpty() ? 0 : (int) ((long) settings.self() * ready.size() / settings.siblings());
+        int wanted = Math.max(SPAN, SHARERS * ready.size() / settings.siblings());
+        double best = Double.MAX_VALUE;
+        int span = 0;
+        for (int sound = 0; span < ready.size() && sound < wanted; span++) {
+            Server server = ready.get((first + span) % ready.size());
+            around.set(span, server);
+            sound += server.chanceLeft(now) >= 0.5 && !server.isColdListed ? 1 : 0;
+            best = server.count > 0 ? Math.min(best, server.mean()) : best;
+        }
+        best = best == Double.MAX_VALUE ? 1 : best;
+        double sum = weigh(r, best, span, true);
+        if (sum <= 0) {
+            span = ready.size();
+            for (int i = 0; i < span; i++) {
+                around.set(i, ready.get((first + i) % span));
+            }
+            sum = weigh(r, best, span, false);
+        }
+        if (sum <= 0) {
+            return null;
+        }
+        Server one = pick(sum, span);
+        Server other = pick(sum, span);
+        return other.drawMean < one.drawMean ? other : one;
+    }
+
+    /** Sets each ready server's weight for this request and returns their sum. */
+    private double weigh(Request r, double best, int span, boolean avoidTried) {
+        double sum = 0;
+        for (int i = 0; i < span; i++) {
+            Server server = around.get(i);
+            chance[i] = 0;
+            if (mayTake(r, server) && !(avoidTried && r.tried(server))) {
+                server.drawMean = meanNow(server, best);
+                chance[i] = best / server.drawMean * rampNow(server) * server.chanceLeft(now);
+                sum += chance[i];
+            }
+        }
+        return sum;
+    }
+
+    private Server pick(double sum, int span) {
+        double at = random.nextDouble() * sum;
+        Server last = null;
+        for (int i = 0; i < span; i++) {
+            if (chance[i] > 0) {
+                last = around.get(i);
+                at -= chance[i];
+                if (at < 0) {
+                    return last;
+                }
+            }
+        }
+        return last;
+    }
+
+    private boolean mayTake(Request r, Server server) {
+        if (server.isColdListed && server.credit < 1 && isCold(server)) {
+            return false;
+        }
+        Attempt anchor = r.anchor;
+        return anchor == null || r.use.about.effect() != Effect.KEYED || switch (r.use.about.group()) {
+            case ALL -> true;
+            case ZONE -> server.zone.equals(anchor.server.zone);
+            case CELL -> server.cell == anchor.server.cell && server.zone.equals(anchor.server.zone);
+        };
+    }
+
+    // ---- cold-start limit ----
+
+    private boolean isCold(Server server) {
+        boolean coldNow = server.startedAt > 0 && now - server.startedAt < settings.rules().coldSpan();
+        server.isColdListed = coldNow;
+        return coldNow;
+    }
+
+    /** The share of its capacity that a server has at the least, by the time since it started. */
+    private double rampNow(Server server) {
+        if (!server.isColdListed) {
+            return 1;
+        }
+        double age = Math.max(0, (double) (now - server.startedAt) / settings.rules().coldSpan());
+        double start = settings.rules().startCapacity();
+        return Math.min(1, start + (1 - start) * age);
+    }
+
+    /**
+     * Every call that warm servers served earns each cold one its part of a call: what a warm one of its size
+     * carries, scaled to its present capacity. Summed over all nodes that stays under the rule's multiple.
+     */
+    private void earnCredit(double calls) {
+        if (cold.isEmpty()) {
+            return;
+        }
+        cold.removeIf(server -> !isCold(server));
+        double meanSize = 0;
+        for (Server server : ready) {
+            meanSize += server.size / ready.size();
+        }
+        for (Server server : cold) {
+            double earned = COLD_SHARE * calls * rampNow(server) * server.size / meanSize;
+            server.credit = Math.min(2, server.credit + earned);
+        }
+    }
+
+    // ---- dispatch and further attempts ----
+
+    private void onArrival(Arrival arrival) {
+        if (requests.containsKey(arrival.request())) {
+            return;
+        }
+        ClassUse use = classes.getOrDefault(arrival.requestClass(), unknownClass);
+        Request r = new Request(arrival, use, worth(arrival, use), dueCount++);
+        requests.put(r.id, r);
+        usualRank = usualRank == 0 ? r.rank : usualRank + USUAL_STEP * (r.rank - usualRank);
+        retriesSaved = Math.min(MOST_RETRIES_SAVED, retriesSaved + RETRY_SHARE);
+        if (cold.size() == ready.size()) {
+            earnCredit(0.7 / Math.max(1, ready.size()));
+        }
+        admit(r);
+    }
+
+    /** Sends the request somewhere, or holds it while waiting may help, or ends it. */
+    private void dispatch(Request r) {
+        if (now >= lastMoment(r)) {
+            finish(r);
+            return;
+        }
+        Server server = draw(r);
+        if (server == null) {
+            r.wakeAt = Math.min(lastMoment(r), now + HOLD_STEP);
+            plan(r.wakeAt, r);
+            return;
+        }
+        Attempt attempt = new Attempt(r, server, r.attempts.size(), now);
+        r.attempts.add(attempt);
+        r.out++;
+        if (r.anchor == null) {
+            r.anchor = attempt;
+        }
+        server.out.addLast(attempt);
+        if (server.isColdListed) {
+            server.credit -= 1;
+        }
+        long patience = r.use.patience(r.cost);
+        boolean copies = settings.limits().secondCopies();
+        boolean repeatable = r.use.about.effect() != Effect.UNSAFE
+            && r.attempts.size() < settings.limits().maxAttempts() && now + patience < r.deadline;
+        actions.add(new Send(r.id, server.id, repeatable && !copies ? patience : 0));
+        if (repeatable && copies) {
+            r.wakeAt = now + patience;
+            plan(r.wakeAt, r);
+        }
+    }
+
+    private void onEnded(AttemptEnded ended) {
+        Request r = requests.get(ended.request());
+        if (r == null || ended.attempt() < 0 || ended.attempt() >= r.attempts.size()) {
+            return;
+        }
+        Attempt attempt = r.attempts.get(ended.attempt());
+        if (attempt.ended) {
+            return;
+        }
+        attempt.ended = true;
+        r.out--;
+        attempt.server.out.remove(attempt);
+        observe(r, attempt, ended);
+        adjustLimit(r, ended);
+        if (ended.outcome().neverRan && r.anchor == attempt) {
+            r.anchor = r.firstThatMayHaveRun(attempt);
+        } else if (ended.outcome().neverRan) {
+            attempt.neverRan = true;
+        }
+        if (ended.finished() || r.done) {
+            close(r);
+        } else if (r.out == 0 || now >= lastMoment(r)) {
+            again(r, ended.outcome());
+        }
+    }
+
+    private void observe(Request r, Attempt attempt, AttemptEnded ended) {
+        switch (ended.outcome()) {
+            case OK -> {
+                attempt.server.heardAt = now;
+                if (!attempt.streaming) {
+                    served(r, attempt, ended.latency());
+                }
+            }
+            case ERROR, FULL -> {
+                attempt.server.heardAt = now;
+                failed(attempt.server, ended.outcome());
+            }
+            case TIMED_OUT, CONNECT_FAILED, RESET -> failed(attempt.server, ended.outcome());
+            case CANCELLED -> {
+                // A copy was sent because this one overstayed: a time-out in all but name.
+                if (attempt.overstayed) {
+                    failed(attempt.server, ended.outcome());
+                }
+            }
+            case NOT_SENT -> { }
+        }
+    }
+
+    private void again(Request r, Outcome outcome) {
+        if (r.out == 0 && mayAttempt(r) && (outcome.neverRan || spendRetry())) {
+            if (r.attempts.size() < 2) {
+                dispatch(r);
+            } else {
+                // Turned away twice is news of a full tier: spread the attempts over the time left.
+                double wait = r.use.usual(r.cost) / 4 * (1 << Math.min(r.attempts.size() - 2, 4));
+                r.wakeAt = Math.min(lastMoment(r), now + (long) (wait * (0.5 + random.nextDouble())));
+                plan(r.wakeAt, r);
+            }
+        } else {
+            finish(r);
+        }
+    }
+
+    /** Rule 2 for a further attempt, with the limits of the site. */
+    private boolean mayAttempt(Request r) {
+        if (r.done || r.attempts.size() >= settings.limits().maxAttempts() || now >= lastMoment(r)
+                || r.out > 0 && !settings.limits().secondCopies()) {
+            return false;
+        }
+        return switch (r.use.about.effect()) {
+            case SAFE -> true;
+            case UNSAFE -> r.anchor == null;
+            case KEYED -> r.anchor == null
+                || now + settings.tick() < r.anchor.sentAt + r.use.about.memory();
+        };
+    }
+
+    private boolean mayRefuse(Request r) {
+        RequestClass about = r.use.about;
+        return r.anchor == null || about.effect() == Effect.SAFE
+            || about.effect() == Effect.KEYED && about.group() == KeyGroup.ALL;
+    }
+
+    private boolean spendRetry() {
+        if (retriesSaved < 1) {
+            return false;
+        }
+        retriesSaved--;
+        return true;
+    }
+
+    private void onFirstByte(FirstByte first) {
+        Request r = requests.get(first.request());
+        if (r == null || first.attempt() < 0 || first.attempt() >= r.attempts.size()) {
+            return;
+        }
+        Attempt attempt = r.attempts.get(first.attempt());
+        if (!attempt.ended && !attempt.streaming) {
+            attempt.streaming = true;
+            attempt.server.out.remove(attempt);
+            attempt.server.heardAt = now;
+            served(r, attempt, first.latency());
+            close(r);
+        }
+    }
+
+    // ---- admission ----
+
+    /**
+     * The first tier lets in only as many requests at once as are answered within their aim; the rest wait,
+     * those worth most for their work first. Deeper tiers let all in: refusing there wastes the work above.
+     */
+    private void admit(Request r) {
+        if (settings.tier() > 0 || hasRoom(r) && (waiting.isEmpty() || r.compareTo(waiting.peek()) < 0)) {
+            r.admitted = true;
+            admitted++;
+            dispatch(r);
+            return;
+        }
+        r.waits = true;
+        waiting.add(r);
+        long usual = (long) r.use.usual(r.cost);
+        long aim = r.use.about.aim() > 0 ? r.use.about.aim() : Long.MAX_VALUE / 2;
+        // A refusal leaves the client time for another node, so it comes soon rather than at the last moment.
+        long last = Math.min(Math.min(lastMoment(r), now + aim) - 2 * usual, now + usual / 2);
+        r.wakeAt = Math.max(now + settings.tick(), last);
+        plan(r.wakeAt, r);
+    }
+
+    /** The last part of the limit is kept for what is worth more than usual for its work. */
+    private boolean hasRoom(Request r) {
+        return admitted < (r.rank >= usualRank ? admitLimit : OPEN_TO_ALL * admitLimit);
+    }
+
+    private void admitWaiting() {
+        while (!waiting.isEmpty() && hasRoom(waiting.peek())) {
+            Request r = waiting.poll();
+            r.waits = false;
+            r.admitted = true;
+            admitted++;
+            dispatch(r);
+        }
+    }
+
+    /** Moves the limit up by a little for each good outcome and down by much for each late one. */
+    private void adjustLimit(Request r, AttemptEnded ended) {
+        boolean late = switch (ended.outcome()) {
+            case OK -> r.use.about.aim() > 0 && ended.latency() > LATE_AFTER * r.use.about.aim();
+            case FULL -> ended.attempt() > 0;
+            case TIMED_OUT -> true;
+            default -> false;
+        };
+        double worth = Math.min(4, r.worth / usualWorth);
+        if (late) {
+            metLate = true;
+            admitLimit = Math.max(1, admitLimit - (1 - LATE_SHARE) * worth);
+        } else if (ended.outcome() == Outcome.OK && admitted >= OPEN_TO_ALL * admitLimit - 1) {
+            // Until anything is late the limit is only a guess: it follows what is served.
+            admitLimit += metLate ? LATE_SHARE * worth : 1;
+        }
+    }
+
+    /** What a request is worth; less beyond this node's part of its tenant's quota. */
+    private double worth(Arrival arrival, ClassUse use) {
+        double work = settings.worthByWork() && arrival.cost() > 0 ? arrival.cost() : 1;
+        double worth = use.about.worth() * work;
+        Quota quota = quotas.get(String.valueOf(arrival.tenant()));
+        if (quota != null && !quota.take(now)) {
+            worth *= settings.overShareWorth();
+        }
+        usualWorth = usualWorth == 0 ? worth : usualWorth + USUAL_STEP * (worth - usualWorth);
+        return worth;
+    }
+
+    // ---- deadlines ----
+
+    private long lastMoment(Request r) {
+        return r.deadline - settings.tick();
+    }
+
+    /** The one final answer that the node itself gives. */
+    private void finish(Request r) {
+        if (!r.done) {
+            // One turned away unsent is asked to stay away for as long as a place takes to come free.
+            Limits limits = settings.limits();
+            long away = r.waits && limits.retryAfter()
+                ? Math.min(limits.maxRetryAfter(), (long) r.use.usual(r.cost) / 2) : 0;
+            actions.add(mayRefuse(r) ? new Refuse(r.id, away) : new Fail(r.id));
+            close(r);
+        }
+    }
+
+    /** Nothing more goes out for the request; attempts still out are only waited for. */
+    private void close(Request r) {
+        if (!r.done) {
+            r.done = true;
+            if (r.admitted) {
+                admitted--;
+            } else if (r.waits) {
+                waiting.remove(r);
+            }
+            for (Attempt attempt : r.attempts) {
+                if (!attempt.ended && !attempt.streaming && settings.limits().cancel()) {
+                    actions.add(new Cancel(r.id, attempt.number));
+                }
+            }
+        }
+        if (r.out == 0) {
+            requests.remove(r.id);
+        }
+    }
+
+    private void onTimer() {
+        if (now >= armedFor) {
+            armedFor = Long.MAX_VALUE;
+        }
+        while (!due.isEmpty() && due.peek().at <= now) {
+            Due next = due.poll();
+            if (next.request == null) {
+                subscribe();
+            } else if (!next.request.done && next.request.wakeAt == next.at) {
+                wake(next.request);
+            }
+        }
+    }
+
+    private void wake(Request r) {
+        if (r.waits) {
+            finish(r);
+        } else if (r.out == 0 && (r.attempts.isEmpty() || mayAttempt(r))) {
+            dispatch(r);
+        } else if (r.out == 0) {
+            // While it waited, the servers' memory of its key may have run out.
+            finish(r);
+        } else {
+            r.attempts.get(r.attempts.size() - 1).overstayed = true;
+            if (mayAttempt(r) && spendRetry()) {
+                dispatch(r);
+            }
+        }
+    }
+
+    private void plan(long at, Request r) {
+        due.add(new Due(at, dueCount++, r));
+    }
+
+    private void armTimer() {
+        if (!due.isEmpty() && due.peek().at < armedFor) {
+            armedFor = due.peek().at;
+            actions.add(new SetTimer(Math.max(0, armedFor - now), "due"));
+        }
+    }
+
+    private record Due(long at, long number, Request request) implements Comparable<Due> {
+        @Override
+        public int compareTo(Due other) {
+            return at != other.at ? Long.compare(at, other.at) : Long.compare(number, other.number);
+        }
+    }
+
+    private static final class Server {
+        final String id;
+        final int place;
+        final String zone;
+        final long cell;
+        final long startedAt;
+        final ArrayDeque<Attempt> out = new ArrayDeque<>();
+        final double[] window = new double[WINDOW];
+        ServerState state;
+        double size;
+        double credit;
+        final Failures failures = new Failures();
+        final Failures zoneFailures;
+        /** Share of late calls answered with an error: one that errs half the time soon clears its count. */
+        double errorShare;
+        double drawMean;
+        double sum;
+        int count;
+        int next;
+        boolean isColdListed;
+        long sampledAt;
+        long heardAt;
+
+        Server(ServerEntry entry, Failures zoneFailures) {
+            this.zoneFailures = zoneFailures;
+            id = entry.server();
+            place = id.hashCode() * 0x9E3779B1 >>> 1;
+            zone = String.valueOf(entry.zone());
+            cell = entry.cell();
+            startedAt = entry.startedAt();
+        }
+
+        void add(double roundTrip, long now) {
+            sum += roundTrip - (count == WINDOW ? window[next] : 0);
+            window[next] = roundTrip;
+            next = (next + 1) % WINDOW;
+            count = Math.min(WINDOW, count + 1);
+            sampledAt = now;
+        }
+
+        double errorsNow(long now) {
+            return errorShare == 0 ? 0 : errorShare * Math.exp((failures.at - now) / FADE);
+        }
+
+        double chanceLeft(long now) {
+            double served = Math.pow(1 - errorsNow(now), 3);
+            return failures.factor(now) * zoneFailures.factor(now) * Math.max(LEAST_CHANCE, served);
+        }
+
+        double mean() {
+            return Math.max(1e-6, sum / count);
+        }
+    }
+
+    /** Failures since the last served call, fading with time. */
+    private static final class Failures {
+        double count;
+        long at;
+
+        void add(long now) {
+            count = countNow(now) + 1;
+            at = now;
+        }
+
+        void clear() {
+            count = 0;
+        }
+
+        double countNow(long now) {
+            return count == 0 ? 0 : count * Math.exp((at - now) / FAILURE_FADE);
+        }
+
+        /** What they leave of a chance: less with each, never nothing. */
+        double factor(long now) {
+            double failures = countNow(now);
+            return Math.max(LEAST_CHANCE, 1 / (1 + failures * failures));
+        }
+    }
+
+    private static final class Attempt {
+        final Request request;
+        final Server server;
+        final int number;
+        final long sentAt;
+        boolean ended;
+        boolean neverRan;
+        boolean overstayed;
+        boolean streaming;
+
+        Attempt(Request request, Server server, int number, long sentAt) {
+            this.request = request;
+            this.server = server;
+            this.number = number;
+            this.sentAt = sentAt;
+        }
+    }
+
+    private static final class Request implements Comparable<Request> {
+        final String id;
+        final double worth;
+        final double rank;
+        final long number;
+        final ClassUse use;
+        final long deadline;
+        final double cost;
+        final List<Attempt> attempts = new ArrayList<>(2);
+        /** The first attempt that ran or might have; null while it is certain that none did. */
+        Attempt anchor;
+        int out;
+        boolean done;
+        boolean waits;
+        boolean admitted;
+        long wakeAt;
+
+        Request(Arrival arrival, ClassUse use, double worth, long number) {
+            this.worth = worth;
+            this.rank = worth / use.usual(arrival.cost());
+            this.number = number;
+            this.id = arrival.request();
+            this.use = use;
+            this.deadline = arrival.deadline();
+            this.cost = arrival.cost();
+        }
+
+        @Override
+        public int compareTo(Request other) {
+            return rank != other.rank ? Double.compare(other.rank, rank) : Long.compare(number, other.number);
+        }
+
+        boolean tried(Server server) {
+            for (Attempt attempt : attempts) {
+                if (attempt.server == server) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
+        Attempt firstThatMayHaveRun(Attempt cleared) {
+            cleared.neverRan = true;
+            for (Attempt attempt : attempts) {
+                if (!attempt.neverRan) {
+                    return attempt;
+                }
+            }
+            return null;
+        }
+    }
+
+    /** This node's part of a tenant's quota, as a bucket of one second. */
+    private static final class Quota {
+        final double perSecond;
+        double left;
+        long at;
+
+        Quota(double perSecond) {
+            this.perSecond = perSecond;
+            this.left = perSecond;
+        }
+
+        boolean take(long now) {
+            left = Math.min(Math.max(1, perSecond), left + perSecond * (at == 0 ? 0 : now - at) / 1e9);
+            at = now;
+            if (left < 1) {
+                return false;
+            }
+            left--;
+            return true;
+        }
+    }
+
+    /**
+     * A class's usual round trip, by the cost hint where there is one. Round trips are divided by it, so that
+     * a server is not judged by what it happened to get (the paper's remedy for mixed requests, section 6).
+     */
+    private static final class ClassUse {
+        final RequestClass about;
+        double trip;
+        double deviation;
+        double cost;
+        double costVariance;
+        double covariance;
+        int seen;
+
+        ClassUse(RequestClass about) {
+            this.about = about;
+        }
+
+        void learn(double hint, double latency) {
+            double step = Math.max(USUAL_STEP, 1.0 / ++seen);
+            deviation += step * (Math.abs(latency - usual(hint)) - deviation);
+            double offCost = hint - cost;
+            double offTrip = latency - trip;
+            cost += step * offCost;
+            trip += step * offTrip;
+            costVariance += step * (offCost * offCost - costVariance);
+            covariance += step * (offCost * offTrip - covariance);
+        }
+
+        double usual(double hint) {
+            if (seen == 0) {
+                return about.aim() > 0 ? about.aim() / 4.0 : 1e8;
+            }
+            double slope = costVariance > 1e-12 ? covariance / costVariance : 0;
+            return Math.max(trip / 5, trip + Math.max(0, slope) * (hint - cost));
+        }
+
+        /** How long an attempt may take before a further one is worth its work. */
+        long patience(double hint) {
+            return (long) (usual(hint) + 4 * deviation);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/onyxpaddle/node/ClientServer.java
@@ -0,0 +1,175 @@
+package onyxpaddle.node;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import onyxpaddle.Balancing.RequestClass;
+import onyxpaddle.Balancing.Settings;
+
+/** The listener and its client connections: how many are open, which of them are idle, and the planned end. */
+final class ClientServer {
+    private static final int LONGEST_LINE = 8 * 1024;
+    private static final int LONGEST_HEAD = 16 * 1024;
+    private static final long SWEEP_MS = 250;
+    private static final long MILLI = 1_000_000L;
+    /** After SIGTERM connections go on coming for 0.4 s at most; a stalled core may show them later. */
+    private static final long LISTEN_ON = 500 * MILLI;
+    private static final long QUIET = 250 * MILLI;
+    private static final long LISTEN_AT_MOST = 1500 * MILLI;
+
+    final Clock clock;
+    final Budget budget;
+    final Dispatcher dispatcher;
+    private final EventLoop loop;
+    private final ByteBufAllocator allocator;
+    private final BooleanSupplier ready;
+    private final Map<String, RequestClass> classes = new HashMap<>();
+    private final Set<ClientConnection> open = new HashSet<>();
+    /** Connections between requests, the one that has been so for the longest first. */
+    private final LinkedHashSet<ClientConnection> idle = new LinkedHashSet<>();
+    private Channel listener;
+    private boolean draining;
+    private long drainingSince;
+    private long acceptedAt;
+
+    ClientServer(EventLoop loop, ByteBufAllocator allocator, Clock clock, Budget budget, Dispatcher dispatcher,
+            Settings settings, BooleanSupplier ready) {
+        this.loop = loop;
+        this.allocator = allocator;
+        this.clock = clock;
+        this.budget = budget;
+        this.dispatcher = dispatcher;
+        this.ready = ready;
+        settings.classes().forEach(c -> classes.put(c.name(), c));
+    }
+
+    ChannelFuture listen(InetSocketAddress address) {
+        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, 4096)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.ALLOCATOR, allocator)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(Sockets.READ_SIZE))
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(16 * 1024, 32 * 1024))
+            .childHandler(new ChannelInitializer<SocketChannel>() {
+                @Override
+                protected void initChannel(SocketChannel channel) {
+                    ClientConnection connection = new ClientConnection(ClientServer.this, channel);
+                    channel.pipeline().addLast(connection.byteWatch(), new HttpServerCodec(new HttpDecoderConfig()
+                        .setMaxInitialLineLength(LONGEST_LINE).setMaxHeaderSize(LONGEST_HEAD)
+                        .setMaxChunkSize(Sockets.READ_SIZE)), connection);
+                }
+            })
+            .bind(address);
+        listener = bound.channel();
+        return bound;
+    }
+
+    boolean ready() {
+        return !draining && ready.getAsBoolean();
+    }
+
+    boolean draining() {
+        return draining;
+    }
+
+    RequestClass requestClass(String name) {
+        return classes.get(name);
+    }
+
+    // ---- how many are open ----
+
+    void opened(ClientConnection c) {
+        acceptedAt = clock.now();
+        open.add(c);
+        if (open.size() > budget.servedClients && !idle.isEmpty()) {
+            idle.iterator().next().close();
+        }
+        if (open.size() >= budget.clients) {
+            // What waits in the backlog is accepted as far as its client knows: it is taken in again as soon as
+            // any other connection has closed.
+            listener.config().setAutoRead(false);
+        }
+    }
+
+    void closed(ClientConnection c) {
+        open.remove(c);
+        idle.remove(c);
+        if (open.size() < budget.clients && listener.isOpen()) {
+            listener.config().setAutoRead(true);
+        }
+    }
+
+    /** Whether there are so many clients that a further request is turned away. */
+    boolean crowded() {
+        return open.size() > budget.servedClients;
+    }
+
+    void idle(ClientConnection c, boolean isIdle) {
+        if (isIdle) {
+            idle.add(c);
+        } else {
+            idle.remove(c);
+        }
+    }
+
+    int openConnections() {
+        return open.size();
+    }
+
+    private void sweep() {
+        long now = clock.now();
+        for (ClientConnection c : open.toArray(new ClientConnection[0])) {
+            c.checkProgress(now);
+        }
+    }
+
+    // ---- the planned end ----
+
+    /**
+     * Answers what is taken and what still comes, tells every client to close, and calls {@code done} when
+     * nothing is left. Connections in the backlog count as taken, so the listener stays until none comes any more.
+     */
+    void drain(Runnable done) {
+        if (draining) {
+            return;
+        }
+        draining = true;
+        drainingSince = clock.now();
+        loop.scheduleWithFixedDelay(() -> drainStep(done), 50, 50, TimeUnit.MILLISECONDS);
+    }
+
+    private void drainStep(Runnable done) {
+        long now = clock.now();
+        long passed = now - drainingSince;
+        if (passed < LISTEN_ON || now - acceptedAt < QUIET && passed < LISTEN_AT_MOST) {
+            return;
+        }
+        listener.close();
+        for (ClientConnection c : idle.toArray(new ClientConnection[0])) {
+            c.close();
+        }
+        if (open.isEmpty() && dispatcher.unanswered() == 0) {
+            done.run();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/onyxpaddle/node/Discovery.java
@@ -0,0 +1,224 @@
+package onyxpaddle.node;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Keeps the list of servers up to date: one call at a time, each a watch from the version held, the next at once
+ * after each answer so that the watch goes on. The waits are short, as what a stalled call has to tell counts as
+ * told soon after its wait. Where lists are pushed it goes on by itself; where discovery is asked it calls when
+ * the module subscribes, and tells it when that failed.
+ */
+final class Discovery {
+    private static final int WAIT_MS = 2000;
+    private static final int ANSWER_LATE_MS = 2500;
+    private static final int CONNECT_MS = 1000;
+    private static final int LARGEST_ANSWER = 2 << 20;
+    /** Between calls that tell nothing and come back at once; within the 200 ms that a watch goes on. */
+    private static final int PAUSE_MS = 100;
+    private static final int LONGEST_RETRY_MS = 1000;
+
+    private final EventLoop loop;
+    private final Bootstrap bootstrap;
+    private final String host;
+    private final boolean asked;
+    private final Consumer<Roster> onList;
+    private final Runnable onRefused;
+    private Channel channel;
+    private Future<?> timeout;
+    private boolean calling;
+    private long calledAt;
+    private long seq;
+    /** The version held is in doubt: the next call asks for the whole list. */
+    private boolean lost;
+    private boolean heard;
+    private int failures;
+
+    Discovery(EventLoop loop, ByteBufAllocator allocator, InetSocketAddress address, boolean asked, long seq,
+            Consumer<Roster> onList, Runnable onRefused) {
+        this.loop = loop;
+        this.asked = asked;
+        this.seq = seq;
+        this.onList = onList;
+        this.onRefused = onRefused;
+        host = address.getAddress().getHostAddress() + ":" + address.getPort();
+        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            .option(ChannelOption.ALLOCATOR, allocator)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+            .remoteAddress(address)
+            .handler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel ch) {
+                    ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(LARGEST_ANSWER),
+                        new Answers());
+                }
+            });
+    }
+
+    /** Whether any answer has come since the start. */
+    boolean heard() {
+        return heard;
+    }
+
+    void start() {
+        if (!asked) {
+            call();
+        }
+    }
+
+    /** The module asks for changes from now on. */
+    void subscribe() {
+        if (!calling) {
+            call();
+        }
+    }
+
+    private void call() {
+        calling = true;
+        calledAt = System.nanoTime();
+        if (channel != null && channel.isActive()) {
+            write();
+            return;
+        }
+        ChannelFuture dial = bootstrap.connect();
+        channel = dial.channel();
+        dial.addListener(f -> {
+            if (!f.isSuccess()) {
+                dial.channel().close();
+                failed(dial.channel(), "cannot connect");
+            } else if (channel == dial.channel()) {
+                write();
+            }
+        });
+    }
+
+    private void write() {
+        String uri = "/v1/endpoints" + (lost ? "" : "?after=" + seq + "&wait_ms=" + WAIT_MS);
+        DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri,
+            Unpooled.EMPTY_BUFFER);
+        request.headers().set(HttpHeaderNames.HOST, host);
+        Channel on = channel;
+        timeout = loop.schedule(() -> failed(on, "no answer"), WAIT_MS + ANSWER_LATE_MS, TimeUnit.MILLISECONDS);
+        on.writeAndFlush(request);
+    }
+
+    /** Ends a call that brought nothing; what is held stays valid. */
+    private void failed(Channel on, String why) {
+        if (!calling || on != channel) {
+            return;
+        }
+        calling = false;
+        stopTimeout();
+        channel = null;
+        on.close();
+        if (failures++ == 0) {
+            Log.line("discovery: " + why);
+        }
+        if (asked) {
+            onRefused.run();
+        } else {
+            later(Math.min(LONGEST_RETRY_MS, PAUSE_MS << Math.min(4, failures - 1)));
+        }
+    }
+
+    private void later(int millis) {
+        calling = true;
+        loop.schedule(this::call, millis, TimeUnit.MILLISECONDS);
+    }
+
+    private void stopTimeout() {
+        if (timeout != null) {
+            timeout.cancel(false);
+            timeout = null;
+        }
+    }
+
+    private void answered(Channel on, FullHttpResponse response) {
+        if (!calling || on != channel || timeout == null) {
+            on.close();
+            return;
+        }
+        if (response.status().code() != 200 || response.decoderResult().isFailure()) {
+            failed(on, "answered " + response.status().code());
+            return;
+        }
+        Roster roster;
+        try {
+            roster = Roster.parse(ByteBufUtil.getBytes(response.content()));
+        } catch (IOException e) {
+            lost = true;
+            failed(on, "not a list");
+            return;
+        }
+        if (!roster.whole() && (lost || roster.seq() < seq)) {
+            // Changes to a list that is not the one held say nothing; only a whole list does.
+            lost = true;
+            failed(on, "changes to a list that is not held");
+            return;
+        }
+        stopTimeout();
+        if (failures > 0) {
+            Log.line("discovery: answers again after " + failures + " failed calls");
+        }
+        failures = 0;
+        lost = false;
+        heard = true;
+        seq = roster.seq();
+        if (!HttpUtil.isKeepAlive(response)) {
+            channel = null;
+            on.close();
+        }
+        onList.accept(roster);
+        boolean idle = roster.hosts().isEmpty()
+            && System.nanoTime() - calledAt < TimeUnit.MILLISECONDS.toNanos(PAUSE_MS);
+        later(idle ? PAUSE_MS : 0);
+    }
+
+    private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+            answered(context.channel(), response);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            if (timeout != null) {
+                failed(context.channel(), "connection broke");
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+
+    static List<onyxpaddle.Balancing.ServerEntry> entries(Roster roster) {
+        return roster.hosts().stream().map(Roster.Host::entry).toList();
+    }
+}
--- /dev/null
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -0,0 +1,252 @@
+package onyxpaddle.node;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import onyxpaddle.Balancing.*;
+import onyxpaddle.RatioBalancer;
+
+/**
+ * Stands between the sockets and the module: turns what happens into the module's events, one at a time, and
+ * carries out its actions in their order. It owns requests and attempts and sees to it that each attempt ends
+ * once and each request has one answer; whom to send to, and when to stop, is the module's alone.
+ */
+final class Dispatcher {
+    /** How long after its deadline a request that the module left unanswered is failed. */
+    private static final long GUARD = 8_000_000L;
+
+    private final Clock clock;
+    private final EventLoop loop;
+    private final RatioBalancer module;
+    private final Limits limits;
+    private final Map<String, Exchange> exchanges = new HashMap<>();
+    private final ArrayDeque<Event> events = new ArrayDeque<>();
+    private ServerConnections servers;
+    private Runnable onSubscribe = () -> { };
+    private boolean delivering;
+    private int unanswered;
+
+    Dispatcher(Clock clock, EventLoop loop, RatioBalancer module, Limits limits) {
+        this.clock = clock;
+        this.loop = loop;
+        this.module = module;
+        this.limits = limits;
+    }
+
+    void connect(ServerConnections serverConnections, Runnable subscribe) {
+        servers = serverConnections;
+        onSubscribe = subscribe;
+    }
+
+    /** Requests that still wait for their final answer. */
+    int unanswered() {
+        return unanswered;
+    }
+
+    boolean holds(String id) {
+        return exchanges.containsKey(id);
+    }
+
+    // ---- what happens ----
+
+    /** A request's last byte has come: it is taken, and its time counts from here. */
+    void arrived(Exchange x) {
+        long now = clock.now();
+        x.deadline = now + x.patience;
+        exchanges.put(x.id, x);
+        unanswered++;
+        // Guards against a request that the module forgot, or lost to a fault of its own.
+        x.guard = loop.schedule(() -> overdue(x), x.patience + GUARD, TimeUnit.NANOSECONDS);
+        tell(new Arrival(x.id, x.requestClass, x.deadline, x.headers.get("X-Customer"), hintedCost(x),
+            "1".equals(x.headers.get("X-Second-Try"))));
+    }
+
+    /** The caller's guess at the work, given in microseconds, as seconds; 0 where it gives none that makes sense. */
+    private static double hintedCost(Exchange x) {
+        String hint = x.headers.get("X-Size-Hint");
+        try {
+            double cost = hint == null ? 0 : Double.parseDouble(hint) / 1e6;
+            return cost > 0 && cost < 1e6 ? cost : 0;
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+
+    void clientGone(Exchange x) {
+        if (finish(x)) {
+            tell(new ClientGone(x.id));
+            forget(x);
+        }
+    }
+
+    /**
+     * A server's answer that is passed on as it comes has begun; from here on the client has its final answer.
+     * False where it has one already.
+     */
+    boolean streamBegins(Attempt attempt) {
+        if (!finish(attempt.exchange)) {
+            return false;
+        }
+        attempt.streaming = true;
+        stopTimer(attempt);
+        tell(new FirstByte(attempt.exchange.id, attempt.number, attempt.server, clock.now() - attempt.sentAt));
+        return true;
+    }
+
+    /** The end of an attempt; {@code answer} is the whole body of an OK that was held back until now. */
+    void ended(Attempt attempt, Outcome outcome, ServerAnswer answer) {
+        if (attempt.ended) {
+            return;
+        }
+        attempt.ended = true;
+        attempt.connection = null;
+        attempt.dial = null;
+        stopTimer(attempt);
+        Exchange x = attempt.exchange;
+        x.out--;
+        if (outcome == Outcome.OK && answer != null && finish(x)) {
+            x.client.served(answer);
+        }
+        // Load reports are not passed on: the module takes no account of them.
+        tell(new AttemptEnded(x.id, attempt.number, attempt.server, outcome, clock.now() - attempt.sentAt, x.over,
+            null));
+        forget(x);
+    }
+
+    void membership(ListKind kind, List<ServerEntry> entries) {
+        tell(new Membership(kind, entries));
+    }
+
+    private void overdue(Exchange x) {
+        if (!x.over) {
+            Log.line("request " + x.id + " was left unanswered until its deadline");
+            finish(x);
+            x.client.failed(true);
+            tell(new ClientGone(x.id));
+            forget(x);
+        }
+    }
+
+    private void expire(Attempt attempt) {
+        if (!attempt.ended) {
+            // What was not written whole has never run, however long the wait was.
+            boolean written = attempt.written;
+            servers.giveUp(attempt);
+            ended(attempt, written ? Outcome.TIMED_OUT : Outcome.CONNECT_FAILED, null);
+        }
+    }
+
+    // ---- the module ----
+
+    /** Queues an event; the module is never called from within its own actions. */
+    private void tell(Event event) {
+        events.add(event);
+        if (delivering) {
+            return;
+        }
+        delivering = true;
+        try {
+            for (Event next = events.poll(); next != null; next = events.poll()) {
+                deliver(next);
+            }
+        } finally {
+            delivering = false;
+        }
+    }
+
+    private void deliver(Event event) {
+        try {
+            for (Action action : module.handle(clock.now(), event)) {
+                carryOut(action);
+            }
+        } catch (RuntimeException e) {
+            // A fault in the module costs the request at hand, which its guard ends, and never the process.
+            Log.failure("the module failed on " + event.getClass().getSimpleName(), e);
+        }
+    }
+
+    private void carryOut(Action action) {
+        if (action instanceof Send send) {
+            send(send);
+        } else if (action instanceof SetTimer timer) {
+            loop.schedule(() -> tell(new Timer(timer.token())), timer.after(), TimeUnit.NANOSECONDS);
+        } else if (action instanceof Cancel cancel) {
+            cancel(cancel);
+        } else if (action instanceof Refuse refuse) {
+            Exchange x = exchanges.get(refuse.request());
+            if (x != null && finish(x)) {
+                x.client.refused(refuse.retryAfter());
+                forget(x);
+            }
+        } else if (action instanceof Fail fail) {
+            Exchange x = exchanges.get(fail.request());
+            if (x != null && finish(x)) {
+                x.client.failed(clock.now() >= x.deadline);
+                forget(x);
+            }
+        } else if (action instanceof Subscribe) {
+            onSubscribe.run();
+        } else if (action instanceof Report report) {
+            Log.line(report.text());
+        }
+    }
+
+    private void send(Send send) {
+        Exchange x = exchanges.get(send.request());
+        if (x == null) {
+            return;
+        }
+        long now = clock.now();
+        long until = send.timeout() > 0 ? Math.min(x.deadline, now + send.timeout()) : x.deadline;
+        Attempt attempt = new Attempt(x, x.attempts.size(), send.server(), now, until);
+        x.attempts.add(attempt);
+        x.out++;
+        if (x.over || now >= until || attempt.number >= limits.maxAttempts()) {
+            ended(attempt, Outcome.NOT_SENT, null);
+            return;
+        }
+        attempt.timer = loop.schedule(() -> expire(attempt), until - now, TimeUnit.NANOSECONDS);
+        servers.send(attempt);
+    }
+
+    private void cancel(Cancel cancel) {
+        Exchange x = exchanges.get(cancel.request());
+        if (x == null || cancel.attempt() < 0 || cancel.attempt() >= x.attempts.size()) {
+            return;
+        }
+        Attempt attempt = x.attempts.get(cancel.attempt());
+        if (!attempt.ended && !attempt.streaming) {
+            servers.giveUp(attempt);
+            ended(attempt, Outcome.CANCELLED, null);
+        }
+    }
+
+    // ---- ends ----
+
+    /** Marks the request as answered; false if it was before. */
+    private boolean finish(Exchange x) {
+        if (x.over) {
+            return false;
+        }
+        x.over = true;
+        x.guard.cancel(false);
+        unanswered--;
+        return true;
+    }
+
+    private void forget(Exchange x) {
+        if (x.over && x.out == 0 && exchanges.remove(x.id, x)) {
+            x.body.release();
+        }
+    }
+
+    private static void stopTimer(Attempt attempt) {
+        if (attempt.timer != null) {
+            attempt.timer.cancel(false);
+            attempt.timer = null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/onyxpaddle/node/Exchange.java
@@ -0,0 +1,38 @@
+package onyxpaddle.node;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.util.concurrent.Future;
+import java.util.ArrayList;
+import java.util.List;
+
+/** One request from a caller, from its head until its answer is given and no attempt is out any more. */
+final class Exchange {
+    final String id;
+    final String requestClass;
+    final HttpMethod method;
+    final String uri;
+    final HttpHeaders headers;
+    /** How long the caller waits, from its last byte. */
+    final long patience;
+    final Body body;
+    final ClientConnection client;
+    final List<Attempt> attempts = new ArrayList<>(2);
+    long deadline;
+    int out;
+    /** The final answer is given or has begun, or nobody waits for it. */
+    boolean over;
+    Future<?> guard;
+
+    Exchange(String id, String requestClass, HttpMethod method, String uri, HttpHeaders headers, long patience,
+            Body body, ClientConnection client) {
+        this.id = id;
+        this.requestClass = requestClass;
+        this.method = method;
+        this.uri = uri;
+        this.headers = headers;
+        this.patience = patience;
+        this.body = body;
+        this.client = client;
+    }
+}
--- /dev/null
+++ b/src/main/java/onyxpaddle/node/Node.java
@@ -0,0 +1,110 @@
+package onyxpaddle.node;
+
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import onyxpaddle.Balancing.ListKind;
+import onyxpaddle.RatioBalancer;
+
+/** The real node: one event loop that reads and writes all sockets and runs the module. */
+public final class Node {
+    /** How long a node that hears nothing of discovery waits before it works by the list it was started with. */
+    private static final long WAIT_FOR_LIST = 1_000_000_000L;
+    /** The planned end takes no longer than this; by then every deadline has long passed. */
+    private static final long LONGEST_DRAIN_S = 10;
+    private static final int EXIT_CONFIG = 78;
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final Clock clock = new Clock();
+    private final long startedAt = clock.now();
+    private final CountDownLatch drained = new CountDownLatch(1);
+    private Dispatcher dispatcher;
+    private ServerConnections servers;
+    private Discovery discovery;
+    private ClientServer clients;
+    private boolean anyServer;
+    private InetSocketAddress bound;
+
+    private Node() {
+    }
+
+    /** Runs a node as the environment says, until it is told to stop. */
+    public static void main() {
+        try {
+            Node node = start(NodeConfig.load(System.getenv()));
+            Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
+        } catch (NodeConfig.InvalidConfigException e) {
+            System.err.println("weldlink: " + e.getMessage());
+            System.exit(EXIT_CONFIG);
+        } catch (Exception e) {
+            System.err.println("weldlink: cannot start: " + e);
+            System.exit(1);
+        }
+    }
+
+    static Node start(NodeConfig config) throws Exception {
+        Node node = new Node();
+        try {
+            node.group.next().submit(() -> node.build(config)).sync();
+            node.bound = (InetSocketAddress) node.clients.listen(config.listen()).sync().channel().localAddress();
+        } catch (Exception e) {
+            node.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            throw e;
+        }
+        Log.line("node " + config.name() + " listens on " + node.bound);
+        return node;
+    }
+
+    private void build(NodeConfig config) {
+        EventLoop loop = group.next();
+        ByteBufAllocator allocator = Sockets.allocator();
+        Budget budget = new Budget(config.sockets(), Runtime.getRuntime().maxMemory());
+        RatioBalancer module = new RatioBalancer(config.settings(), config.seed());
+        dispatcher = new Dispatcher(clock, loop, module, config.settings().limits());
+        servers = new ServerConnections(loop, allocator, clock, budget, dispatcher, config.keepalive(),
+            config.settings().limits().connectTimeout());
+        discovery = new Discovery(loop, allocator, config.discovery(), config.settings().mustAskMembership(),
+            config.known().seq(), roster -> apply(roster, roster.whole() ? ListKind.ALL : ListKind.CHANGES),
+            () -> dispatcher.membership(ListKind.REFUSED, List.of()));
+        dispatcher.connect(servers, discovery::subscribe);
+        clients = new ClientServer(loop, allocator, clock, budget, dispatcher, config.settings(), this::ready);
+        apply(config.known(), ListKind.REMEMBERED);
+        discovery.start();
+    }
+
+    private void apply(Roster roster, ListKind kind) {
+        anyServer |= !roster.hosts().isEmpty();
+        servers.apply(roster);
+        dispatcher.membership(kind, Discovery.entries(roster));
+    }
+
+    /** Requests can be served once a server is known; the list at the start may be old, so news is waited for. */
+    private boolean ready() {
+        return anyServer && (discovery.heard() || clock.now() - startedAt > WAIT_FOR_LIST);
+    }
+
+    InetSocketAddress address() {
+        return bound;
+    }
+
+    /** Ends as planned: returns when all that was taken is answered. */
+    void drain() {
+        Log.line("draining");
+        group.next().execute(() -> clients.drain(drained::countDown));
+        try {
+            drained.await(LONGEST_DRAIN_S, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Ends at once. */
+    void stop() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+}
--- /dev/null
+++ b/src/main/java/onyxpaddle/node/NodeConfig.java
@@ -0,0 +1,155 @@
+package onyxpaddle.node;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import onyxpaddle.Balancing.Settings;
+import onyxpaddle.FlatSettings;
+
+/** What the node is told at its start: the environment and the file that {@code GW_CONFIG} names. */
+record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+        Roster known, Settings settings, long keepalive) {
+    private static final long USUAL_KEEPALIVE = 5_000_000_000L;
+
+    /** A setting that is missing or makes no sense; the message is one line and names it. */
+    static final class InvalidConfigException extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        InvalidConfigException(String message) {
+            super(message.lines().findFirst().orElse("") );
+        }
+    }
+
+    static NodeConfig load(Map<String, String> environment) throws InvalidConfigException {
+        String file = environment.get("GW_CONFIG");
+        if (file == null || file.isEmpty()) {
+            throw new InvalidConfigException("GW_CONFIG is not set");
+        }
+        byte[] json;
+        try {
+            json = Files.readAllBytes(Path.of(file));
+        } catch (IOException | java.nio.file.InvalidPathException e) {
+            throw new InvalidConfigException("GW_CONFIG: cannot read " + file + ": " + e);
+        }
+        return parse(json, environment);
+    }
+
+    /** The environment's name and addresses go before the file's, which hold the same. */
+    static NodeConfig parse(byte[] json, Map<String, String> environment) throws InvalidConfigException {
+        Map<String, String> flat = new HashMap<>();
+        Roster known = new Roster(0, true, List.of());
+        try (JsonParser p = Roster.JSON.createParser(json)) {
+            if (p.nextToken() != JsonToken.START_OBJECT) {
+                throw new InvalidConfigException("GW_CONFIG: not a JSON object");
+            }
+            while (p.nextToken() != JsonToken.END_OBJECT) {
+                String name = p.currentName();
+                p.nextToken();
+                if (name.equals("known") && p.currentToken() == JsonToken.START_OBJECT) {
+                    known = Roster.read(p);
+                } else {
+                    flatten(p, name, flat);
+                }
+            }
+        } catch (IOException e) {
+            throw new InvalidConfigException("GW_CONFIG: " + e.getMessage());
+        }
+        environment.forEach((variable, value) -> {
+            if (variable.startsWith("GW_") && !value.isEmpty()) {
+                flat.put(variable.substring(3).toLowerCase(java.util.Locale.ROOT), value);
+            }
+        });
+        Map<String, String> pairs = new HashMap<>();
+        flat.forEach((path, value) -> {
+            if (path.startsWith("settings.")) {
+                pairs.put(path.substring("settings.".length()), value);
+            }
+        });
+        if (pairs.isEmpty()) {
+            throw new InvalidConfigException("settings: missing");
+        }
+        try {
+            FlatSettings settings = new FlatSettings(pairs);
+            long keepalive = settings.span("limits.keepaliveS");
+            return new NodeConfig(flat.getOrDefault("name", ""), address(flat, "listen"),
+                address(flat, "discovery"), seed(flat), sockets(flat), known, settings.settings(),
+                keepalive > 0 ? keepalive : USUAL_KEEPALIVE);
+        } catch (IllegalArgumentException e) {
+            throw new InvalidConfigException("settings: " + e.getMessage());
+        }
+    }
+
+    private static InetSocketAddress address(Map<String, String> flat, String name) throws InvalidConfigException {
+        String text = flat.getOrDefault(name, "");
+        try {
+            return Roster.address(text);
+        } catch (IOException e) {
+            throw new InvalidConfigException(name + ": " + (text.isEmpty() ? "missing" : e.getMessage()));
+        }
+    }
+
+    private static long seed(Map<String, String> flat) throws InvalidConfigException {
+        try {
+            return Long.parseUnsignedLong(flat.getOrDefault("seed", ""), 16);
+        } catch (NumberFormatException e) {
+            throw new InvalidConfigException("seed: not 16 hex digits: " + flat.getOrDefault("seed", "missing"));
+        }
+    }
+
+    private static int sockets(Map<String, String> flat) throws InvalidConfigException {
+        String text = flat.getOrDefault("limits.sockets", "");
+        try {
+            int sockets = (int) Double.parseDouble(text);
+            if (sockets >= 100) {
+                return sockets;
+            }
+        } catch (NumberFormatException e) {
+            // reported below, like a number that is too small
+        }
+        throw new InvalidConfigException("limits.sockets: not a number from 100 on: "
+            + (text.isEmpty() ? "missing" : text));
+    }
+
+    /**
+     * Lays the value that the parser stands on out as flat paths, in the simulator wire's form: plain lists are
+     * joined by commas, lists of objects give {@code .count} and numbered items.
+     */
+    private static void flatten(JsonParser p, String path, Map<String, String> flat) throws IOException {
+        switch (p.currentToken()) {
+            case START_OBJECT -> {
+                while (p.nextToken() != JsonToken.END_OBJECT) {
+                    String name = p.currentName();
+                    p.nextToken();
+                    flatten(p, path + "." + name, flat);
+                }
+            }
+            case START_ARRAY -> {
+                StringBuilder plain = new StringBuilder();
+                int count = 0;
+                boolean objects = false;
+                while (p.nextToken() != JsonToken.END_ARRAY) {
+                    if (p.currentToken().isScalarValue()) {
+                        plain.append(count == 0 ? "" : ",").append(p.getText().replace(',', '_'));
+                    } else {
+                        objects = true;
+                        flatten(p, path + "." + count, flat);
+                    }
+                    count++;
+                }
+                if (objects) {
+                    flat.put(path + ".count", Integer.toString(count));
+                } else {
+                    flat.put(path, plain.toString());
+                }
+            }
+            case VALUE_NULL -> { }
+            default -> flat.put(path, p.getText());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/onyxpaddle/node/ServerConnections.java
@@ -0,0 +1,210 @@
+package onyxpaddle.node;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import onyxpaddle.Balancing.Outcome;
+import onyxpaddle.Balancing.ServerState;
+
+/** The connections to servers: dials them, keeps idle ones for further requests, and drops those too old. */
+final class ServerConnections {
+    /** Part of the servers' idle limit after which an idle connection is not used any more. */
+    private static final double IDLE_SHARE = 0.7;
+    private static final int MOST_IDLE = 16;
+    private static final long SWEEP_MS = 250;
+
+    final Clock clock;
+    final Budget budget;
+    final Dispatcher dispatcher;
+    private final Bootstrap bootstrap;
+    private final long mostIdle;
+    private final Map<String, Peer> peers = new HashMap<>();
+    private final Set<ServerConnection> open = new HashSet<>();
+    private int descriptors;
+
+    /** A server as this node reaches it. */
+    private static final class Peer {
+        InetSocketAddress address;
+        long startedAt;
+        /** The one used last is taken first, so that those not needed grow old and are dropped. */
+        final ArrayDeque<ServerConnection> idle = new ArrayDeque<>();
+    }
+
+    ServerConnections(EventLoop loop, ByteBufAllocator allocator, Clock clock, Budget budget,
+            Dispatcher dispatcher, long keepalive, long dialTimeout) {
+        this.clock = clock;
+        this.budget = budget;
+        this.dispatcher = dispatcher;
+        mostIdle = (long) (IDLE_SHARE * keepalive);
+        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            .option(ChannelOption.ALLOCATOR, allocator)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, dialTimeout / 1_000_000))
+            .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(Sockets.READ_SIZE))
+            .option(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(32 * 1024, 64 * 1024))
+            .handler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel channel) {
+                    channel.pipeline().addLast(new HttpClientCodec(new HttpDecoderConfig()
+                        .setMaxChunkSize(Sockets.READ_SIZE), false, false));
+                }
+            });
+        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    }
+
+    // ---- servers ----
+
+    void apply(Roster roster) {
+        if (roster.whole()) {
+            Set<String> left = new HashSet<>(peers.keySet());
+            roster.hosts().forEach(host -> left.remove(host.entry().server()));
+            left.forEach(this::remove);
+        }
+        for (Roster.Host host : roster.hosts()) {
+            String server = host.entry().server();
+            if (host.entry().state() == ServerState.GONE) {
+                remove(server);
+                continue;
+            }
+            Peer peer = peers.computeIfAbsent(server, s -> new Peer());
+            boolean other = !host.address().equals(peer.address) || peer.startedAt != host.entry().startedAt();
+            if (other || host.entry().state() == ServerState.DRAINING) {
+                closeIdle(peer);
+            }
+            peer.address = host.address();
+            peer.startedAt = host.entry().startedAt();
+        }
+    }
+
+    private void remove(String server) {
+        Peer peer = peers.remove(server);
+        if (peer != null) {
+            closeIdle(peer);
+        }
+    }
+
+    private static void closeIdle(Peer peer) {
+        for (ServerConnection c = peer.idle.poll(); c != null; c = peer.idle.poll()) {
+            c.close();
+        }
+    }
+
+    // ---- attempts ----
+
+    void send(Attempt attempt) {
+        Peer peer = peers.get(attempt.server);
+        if (peer == null) {
+            dispatcher.ended(attempt, Outcome.CONNECT_FAILED, null);
+            return;
+        }
+        long now = clock.now();
+        for (ServerConnection c = peer.idle.pollFirst(); c != null; c = peer.idle.pollFirst()) {
+            if (c.usable() && now - c.idleSince < mostIdle) {
+                c.start(attempt);
+                return;
+            }
+            c.close();
+        }
+        dial(peer, attempt);
+    }
+
+    private void dial(Peer peer, Attempt attempt) {
+        if (descriptors >= budget.servers && !closeOldestIdle()) {
+            // Nothing was sent, so the module may try elsewhere or refuse.
+            dispatcher.ended(attempt, Outcome.CONNECT_FAILED, null);
+            return;
+        }
+        descriptors++;
+        ChannelFuture dial = bootstrap.connect(peer.address);
+        dial.channel().closeFuture().addListener(f -> descriptors--);
+        attempt.dial = dial;
+        dial.addListener(f -> {
+            if (attempt.ended) {
+                dial.channel().close();
+            } else if (!f.isSuccess()) {
+                dial.channel().close();
+                dispatcher.ended(attempt, Outcome.CONNECT_FAILED, null);
+            } else {
+                attempt.dial = null;
+                ServerConnection c = new ServerConnection(this, attempt.server, dial.channel());
+                open.add(c);
+                dial.channel().pipeline().addLast(c);
+                c.start(attempt);
+            }
+        });
+    }
+
+    /** Stops an attempt by closing what carries it; the caller says how it ended. */
+    void giveUp(Attempt attempt) {
+        if (attempt.dial != null) {
+            attempt.dial.channel().close();
+        } else if (attempt.connection != null) {
+            attempt.connection.abandon();
+        }
+    }
+
+    // ---- the pool ----
+
+    void release(ServerConnection c) {
+        Peer peer = peers.get(c.server);
+        if (peer == null || !c.channel.remoteAddress().equals(peer.address)) {
+            c.close();
+            return;
+        }
+        c.idleSince = clock.now();
+        peer.idle.addFirst(c);
+        if (peer.idle.size() > MOST_IDLE) {
+            peer.idle.pollLast().close();
+        }
+    }
+
+    void closed(ServerConnection c) {
+        open.remove(c);
+        Peer peer = peers.get(c.server);
+        if (peer != null) {
+            peer.idle.remove(c);
+        }
+    }
+
+    private boolean closeOldestIdle() {
+        ServerConnection oldest = null;
+        for (Peer peer : peers.values()) {
+            ServerConnection c = peer.idle.peekLast();
+            if (c != null && (oldest == null || c.idleSince < oldest.idleSince)) {
+                oldest = c;
+            }
+        }
+        if (oldest != null) {
+            oldest.close();
+        }
+        return oldest != null;
+    }
+
+    private void sweep() {
+        long now = clock.now();
+        for (Peer peer : peers.values()) {
+            while (!peer.idle.isEmpty() && now - peer.idle.peekLast().idleSince >= mostIdle) {
+                peer.idle.pollLast().close();
+            }
+        }
+        for (ServerConnection c : open.toArray(new ServerConnection[0])) {
+            c.checkProgress(now);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/onyxpaddle/node/Sockets.java
@@ -0,0 +1,24 @@
+package onyxpaddle.node;
+
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.PooledByteBufAllocator;
+
+/** Sizes that all sockets share. */
+final class Sockets {
+    /** Most bytes of one read: what a stream may overshoot its write mark by, for every connection. */
+    static final int READ_SIZE = 16 * 1024;
+    private static final int PAGE = 8 * 1024;
+    /** Chunks of 512 KB, as a node in small memory holds few buffers at any moment. */
+    private static final int ORDER = 6;
+
+    private static final int SMALL_CACHED = 64;
+    private static final int NORMAL_CACHED = 16;
+
+    private Sockets() {
+    }
+
+    /** One arena: there is one thread that reads and writes. */
+    static ByteBufAllocator allocator() {
+        return new PooledByteBufAllocator(true, 1, 1, PAGE, ORDER, SMALL_CACHED, NORMAL_CACHED, false);
+    }
+}
--- /dev/null
+++ b/src/main/java/onyxpaddle/wire/Adapter.java
@@ -0,0 +1,224 @@
+package onyxpaddle.wire;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import onyxpaddle.Balancing.*;
+import onyxpaddle.FlatSettings;
+import onyxpaddle.RatioBalancer;
+
+/** Parses batches, hands their events to one module per instance and prints what it answers. No decisions. */
+final class Adapter {
+    private static final Map<String, Outcome> OUTCOMES = Map.of("Ok", Outcome.OK, "Failed", Outcome.ERROR,
+        "QueueFull", Outcome.FULL, "TimedOut", Outcome.TIMED_OUT, "ConnectError", Outcome.CONNECT_FAILED,
+        "ResetByPeer", Outcome.RESET, "Canceled", Outcome.CANCELLED, "Ignored", Outcome.NOT_SENT);
+    private static final Map<String, ListKind> LIST_KINDS = Map.of("changes", ListKind.CHANGES,
+        "all", ListKind.ALL, "remembered", ListKind.REMEMBERED, "refused", ListKind.REFUSED);
+    private static final Map<String, ServerState> STATES = Map.of("U", ServerState.READY,
+        "L", ServerState.DRAINING, "D", ServerState.GONE);
+    private static final int HINT_VALID = 1;
+    private static final int CLIENT_RETRY = 2;
+
+    private final BufferedReader in;
+    private final OutputStream out;
+    private final Map<Integer, RatioBalancer> instances = new HashMap<>();
+    private final Map<Integer, List<ServerEntry>> lists = new HashMap<>();
+    private final StringBuilder reply = new StringBuilder();
+    private long lineNumber;
+    private long now;
+
+    Adapter(InputStream in, OutputStream out) {
+        this.in = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
+        this.out = out;
+    }
+
+    /** Answers batches until the input ends. */
+    void run() throws IOException {
+        for (Fields fields = read(); fields != null; fields = read()) {
+            if (!fields.name().equals("BATCH")) {
+                throw fields.malformed("expected BATCH, not " + fields.name());
+            }
+            now = fields.time();
+            String number = fields.text();
+            batch();
+            reply.append("YIELD ").append(number).append('\n');
+            out.write(reply.toString().getBytes(StandardCharsets.UTF_8));
+            out.flush();
+            reply.setLength(0);
+        }
+    }
+
+    private void batch() throws IOException {
+        while (true) {
+            Fields fields = read();
+            if (fields == null) {
+                throw new MalformedLineException(lineNumber, "input ended inside a batch");
+            }
+            switch (fields.name()) {
+                case "COMMIT" -> {
+                    return;
+                }
+                case "POOL" -> readList(fields);
+                case "BEGIN" -> begin(fields);
+                case "RETIRE" -> instances.remove(fields.integer());
+                default -> {
+                    int instance = fields.integer();
+                    Event event = event(fields);
+                    if (event != null) {
+                        deliver(instance, event);
+                    }
+                }
+            }
+        }
+    }
+
+    private void begin(Fields fields) {
+        int instance = fields.integer();
+        long seed = fields.longInteger();
+        instances.remove(instance);
+        try {
+            instances.put(instance, new RatioBalancer(new FlatSettings(pairs(fields)).settings(), seed));
+        } catch (FlatSettings.MalformedSettingException e) {
+            throw fields.malformed(e.getMessage());
+        } catch (IllegalArgumentException e) {
+            fault(instance, e);
+        }
+    }
+
+    private static Map<String, String> pairs(Fields fields) {
+        Map<String, String> pairs = new HashMap<>();
+        while (fields.more()) {
+            String pair = fields.text();
+            int equals = pair.indexOf('=');
+            if (equals <= 0) {
+                throw fields.malformed("not a setting: " + pair);
+            }
+            pairs.put(pair.substring(0, equals), pair.substring(equals + 1));
+        }
+        return pairs;
+    }
+
+    /** The event of a line, or null for one that the module has no use for. */
+    private Event event(Fields f) {
+        return switch (f.name()) {
+            case "INGRESS" -> {
+                String request = f.text();
+                int options = f.optionalInteger();
+                double hint = f.optionalNumber();
+                f.text();
+                String requestClass = f.text();
+                long deadline = f.time();
+                String tenant = f.optionalText();
+                yield new Arrival(request, requestClass, deadline, "0".equals(tenant) ? null : tenant,
+                    (options & HINT_VALID) != 0 ? hint : 0, (options & CLIENT_RETRY) != 0);
+            }
+            case "ENDED" -> new AttemptEnded(f.text(), f.integer(), f.text(), f.word(OUTCOMES), f.time(), f.bool(),
+                f.numbers());
+            case "FIRST_BYTE" -> new FirstByte(f.text(), f.integer(), f.text(), f.time());
+            case "CLIENT_LEFT" -> new ClientGone(f.text());
+            case "WAKE" -> new Timer(f.text());
+            case "HEALTH" -> new Probed(f.text(), f.word(OUTCOMES), f.time(), f.numbers());
+            case "NOTE_FROM" -> null;
+            case "ROSTER_CHANGE" -> {
+                ListKind kind = f.word(LIST_KINDS);
+                f.text();
+                List<ServerEntry> entries = List.of();
+                if (kind != ListKind.REFUSED) {
+                    entries = lists.get(f.integer());
+                    if (entries == null) {
+                        throw f.malformed("no such list");
+                    }
+                }
+                yield new Membership(kind, entries);
+            }
+            default -> throw f.malformed("unknown message " + f.name());
+        };
+    }
+
+    private void deliver(int instance, Event event) {
+        RatioBalancer balancer = instances.get(instance);
+        if (balancer == null) {
+            return;
+        }
+        int before = reply.length();
+        try {
+            for (Action action : balancer.handle(now, event)) {
+                print(instance, action);
+            }
+        } catch (RuntimeException e) {
+            reply.setLength(before);
+            fault(instance, e);
+        }
+    }
+
+    private void fault(int instance, RuntimeException e) {
+        line("GIVE_IN", instance).append(' ').append(e.toString().replaceAll("\\s+", " ")).append('\n');
+    }
+
+    private void print(int instance, Action action) {
+        if (action instanceof Send send) {
+            line("SEND", instance).append(' ').append(send.request()).append(' ');
+            seconds(send.timeout()).append(' ').append(send.server());
+        } else if (action instanceof SetTimer timer) {
+            line("ARM", instance).append(' ');
+            seconds(timer.after()).append(' ').append(timer.token());
+        } else if (action instanceof Cancel cancel) {
+            line("ABORT_ATTEMPT", instance).append(' ').append(cancel.request()).append(' ')
+                .append(cancel.attempt());
+        } else if (action instanceof Refuse refuse) {
+            line("OVERLOAD_REPLY", instance).append(' ').append(refuse.request()).append(' ');
+            seconds(refuse.retryAfter());
+        } else if (action instanceof Fail fail) {
+            line("FINISH_ERROR", instance).append(' ').append(fail.request());
+        } else if (action instanceof Subscribe) {
+            line("STREAM_CHANGES", instance).append(" 1");
+        } else if (action instanceof Report report) {
+            line("NOTE_DOWN", instance).append(' ').append(report.text());
+        }
+        reply.append('\n');
+    }
+
+    private StringBuilder line(String name, int instance) {
+        return reply.append(name).append(' ').append(instance);
+    }
+
+    /** Appends a span as seconds, rounded up to the wire's microseconds so that no timer comes early. */
+    private StringBuilder seconds(long nanos) {
+        long micros = (nanos + 999) / 1000;
+        String fraction = Long.toString(1_000_000 + micros % 1_000_000).substring(1);
+        return reply.append(micros / 1_000_000).append('.').append(fraction);
+    }
+
+    private void readList(Fields head) throws IOException {
+        int number = head.integer();
+        int count = head.integer();
+        List<ServerEntry> entries = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            Fields f = read();
+            if (f == null || !f.name().equals("M")) {
+                throw new MalformedLineException(lineNumber, "expected an entry of a list");
+            }
+            String server = f.text();
+            String zone = f.text();
+            f.text();
+            long cell = f.optionalInteger();
+            entries.add(new ServerEntry(server, zone, cell, f.word(STATES), f.optionalNumber(), f.optionalTime()));
+        }
+        lists.put(number, List.copyOf(entries));
+    }
+
+    private Fields read() throws IOException {
+        String line = in.readLine();
+        if (line == null) {
+            return null;
+        }
+        return new Fields(line, ++lineNumber);
+    }
+}
--- /dev/null
+++ b/src/main/java/onyxpaddle/wire/Main.java
@@ -0,0 +1,18 @@
+package onyxpaddle.wire;
+
+import java.io.IOException;
+
+/** Lets the module decide on the simulator's wire: events on standard input, actions on standard output. */
+public final class Main {
+    private Main() {
+    }
+
+    public static void main(String[] args) throws IOException {
+        try {
+            new Adapter(System.in, new java.io.FileOutputStream(java.io.FileDescriptor.out)).run();
+        } catch (MalformedLineException e) {
+            System.err.println(e.getMessage());
+            System.exit(2);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/onyxpaddle/DrawTest.java
@@ -0,0 +1,129 @@
+package onyxpaddle;
+
+import static onyxpaddle.Node.MS;
+import static onyxpaddle.Node.sent;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.Map;
+import onyxpaddle.Balancing.*;
+import org.junit.jupiter.api.Test;
+
+class DrawTest {
+    private static final int DRAWS = 20_000;
+
+    /** Frequencies of first choices, each request withdrawn at once so that it leaves no trace. */
+    private static Map<String, Double> frequencies(Node node) {
+        Map<String, Double> share = new HashMap<>();
+        for (int i = 0; i < DRAWS; i++) {
+            String id = "d" + i;
+            String server = sent(node.arrive(id, "write"));
+            share.merge(server, 1.0 / DRAWS, Double::sum);
+            node.end(id, 0, server, Outcome.NOT_SENT, 0);
+            node.handle(new ClientGone(id));
+            node.end(id, 1, server, Outcome.NOT_SENT, 0);
+        }
+        return share;
+    }
+
+    /** Gives each server a full window of the given round trip, by serving whatever is drawn. */
+    private static void fill(Node node, Map<String, Long> trips) {
+        Map<String, Integer> left = new HashMap<>();
+        trips.keySet().forEach(s -> left.put(s, 20));
+        for (int i = 0; !left.isEmpty(); i++) {
+            String server = sent(node.arrive("f" + i, "write"));
+            node.end("f" + i, 0, server, Outcome.OK, trips.get(server));
+            left.computeIfPresent(server, (s, n) -> n == 1 ? null : n - 1);
+        }
+    }
+
+    @Test
+    void lowerMeanOfTwoDrawsByBestOverOwnWins() {
+        Node node = Node.plain().list("a", "b");
+        // Every class's usual trip settles between the two, the ratio of the means stays near 1 to 3.
+        fill(node, Map.of("a", 50 * MS, "b", 150 * MS));
+        Map<String, Double> share = frequencies(node);
+        // p(b) = (1/3) / (4/3) = 1/4 and b is sent to only where both draws name it.
+        assertEquals(1.0 / 16, share.get("b"), 0.02);
+    }
+
+    @Test
+    void unsampledServerCountsAsTheBest() {
+        Node node = Node.plain().list("a", "b");
+        fill(node, Map.of("a", 50 * MS, "b", 50 * MS));
+        node.list("a", "b", "new");
+        Map<String, Double> share = frequencies(node);
+        // Three servers near the same mean: each is drawn about as often.
+        assertTrue(share.get("new") > 0.2, share.toString());
+    }
+
+    @Test
+    void failuresLowerAServersChanceButNeverToZeroAndAServedCallClearsThem() {
+        Node node = Node.plain().list("a", "b");
+        fill(node, Map.of("a", 50 * MS, "b", 50 * MS));
+        int failures = 0;
+        for (int i = 0; failures < 3; i++) {
+            String server = sent(node.arrive("e" + i, "write"));
+            boolean fails = server.equals("b");
+            failures += fails ? 1 : 0;
+            node.end("e" + i, 0, server, fails ? Outcome.ERROR : Outcome.OK, 50 * MS);
+        }
+        double share = frequencies(node).get("b");
+        assertTrue(share > 0 && share < 0.25, "share " + share);
+        for (int i = 0; failures > 0; i++) {
+            String server = sent(node.arrive("o" + i, "write"));
+            failures -= server.equals("b") ? failures : 0;
+            node.end("o" + i, 0, server, Outcome.OK, 50 * MS);
+        }
+        assertEquals(0.5, frequencies(node).get("b"), 0.2);
+    }
+
+    /** Every other call of a server fails fast: each served one clears the count, so the count alone misses it. */
+    @Test
+    void serverThatErrsHalfTheTimeIsDrawnMuchLess() {
+        Node node = Node.plain().list("a", "b");
+        fill(node, Map.of("a", 50 * MS, "b", 50 * MS));
+        int calls = 0;
+        for (int i = 0; calls < 30; i++) {
+            String server = sent(node.arrive("h" + i, "write"));
+            calls += server.equals("b") ? 1 : 0;
+            boolean errs = server.equals("b") && calls % 2 == 1;
+            node.end("h" + i, 0, server, errs ? Outcome.ERROR : Outcome.OK, 50 * MS);
+        }
+        // The last call was served, so the count is clear.
+        double share = frequencies(node).get("b");
+        assertTrue(share > 0 && share < 0.2, "share " + share);
+        node.now += 60 * Node.SECOND;
+        assertEquals(0.5, frequencies(node).get("b"), 0.1);
+    }
+
+    @Test
+    void failureCountDecaysWithTime() {
+        Node node = Node.plain().list("a", "b");
+        fill(node, Map.of("a", 50 * MS, "b", 50 * MS));
+        String server = "";
+        for (int i = 0; !server.equals("b"); i++) {
+            server = sent(node.arrive("e" + i, "write"));
+            node.end("e" + i, 0, server, server.equals("b") ? Outcome.RESET : Outcome.OK, 50 * MS);
+        }
+        double soon = frequencies(node).get("b");
+        node.now += 20 * Node.SECOND;
+        assertTrue(frequencies(node).get("b") > soon + 0.1);
+    }
+
+    @Test
+    void silentServerIsDrawnLessAlthoughItsMeanIsOld() {
+        Node node = Node.plain().list("a", "b");
+        fill(node, Map.of("a", 50 * MS, "b", 50 * MS));
+        for (int i = 0; ; i++) {
+            String server = sent(node.arrive("s" + i, "write"));
+            if (server.equals("b")) {
+                break;
+            }
+            node.end("s" + i, 0, server, Outcome.OK, 50 * MS);
+        }
+        node.now += 1000 * MS;
+        assertTrue(frequencies(node).getOrDefault("b", 0.0) < 0.05);
+    }
+}
--- /dev/null
+++ b/src/test/java/onyxpaddle/FurtherAttemptsTest.java
@@ -0,0 +1,137 @@
+package onyxpaddle;
+
+import static onyxpaddle.Node.MS;
+import static onyxpaddle.Node.only;
+import static onyxpaddle.Node.sent;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import onyxpaddle.Balancing.*;
+import org.junit.jupiter.api.Test;
+
+class FurtherAttemptsTest {
+    private final Node node = Node.plain().list("a1", "a2", "b1", "b2");
+
+    @Test
+    void unsafeRequestIsNotRepeatedOnceItMayHaveRun() {
+        String server = sent(node.arrive("r", "write"));
+        List<Action> actions = node.end("r", 0, server, Outcome.ERROR, MS);
+        assertNull(sent(actions));
+        assertTrue(only(actions, Fail.class).isPresent());
+        assertFalse(only(actions, Refuse.class).isPresent());
+    }
+
+    @Test
+    void unsafeRequestMovesOnFromServersThatNeverRanIt() {
+        String first = sent(node.arrive("r", "write"));
+        String second = sent(node.end("r", 0, first, Outcome.FULL, MS));
+        assertNotNull(second);
+        assertNotEquals(first, second);
+        String third = sent(node.fire(node.end("r", 1, second, Outcome.CONNECT_FAILED, MS)));
+        assertFalse(List.of(first, second).contains(third));
+    }
+
+    @Test
+    void unsafeRequestThatNeverRanIsRefusedWhenAttemptsAreSpent() {
+        List<Action> actions = node.arrive("r", "write");
+        for (int i = 0; i < 4; i++) {
+            actions = sent(actions) == null ? node.fire(actions) : actions;
+            actions = node.end("r", i, sent(actions), Outcome.FULL, MS);
+        }
+        assertTrue(only(actions, Refuse.class).isPresent());
+    }
+
+    @Test
+    void keyedRequestIsRepeatedInItsCellOnly() {
+        String first = sent(node.arrive("r", "put"));
+        String second = sent(node.end("r", 0, first, Outcome.ERROR, MS));
+        assertNotNull(second);
+        assertEquals(first.charAt(0), second.charAt(0));
+    }
+
+    @Test
+    void keyedRequestIsNotRepeatedAfterTheServersForgotIt() {
+        Node slow = new Node(Node.settings(new RequestClass("put", Effect.KEYED, KeyGroup.ALL, 300 * MS, 0, 0, 0, 1,
+            0, false)), 1).list("a1", "a2");
+        String first = sent(slow.handle(new Arrival("r", "put", slow.now + Node.SECOND, null, 0, false)));
+        slow.now += 300 * MS;
+        List<Action> actions = slow.end("r", 0, first, Outcome.ERROR, 300 * MS);
+        assertNull(sent(actions));
+        assertTrue(only(actions, Refuse.class).isPresent());
+    }
+
+    /** The wait before a third attempt once outlasted the memory that allowed it. */
+    @Test
+    void keyedRequestIsNotRepeatedWhenTheMemoryRunsOutWhileItWaits() {
+        long deadline = node.now + 5 * Node.SECOND;
+        String first = sent(node.handle(new Arrival("r", "put", deadline, null, 0, false)));
+        String second = sent(node.end("r", 0, first, Outcome.ERROR, MS));
+        node.now += 1995 * MS;
+        List<Action> actions = node.end("r", 1, second, Outcome.ERROR, 1995 * MS);
+        for (int i = 0; i < 5 && only(actions, Fail.class).isEmpty(); i++) {
+            assertNull(sent(actions));
+            node.now += 20 * MS;
+            actions = node.handle(new Timer("due"));
+        }
+        assertTrue(only(actions, Fail.class).isPresent(), "" + actions);
+    }
+
+    @Test
+    void overstayingSafeAttemptGetsOneCopyElsewhereAndTheLoserIsCalledOff() {
+        List<Action> actions = node.arrive("r", "read");
+        String first = sent(actions);
+        String second = sent(node.fire(actions));
+        assertNotNull(second);
+        assertNotEquals(first, second);
+        Cancel cancel = only(node.end("r", 1, second, Outcome.OK, MS), Cancel.class).orElseThrow();
+        assertEquals(0, cancel.attempt());
+    }
+
+    @Test
+    void repeatsOfWhatMayHaveRunAreAFewInTen() {
+        int repeats = 0;
+        for (int i = 0; i < 200; i++) {
+            String server = sent(node.arrive("r" + i, "read"));
+            String again = sent(node.end("r" + i, 0, server, Outcome.ERROR, MS));
+            if (again != null) {
+                repeats++;
+                node.end("r" + i, 1, again, Outcome.OK, MS);
+            }
+        }
+        assertTrue(repeats > 0 && repeats <= 30, repeats + " repeats of 200");
+    }
+
+    @Test
+    void requestIsEndedOnceWhenItsLastAttemptTimesOutAtTheDeadline() {
+        String first = sent(node.arrive("r", "write"));
+        node.now += 2 * Node.SECOND;
+        assertTrue(only(node.end("r", 0, first, Outcome.TIMED_OUT, 2 * Node.SECOND), Fail.class).isPresent());
+        assertTrue(node.end("r", 0, first, Outcome.TIMED_OUT, 2 * Node.SECOND).isEmpty());
+        assertTrue(node.handle(new ClientGone("r")).isEmpty());
+    }
+
+    @Test
+    void requestIsHeldForAServerAndRefusedInTime() {
+        Node empty = Node.plain();
+        List<Action> actions = empty.arrive("r", "write");
+        long deadline = empty.now + 2 * Node.SECOND;
+        while (only(actions, Refuse.class).isEmpty()) {
+            actions = empty.fire(actions);
+            assertTrue(empty.now < deadline);
+        }
+        assertTrue(deadline - empty.now < 10 * MS);
+    }
+
+    @Test
+    void drainingServerGetsNothingNew() {
+        node.changes(node.entry("a1", ServerState.DRAINING, 0), node.entry("b1", ServerState.GONE, 0));
+        for (int i = 0; i < 200; i++) {
+            assertTrue(List.of("a2", "b2").contains(node.serve("r" + i, MS)));
+        }
+    }
+}
