SIGHUP moves discovery; a server's answer is held whole and comes alone

Now Hangup catches it and the node moves to the discovery that the file names; the old one is let go of at once and the new one is asked for its whole list, since its version numbers are its own.

A probe of the bytes from servers showed second copies and noise in the same read as the answer, conflicting lengths, broken chunks and heads without end; CL with TE is turned away by the decoder already (ruled out). Answers are now held whole, at most 64 KiB, decoded once per request; surplus bytes cost the connection, and a connection rests 10 ms before it is used again.

--- /dev/null
+++ b/src/main/java/onyxpaddle/node/AnswerDecoder.java
@@ -0,0 +1,55 @@
+package onyxpaddle.node;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.List;
+
+/**
+ * Decodes one answer for each request that was sent, and nothing besides. Guards against bytes that belong to no
+ * request: a second copy, noise, or an answer sent unasked, which would otherwise wait in the decoder and be taken
+ * as the answer to the next request. It should cover whatever a peer sends too much, parsable or not. It costs the
+ * connection, so it would do harm where servers were to send ahead, which this protocol does not allow.
+ */
+final class AnswerDecoder extends HttpResponseDecoder {
+    private boolean expecting;
+    private boolean interim;
+    private boolean surplus;
+
+    AnswerDecoder(HttpDecoderConfig config) {
+        super(config);
+    }
+
+    /** A request is about to be written: its answer may be decoded. */
+    void expect() {
+        expecting = true;
+    }
+
+    /** Whether bytes have come that no request called for. */
+    boolean surplus() {
+        return surplus;
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
+        if (!expecting) {
+            surplus |= in.isReadable();
+            in.skipBytes(in.readableBytes());
+            return;
+        }
+        int before = out.size();
+        super.decode(context, in, out);
+        for (int i = before; i < out.size(); i++) {
+            if (out.get(i) instanceof HttpResponse response) {
+                interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+            }
+            if (out.get(i) instanceof LastHttpContent) {
+                expecting = interim;
+            }
+        }
+    }
+}
--- a/src/main/java/onyxpaddle/node/Attempt.java
+++ b/src/main/java/onyxpaddle/node/Attempt.java
@@ -17,7 +17,6 @@
     ServerConnection connection;
     /** The operating system has the request's last byte: from here on the server may run it. */
     boolean written;
-    boolean streaming;
     boolean ended;
 
     Attempt(Exchange exchange, int number, String server, long sentAt, long until) {
--- a/src/main/java/onyxpaddle/node/Body.java
+++ b/src/main/java/onyxpaddle/node/Body.java
@@ -10,7 +10,8 @@
  * would otherwise pin a read buffer for each of them, and the budget would not know.
  */
 final class Body {
-    static final int PIECE = 64 * 1024;
+    /** The protocol's limit, for requests and for answers. */
+    static final int LARGEST = 64 * 1024;
 
     private final Budget budget;
     private final List<byte[]> pieces = new ArrayList<>(1);
@@ -22,14 +23,17 @@
     /** {@code expected}: the length that the peer states, or -1. */
     Body(Budget budget, long expected) {
         this.budget = budget;
-        this.firstPiece = (int) Math.min(PIECE, expected < 0 ? 1024 : Math.max(1, expected));
+        this.firstPiece = (int) Math.min(LARGEST, expected < 0 ? 1024 : Math.max(1, expected));
     }
 
-    /** Adds what the buffer holds; false if the budget has no room for it. */
+    /** Adds what the buffer holds; false if that is more than a body may hold or than the budget has room for. */
     boolean add(ByteBuf more) {
+        if (size + more.readableBytes() > LARGEST) {
+            return false;
+        }
         while (more.isReadable()) {
             if (pieces.isEmpty() || inLast == last().length) {
-                int next = pieces.isEmpty() ? firstPiece : Math.max(PIECE / 8, (int) Math.min(PIECE, size));
+                int next = pieces.isEmpty() ? firstPiece : Math.max(LARGEST / 8, (int) Math.min(LARGEST, size));
                 if (!budget.take(next, taken)) {
                     return false;
                 }
@@ -53,20 +57,12 @@
         return size;
     }
 
-    int pieces() {
-        return pieces.size();
-    }
-
-    ByteBuf piece(int index) {
-        byte[] piece = pieces.get(index);
-        return Unpooled.wrappedBuffer(piece, 0, index == pieces.size() - 1 ? inLast : piece.length);
-    }
-
-    /** All of it as one buffer, for bodies that are written at once. */
+    /** All of it as one buffer. */
     ByteBuf whole() {
         ByteBuf[] all = new ByteBuf[pieces.size()];
         for (int i = 0; i < all.length; i++) {
-            all[i] = piece(i);
+            byte[] piece = pieces.get(i);
+            all[i] = Unpooled.wrappedBuffer(piece, 0, i == all.length - 1 ? inLast : piece.length);
         }
         return Unpooled.wrappedBuffer(all.length, all);
     }
--- a/src/main/java/onyxpaddle/node/ClientConnection.java
+++ b/src/main/java/onyxpaddle/node/ClientConnection.java
@@ -10,13 +10,10 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -34,7 +31,6 @@
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
     private static final long SECOND = 1_000_000_000L;
-    private static final long LARGEST_BODY = 32L << 20;
     /** A request's head may take 2 s and its body come at 64 kB/s; these limits leave room for a stalled core. */
     private static final long LONGEST_HEAD = 8 * SECOND;
     private static final long BODY_GRACE = 8 * SECOND;
@@ -53,8 +49,6 @@
         RECEIVING,
         /** A request is taken and has no answer yet. */
         WAITING,
-        /** An answer is passed on as it comes. */
-        STREAMING,
         /** The answer is given, the rest of the request's body is read off. */
         SKIPPING,
         /** The last answer is given; what still comes is read off until the client closes. */
@@ -70,8 +64,6 @@
     private long headSince;
     private long received;
     private Exchange exchange;
-    private ServerConnection source;
-    private boolean chunked;
     private boolean keepAlive;
     private HttpVersion version = HttpVersion.HTTP_1_1;
     private long unreadSince;
@@ -128,12 +120,12 @@
     }
 
     private boolean mustWait() {
-        return !ahead.isEmpty() || state == State.WAITING || state == State.STREAMING || !channel.isWritable();
+        return !ahead.isEmpty() || state == State.WAITING || !channel.isWritable();
     }
 
     /** Goes on with what was sent ahead; a client that reads no answers gets no further ones. */
     private void goOn() {
-        while (!ahead.isEmpty() && state != State.WAITING && state != State.STREAMING && channel.isWritable()) {
+        while (!ahead.isEmpty() && state != State.WAITING && channel.isWritable()) {
             take(ahead.poll());
         }
         if (ahead.isEmpty()) {
@@ -143,13 +135,9 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
-        if (!channel.isWritable()) {
-            return;
-        }
-        if (source != null) {
-            source.resume();
+        if (channel.isWritable()) {
+            goOn();
         }
-        goOn();
     }
 
     private void take(Object message) {
@@ -214,7 +202,7 @@
             return HttpResponseStatus.BAD_REQUEST;
         }
         long length = HttpUtil.isTransferEncodingChunked(request) ? -1 : HttpUtil.getContentLength(request, 0L);
-        if (length > LARGEST_BODY) {
+        if (length > Body.LARGEST) {
             return HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE;
         }
         if (all.crowded()) {
@@ -253,7 +241,7 @@
     private void content(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
         if (state == State.RECEIVING && exchange != null) {
-            if (exchange.body.size() + content.content().readableBytes() > LARGEST_BODY) {
+            if (exchange.body.size() + content.content().readableBytes() > Body.LARGEST) {
                 answer(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, 0);
             } else if (!exchange.body.add(content.content())) {
                 // Nothing of it was sent on, so the client may try again when there is room.
@@ -371,49 +359,6 @@
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> channel.shutdownOutput());
     }
 
-    // ---- answers that are passed on as they come ----
-
-    void streamBegins(ServerConnection from, ServerAnswer answer) {
-        enter(State.STREAMING);
-        source = from;
-        HttpResponse response = new DefaultHttpResponse(version, HttpResponseStatus.OK);
-        if (answer.contentType() != null) {
-            response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType());
-        }
-        chunked = false;
-        if (answer.length() >= 0) {
-            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.length());
-        } else if (version.isKeepAliveDefault()) {
-            chunked = true;
-            HttpUtil.setTransferEncodingChunked(response, true);
-        } else {
-            keepAlive = false;
-        }
-        HttpUtil.setKeepAlive(response, keepsAlive());
-        channel.write(response);
-    }
-
-    void streamed(ByteBuf bytes) {
-        unreadSince = all.clock.now();
-        channel.writeAndFlush(new DefaultHttpContent(bytes));
-    }
-
-    boolean takesMore() {
-        return channel.isWritable();
-    }
-
-    void streamEnds(boolean whole) {
-        source = null;
-        if (whole) {
-            sent(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
-            answered();
-        } else {
-            // A reset, so that the client can tell the answer is not whole, whatever its framing.
-            channel.config().setSoLinger(0);
-            channel.close();
-        }
-    }
-
     // ---- ends ----
 
     void checkProgress(long now) {
@@ -443,7 +388,7 @@
                     close();
                 }
             }
-            case WAITING, STREAMING -> { }
+            case WAITING -> { }
         }
         if ((unread > 0 || !channel.isWritable()) && now - unreadSince > LONGEST_UNREAD) {
             close();
@@ -457,11 +402,7 @@
         all.closed(this);
         ahead.forEach(ReferenceCountUtil::release);
         ahead.clear();
-        if (source != null) {
-            ServerConnection from = source;
-            source = null;
-            from.sinkGone();
-        } else if (before == State.WAITING) {
+        if (before == State.WAITING) {
             all.dispatcher.clientGone(exchange);
         } else if (exchange != null) {
             exchange.body.release();
--- a/src/main/java/onyxpaddle/node/Discovery.java
+++ b/src/main/java/onyxpaddle/node/Discovery.java
@@ -50,12 +50,13 @@
     private final Runnable onRefused;
     private Channel channel;
     private Future<?> timeout;
+    private Future<?> nextCall;
     private boolean calling;
+    private boolean stopped;
     private long calledAt;
     private long seq;
     /** The version held is in doubt: the next call asks for the whole list. */
     private boolean lost;
-    private boolean heard;
     private int failures;
 
     Discovery(EventLoop loop, ByteBufAllocator allocator, InetSocketAddress address, boolean asked, long seq,
@@ -80,17 +81,35 @@
             });
     }
 
-    /** Whether any answer has come since the start. */
-    boolean heard() {
-        return heard;
-    }
-
     void start() {
         if (!asked) {
             call();
         }
     }
 
+    /**
+     * Starts in the place of another discovery. Its version numbers are its own, so the whole list is asked for, and
+     * at once, also where the module asks: what it has to tell counts as told soon after the change.
+     */
+    void startAnew() {
+        lost = true;
+        call();
+    }
+
+    /** Ends it for good: no call is made, and no answer taken, after this. */
+    void stop() {
+        stopped = true;
+        calling = false;
+        stopTimeout();
+        if (nextCall != null) {
+            nextCall.cancel(false);
+        }
+        if (channel != null) {
+            channel.close();
+            channel = null;
+        }
+    }
+
     /** The module asks for changes from now on. */
     void subscribe() {
         if (!calling) {
@@ -99,6 +118,9 @@
     }
 
     private void call() {
+        if (stopped) {
+            return;
+        }
         calling = true;
         calledAt = System.nanoTime();
         if (channel != null && channel.isActive()) {
@@ -108,11 +130,12 @@
         ChannelFuture dial = bootstrap.connect();
         channel = dial.channel();
         dial.addListener(f -> {
-            if (!f.isSuccess()) {
+            if (channel != dial.channel()) {
                 dial.channel().close();
-                failed(dial.channel(), "cannot connect");
-            } else if (channel == dial.channel()) {
+            } else if (f.isSuccess()) {
                 write();
+            } else {
+                failed(dial.channel(), "cannot connect");
             }
         });
     }
@@ -148,7 +171,7 @@
 
     private void later(int millis) {
         calling = true;
-        loop.schedule(this::call, millis, TimeUnit.MILLISECONDS);
+        nextCall = loop.schedule(this::call, millis, TimeUnit.MILLISECONDS);
     }
 
     private void stopTimeout() {
@@ -187,7 +210,6 @@
         }
         failures = 0;
         lost = false;
-        heard = true;
         seq = roster.seq();
         if (!HttpUtil.isKeepAlive(response)) {
             channel = null;
--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -82,21 +82,7 @@
         }
     }
 
-    /**
-     * A server's answer that is passed on as it comes has begun; from here on the client has its final answer.
-     * False where it has one already.
-     */
-    boolean streamBegins(Attempt attempt) {
-        if (!finish(attempt.exchange)) {
-            return false;
-        }
-        attempt.streaming = true;
-        stopTimer(attempt);
-        tell(new FirstByte(attempt.exchange.id, attempt.number, attempt.server, clock.now() - attempt.sentAt));
-        return true;
-    }
-
-    /** The end of an attempt; {@code answer} is the whole body of an OK that was held back until now. */
+    /** The end of an attempt; {@code answer} is what an OK has brought. */
     void ended(Attempt attempt, Outcome outcome, ServerAnswer answer) {
         if (attempt.ended) {
             return;
@@ -107,7 +93,7 @@
         stopTimer(attempt);
         Exchange x = attempt.exchange;
         x.out--;
-        if (outcome == Outcome.OK && answer != null && finish(x)) {
+        if (outcome == Outcome.OK && finish(x)) {
             x.client.served(answer);
         }
         // Load reports are not passed on: the module takes no account of them.
@@ -218,7 +204,7 @@
             return;
         }
         Attempt attempt = x.attempts.get(cancel.attempt());
-        if (!attempt.ended && !attempt.streaming) {
+        if (!attempt.ended) {
             servers.giveUp(attempt);
             ended(attempt, Outcome.CANCELLED, null);
         }
--- a/src/main/java/onyxpaddle/node/Node.java
+++ b/src/main/java/onyxpaddle/node/Node.java
@@ -6,6 +6,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import onyxpaddle.Balancing.ListKind;
@@ -27,7 +28,10 @@
     private ServerConnections servers;
     private Discovery discovery;
     private ClientServer clients;
+    private NodeConfig config;
+    private ByteBufAllocator allocator;
     private boolean anyServer;
+    private boolean heard;
     private InetSocketAddress bound;
 
     private Node() {
@@ -36,7 +40,9 @@
     /** Runs a node as the environment says, until it is told to stop. */
     public static void main() {
         try {
-            Node node = start(NodeConfig.load(System.getenv()));
+            Node node = new Node();
+            Hangup.runs(() -> node.reload(System.getenv()));
+            node.run(NodeConfig.load(System.getenv()));
             Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
         } catch (NodeConfig.InvalidConfigException e) {
             System.err.println("weldlink: " + e.getMessage());
@@ -49,34 +55,70 @@
 
     static Node start(NodeConfig config) throws Exception {
         Node node = new Node();
+        node.run(config);
+        return node;
+    }
+
+    private void run(NodeConfig first) throws Exception {
         try {
-            node.group.next().submit(() -> node.build(config)).sync();
-            node.bound = (InetSocketAddress) node.clients.listen(config.listen()).sync().channel().localAddress();
+            group.next().submit(() -> build(first)).sync();
+            bound = (InetSocketAddress) clients.listen(first.listen()).sync().channel().localAddress();
         } catch (Exception e) {
-            node.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
             throw e;
         }
-        Log.line("node " + config.name() + " listens on " + node.bound);
-        return node;
+        Log.line("node " + first.name() + " listens on " + bound);
     }
 
-    private void build(NodeConfig config) {
+    private void build(NodeConfig first) {
+        config = first;
         EventLoop loop = group.next();
-        ByteBufAllocator allocator = Sockets.allocator();
+        allocator = Sockets.allocator();
         Budget budget = new Budget(config.sockets(), Runtime.getRuntime().maxMemory());
         RatioBalancer module = new RatioBalancer(config.settings(), config.seed());
         dispatcher = new Dispatcher(clock, loop, module, config.settings().limits());
         servers = new ServerConnections(loop, allocator, clock, budget, dispatcher, config.keepalive(),
             config.settings().limits().connectTimeout());
-        discovery = new Discovery(loop, allocator, config.discovery(), config.settings().mustAskMembership(),
-            config.known().seq(), roster -> apply(roster, roster.whole() ? ListKind.ALL : ListKind.CHANGES),
-            () -> dispatcher.membership(ListKind.REFUSED, List.of()));
-        dispatcher.connect(servers, discovery::subscribe);
+        discovery = discovery(loop);
+        dispatcher.connect(servers, () -> discovery.subscribe());
         clients = new ClientServer(loop, allocator, clock, budget, dispatcher, config.settings(), this::ready);
         apply(config.known(), ListKind.REMEMBERED);
         discovery.start();
     }
 
+    private Discovery discovery(EventLoop loop) {
+        return new Discovery(loop, allocator, config.discovery(), config.settings().mustAskMembership(),
+            config.known().seq(), roster -> {
+                heard = true;
+                apply(roster, roster.whole() ? ListKind.ALL : ListKind.CHANGES);
+            }, () -> dispatcher.membership(ListKind.REFUSED, List.of()));
+    }
+
+    /**
+     * Reads the configuration again, off the event loop, and moves to the discovery that it names. The servers held
+     * stay until the new one tells its whole list; the old one is let go of at once, so that nothing it still sends
+     * can undo that. A file that makes no sense changes nothing. Everything else in it holds from a start only.
+     */
+    void reload(Map<String, String> environment) {
+        try {
+            NodeConfig next = NodeConfig.reload(environment);
+            group.next().execute(() -> move(next));
+        } catch (NodeConfig.InvalidConfigException e) {
+            Log.line("SIGHUP: the configuration stays as it was: " + e.getMessage());
+        }
+    }
+
+    private void move(NodeConfig next) {
+        if (config == null || next.discovery().equals(config.discovery())) {
+            return;
+        }
+        Log.line("SIGHUP: discovery is at " + next.discovery() + " now");
+        config = next;
+        discovery.stop();
+        discovery = discovery(group.next());
+        discovery.startAnew();
+    }
+
     private void apply(Roster roster, ListKind kind) {
         anyServer |= !roster.hosts().isEmpty();
         servers.apply(roster);
@@ -85,7 +127,7 @@
 
     /** Requests can be served once a server is known; the list at the start may be old, so news is waited for. */
     private boolean ready() {
-        return anyServer && (discovery.heard() || clock.now() - startedAt > WAIT_FOR_LIST);
+        return anyServer && (heard || clock.now() - startedAt > WAIT_FOR_LIST);
     }
 
     InetSocketAddress address() {
--- a/src/main/java/onyxpaddle/node/NodeConfig.java
+++ b/src/main/java/onyxpaddle/node/NodeConfig.java
@@ -26,6 +26,13 @@
         }
     }
 
+    /** As after SIGHUP: the environment is as old as the process, so the file's word on discovery goes before it. */
+    static NodeConfig reload(Map<String, String> environment) throws InvalidConfigException {
+        Map<String, String> lasting = new HashMap<>(environment);
+        lasting.remove("GW_DISCOVERY");
+        return load(lasting);
+    }
+
     static NodeConfig load(Map<String, String> environment) throws InvalidConfigException {
         String file = environment.get("GW_CONFIG");
         if (file == null || file.isEmpty()) {
--- a/src/main/java/onyxpaddle/node/ServerConnection.java
+++ b/src/main/java/onyxpaddle/node/ServerConnection.java
@@ -3,22 +3,25 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.List;
 import onyxpaddle.Balancing.Outcome;
 
 /**
@@ -26,12 +29,10 @@
  * protocol: what breaks before the request's last byte is written has never run, what breaks after it may have.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
-    /** Answers up to this are held whole, so that a broken one can be tried again; longer ones pass through. */
-    static final int HELD = 64 * 1024;
-    /** A server pauses within an answer for 0.1 s at most; one that says nothing for so long has broken off. */
-    private static final long LONGEST_PAUSE = 5_000_000_000L;
-    /** What is read off after an answer that is not passed on, before the connection is closed instead. */
-    private static final int MOST_SKIPPED = 64 * 1024;
+    /** What is left of an answer that ended its attempt at the head comes within this, or not at all. */
+    private static final long LONGEST_REST = 5_000_000_000L;
+    /** Interim answers before the final one: a server has a use for a few. */
+    private static final int MOST_INTERIM = 16;
 
     final String server;
     final Channel channel;
@@ -39,21 +40,22 @@
     private final ServerConnections all;
     /** The attempt that waits for its outcome, or null. */
     private Attempt attempt;
+    private final AnswerDecoder decoder;
+    /** A request is out and the last byte of its answer has not come. */
     private boolean exchanging;
-    private boolean requestWritten;
-    private int nextPiece;
-    private boolean interim;
-    private boolean answering;
+    private boolean answered;
     private boolean reusable;
-    private int skipped;
+    private int interim;
+    private long skipped;
     private ServerAnswer answer;
-    private ClientConnection sink;
-    private long progressAt;
+    private long startedAt;
 
     ServerConnection(ServerConnections all, String server, Channel channel) {
         this.all = all;
         this.server = server;
         this.channel = channel;
+        decoder = new AnswerDecoder(new HttpDecoderConfig().setMaxChunkSize(Sockets.READ_SIZE));
+        channel.pipeline().addLast(new HttpRequestEncoder(), decoder, this);
     }
 
     boolean usable() {
@@ -70,55 +72,24 @@
         attempt = next;
         next.connection = this;
         exchanging = true;
-        requestWritten = false;
-        answering = false;
+        answered = false;
         reusable = false;
+        interim = 0;
         skipped = 0;
-        nextPiece = 0;
-        progressAt = all.clock.now();
+        startedAt = all.clock.now();
+        decoder.expect();
         Exchange x = next.exchange;
-        HttpHeaders headers = Headers.forServer(x, channel.remoteAddress(), next.until - progressAt);
-        ChannelFuture last;
-        if (x.body.size() <= HELD) {
-            ByteBuf body = x.body.size() == 0 ? Unpooled.EMPTY_BUFFER : x.body.whole();
-            last = channel.writeAndFlush(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, x.method, x.uri, body,
-                headers, io.netty.handler.codec.http.EmptyHttpHeaders.INSTANCE));
-            last.addListener(f -> written(next, f.isSuccess()));
-        } else {
-            channel.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, x.method, x.uri, headers));
-            writePieces();
-        }
-    }
-
-    /** Writes on while the connection takes it, so that a long body is never copied out all at once. */
-    private void writePieces() {
-        Attempt current = attempt;
-        while (current != null && attempt == current && nextPiece < current.exchange.body.pieces()
-                && channel.isWritable()) {
-            ByteBuf piece = current.exchange.body.piece(nextPiece++);
-            progressAt = all.clock.now();
-            channel.writeAndFlush(new DefaultHttpContent(piece));
-            if (nextPiece == current.exchange.body.pieces()) {
-                channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-                    .addListener(f -> written(current, f.isSuccess()));
-            }
-        }
+        HttpHeaders headers = Headers.forServer(x, channel.remoteAddress(), next.until - startedAt);
+        ByteBuf body = x.body.size() == 0 ? Unpooled.EMPTY_BUFFER : x.body.whole();
+        channel.writeAndFlush(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, x.method, x.uri, body, headers,
+            EmptyHttpHeaders.INSTANCE)).addListener(f -> written(next, f.isSuccess()));
     }
 
     private void written(Attempt of, boolean success) {
-        if (success && attempt == of) {
-            of.written = true;
-            requestWritten = true;
-            progressAt = all.clock.now();
-        } else if (!success) {
+        if (!success) {
             channel.close();
-        }
-    }
-
-    @Override
-    public void channelWritabilityChanged(ChannelHandlerContext context) {
-        if (attempt != null && !attempt.written) {
-            writePieces();
+        } else if (attempt == of) {
+            of.written = true;
         }
     }
 
@@ -127,24 +98,15 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
-            progressAt = all.clock.now();
-            if (!exchanging) {
-                // Bytes on an idle connection answer nothing: whatever follows them could not be trusted.
-                close();
+            if (!exchanging || message instanceof HttpObject part && part.decoderResult().isFailure()) {
+                spoilt();
                 return;
             }
             if (message instanceof HttpResponse response) {
                 head(response);
             }
-            if (message instanceof HttpContent content) {
-                if (content.decoderResult().isFailure()) {
-                    end(Outcome.RESET);
-                    close();
-                } else if (interim) {
-                    interim = !(content instanceof LastHttpContent);
-                } else {
-                    content(content);
-                }
+            if (message instanceof HttpContent content && answered) {
+                content(content);
             }
         } finally {
             ReferenceCountUtil.release(message);
@@ -152,22 +114,23 @@
     }
 
     private void head(HttpResponse response) {
-        if (response.decoderResult().isFailure()) {
-            end(Outcome.ERROR);
-            close();
-            return;
-        }
         int status = response.status().code();
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            interim = true;
+            if (++interim > MOST_INTERIM || status == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+                spoilt();
+            }
             return;
         }
-        answering = true;
+        answered = true;
         reusable = HttpUtil.isKeepAlive(response);
         if (status == 200) {
             long length = HttpUtil.getContentLength(response, -1L);
-            answer = new ServerAnswer(response.headers().get(HttpHeaderNames.CONTENT_TYPE), length,
-                new Body(all.budget, length));
+            if (!attempt.written || length > Body.LARGEST || !wholeCanBeTold(response, length)) {
+                spoilt();
+            } else {
+                answer = new ServerAnswer(response.headers().get(HttpHeaderNames.CONTENT_TYPE),
+                    new Body(all.budget, length));
+            }
             return;
         }
         // A refusal counts as never run only with the server's own word for it; a bare 503 may have run.
@@ -176,62 +139,46 @@
         end(neverRan ? Outcome.FULL : Outcome.ERROR);
     }
 
-    private void content(HttpContent content) {
-        if (sink != null) {
-            sink.streamed(content.content().retain());
-            if (!sink.takesMore()) {
-                channel.config().setAutoRead(false);
-            }
-        } else if (answer != null && attempt != null) {
-            hold(content.content());
-        } else {
-            skipped += content.content().readableBytes();
-            if (skipped > MOST_SKIPPED) {
-                close();
-            }
-        }
-        if (content instanceof LastHttpContent) {
-            complete();
-        }
+    /** Without a length of its own or chunks, an answer that broke off would look like a short one. */
+    private static boolean wholeCanBeTold(HttpResponse response, long length) {
+        List<String> codings = response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        return codings.isEmpty() ? length >= 0
+            : codings.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0).trim());
     }
 
-    private void hold(ByteBuf bytes) {
-        boolean fits = answer.length() <= HELD && answer.body().size() + bytes.readableBytes() <= HELD;
-        if (fits && answer.body().add(bytes)) {
-            return;
-        }
-        // Too long to hold, or no room left for it: it passes through from here on.
-        ClientConnection client = attempt.exchange.client;
-        if (!all.dispatcher.streamBegins(attempt)) {
-            return;
-        }
-        sink = client;
-        sink.streamBegins(this, answer);
-        if (answer.body().size() > 0) {
-            sink.streamed(answer.body().whole());
-        }
-        if (bytes.isReadable()) {
-            sink.streamed(bytes.retain());
-        }
-        if (!sink.takesMore()) {
-            channel.config().setAutoRead(false);
-        }
+    private void content(HttpContent content) {
+        skipped += content.content().readableBytes();
+        if (skipped > Body.LARGEST || answer != null && !answer.body().add(content.content())) {
+            spoilt();
+        } else if (content instanceof LastHttpContent) {
+            end(Outcome.OK);
+            exchanging = false;
+        }
+    }
+
+    /**
+     * What has come is not the answer to the request, or not wholly. The request may have run, and where the next
+     * answer would begin is not known. Guards against what can't be parsed, is longer than the protocol allows,
+     * or doesn't tell its own end; it should cover any answer that could be served cut, mixed up or never ended.
+     * It would do harm where a good server framed its answers loosely: each would count as an error of its own.
+     */
+    private void spoilt() {
+        end(attempt != null && !attempt.written ? Outcome.CONNECT_FAILED : Outcome.ERROR);
+        close();
     }
 
-    private void complete() {
-        ClientConnection to = sink;
-        sink = null;
-        if (to != null) {
-            to.streamEnds(true);
-        }
-        end(Outcome.OK);
-        exchanging = false;
-        answering = false;
-        if (reusable && requestWritten && channel.isActive()) {
-            channel.config().setAutoRead(true);
-            all.release(this);
-        } else {
+    /** All that has been read so far is dealt with: only now is it known whether an answer came alone. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (decoder.surplus()) {
             close();
+        } else if (answered && !exchanging) {
+            answered = false;
+            if (reusable && channel.isActive()) {
+                all.release(this);
+            } else {
+                close();
+            }
         }
     }
 
@@ -239,15 +186,10 @@
     private void end(Outcome outcome) {
         Attempt current = attempt;
         ServerAnswer held = answer;
-        ClientConnection to = sink;
         attempt = null;
         answer = null;
-        sink = null;
-        if (to != null) {
-            to.streamEnds(false);
-        }
         if (current != null) {
-            all.dispatcher.ended(current, outcome, current.streaming ? null : held);
+            all.dispatcher.ended(current, outcome, held);
         }
         if (held != null) {
             held.body().release();
@@ -261,24 +203,9 @@
         close();
     }
 
-    /** The client of the stream has room again. */
-    void resume() {
-        progressAt = all.clock.now();
-        channel.config().setAutoRead(true);
-    }
-
-    /** The client of the stream has gone. */
-    void sinkGone() {
-        sink = null;
-        end(Outcome.CANCELLED);
-        close();
-    }
-
-    /** Ends a stream that its server has left hanging; what waits for its first byte has a time-out of its own. */
+    /** Closes what has not brought the rest of an answer that nobody waits for; attempts have their own time-out. */
     void checkProgress(long now) {
-        boolean hanging = sink != null ? channel.config().isAutoRead() : exchanging && attempt == null;
-        if (hanging && now - progressAt > LONGEST_PAUSE) {
-            broken();
+        if (exchanging && attempt == null && now - startedAt > LONGEST_REST) {
             close();
         }
     }
--- a/src/main/java/onyxpaddle/node/ServerConnections.java
+++ b/src/main/java/onyxpaddle/node/ServerConnections.java
@@ -10,12 +10,11 @@
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -26,6 +25,11 @@
 final class ServerConnections {
     /** Part of the servers' idle limit after which an idle connection is not used any more. */
     private static final double IDLE_SHARE = 0.7;
+    /**
+     * How long a connection rests after an answer before it carries a request again: what a server sends too much
+     * comes right behind the answer, and must not meet the next request. Where all rest, a new one is dialled.
+     */
+    private static final long REST = 10_000_000L;
     private static final int MOST_IDLE = 16;
     private static final long SWEEP_MS = 250;
 
@@ -61,8 +65,7 @@
             .handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
-                    channel.pipeline().addLast(new HttpClientCodec(new HttpDecoderConfig()
-                        .setMaxChunkSize(Sockets.READ_SIZE), false, false));
+                    // Its handlers come with the ServerConnection, once the dial has succeeded.
                 }
             });
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
@@ -113,15 +116,26 @@
             dispatcher.ended(attempt, Outcome.CONNECT_FAILED, null);
             return;
         }
+        ServerConnection rested = rested(peer);
+        if (rested != null) {
+            rested.start(attempt);
+        } else {
+            dial(peer, attempt);
+        }
+    }
+
+    /** Takes the idle connection that was used last among those that have rested; null where there is none. */
+    private ServerConnection rested(Peer peer) {
         long now = clock.now();
-        for (ServerConnection c = peer.idle.pollFirst(); c != null; c = peer.idle.pollFirst()) {
-            if (c.usable() && now - c.idleSince < mostIdle) {
-                c.start(attempt);
-                return;
+        for (Iterator<ServerConnection> idle = peer.idle.iterator(); idle.hasNext();) {
+            ServerConnection c = idle.next();
+            long rest = now - c.idleSince;
+            if (rest >= REST && rest < mostIdle && c.usable()) {
+                idle.remove();
+                return c;
             }
-            c.close();
         }
-        dial(peer, attempt);
+        return null;
     }
 
     private void dial(Peer peer, Attempt attempt) {
@@ -144,7 +158,6 @@
                 attempt.dial = null;
                 ServerConnection c = new ServerConnection(this, attempt.server, dial.channel());
                 open.add(c);
-                dial.channel().pipeline().addLast(c);
                 c.start(attempt);
             }
         });
--- /dev/null
+++ b/src/test/java/onyxpaddle/node/Loopback.java
@@ -0,0 +1,218 @@
+package onyxpaddle.node;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** A node on loopback sockets with a discovery, servers and clients that say byte for byte what a test wants. */
+final class Loopback implements AutoCloseable {
+    static final int PATIENCE_MS = 20_000;
+
+    final Node node;
+    final FakeDiscovery discovery;
+
+    Loopback(FakeServer... servers) throws Exception {
+        discovery = new FakeDiscovery(list(1, servers));
+        node = Node.start(NodeConfig.parse(config(discovery, servers).getBytes(StandardCharsets.UTF_8), Map.of()));
+    }
+
+    static String config(FakeDiscovery discovery, FakeServer... servers) {
+        return """
+            {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"1","limits":{"sockets":256},"known":%s,
+             "settings":{"az":"a","areas":["a"],"quantumS":0.002,"membershipMode":"push","weights":"nominal",
+              "classes":[{"name":"read","effect":"read_like","aimS":5,"deadlineS":10,"worth":1},
+                         {"name":"book","effect":"non_idempotent","aimS":5,"deadlineS":10,"worth":1}],
+              "limits":{"maxAttempts":3,"cancel":true,"retryAfter":true,"maxRetryAfterS":1,"dialTimeoutS":2,
+                        "keepaliveS":60},
+              "rules":{"drainGraceS":2}}}""".formatted(discovery.address(), list(1, servers));
+    }
+
+    static String list(int seq, FakeServer... servers) {
+        List<String> hosts = new ArrayList<>();
+        for (FakeServer server : servers) {
+            hosts.add("{\"host\":\"%s\",\"dial\":\"%s\",\"site\":\"a\",\"health\":\"ready\",\"share\":1.0,\"born_ms\":0}"
+                .formatted(server.name, server.address()));
+        }
+        return "{\"seq\":" + seq + ",\"whole\":true,\"hosts\":[" + String.join(",", hosts) + "]}";
+    }
+
+    static String request(String id, String requestClass, String... headers) {
+        StringBuilder head = new StringBuilder(requestClass.equals("read") ? "GET" : "POST").append(" /")
+            .append(requestClass).append(" HTTP/1.1\r\nHost: app.svc\r\nX-Trace-Id: ").append(id)
+            .append("\r\nX-Qos: ").append(requestClass).append("\r\n");
+        for (String header : headers) {
+            head.append(header).append("\r\n");
+        }
+        return head.append("\r\n").toString();
+    }
+
+    static String ok(String body) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    Client client() throws IOException {
+        return new Client(node.address());
+    }
+
+    @Override
+    public void close() throws IOException {
+        node.stop();
+        discovery.close();
+    }
+
+    /** One client connection. */
+    static final class Client implements AutoCloseable {
+        final Socket socket = new Socket();
+
+        Client(InetSocketAddress node) throws IOException {
+            socket.setSoTimeout(PATIENCE_MS);
+            socket.connect(node);
+        }
+
+        Client say(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            return this;
+        }
+
+        /** The next answer, as status and body; null where the node closes instead. */
+        String hear() throws IOException {
+            String head = head(socket.getInputStream());
+            return head == null ? null : head.split(" ")[1] + " " + body(head, socket.getInputStream());
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    /** Reads a head up to its empty line; null where the peer closes first. */
+    static String head(InputStream in) throws IOException {
+        ByteArrayOutputStream head = new ByteArrayOutputStream();
+        while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+            int next;
+            try {
+                next = in.read();
+            } catch (java.net.SocketException e) {
+                next = -1;
+            }
+            if (next < 0) {
+                return null;
+            }
+            head.write(next);
+        }
+        return head.toString(StandardCharsets.ISO_8859_1);
+    }
+
+    static String body(String head, InputStream in) throws IOException {
+        for (String line : head.split("\r\n")) {
+            if (line.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:")) {
+                int length = Integer.parseInt(line.substring(line.indexOf(':') + 1).trim());
+                return new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
+            }
+        }
+        return "";
+    }
+
+    /** What accepts connections and gives each a thread; a test's own peer. */
+    abstract static class Peer implements AutoCloseable {
+        final ServerSocket listener;
+
+        Peer() throws IOException {
+            listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+            daemon(() -> {
+                while (true) {
+                    Socket socket = listener.accept();
+                    daemon(() -> {
+                        try (socket) {
+                            serve(socket);
+                        }
+                    });
+                }
+            });
+        }
+
+        abstract void serve(Socket socket) throws Exception;
+
+        String address() {
+            return "127.0.0.1:" + listener.getLocalPort();
+        }
+
+        @Override
+        public void close() throws IOException {
+            listener.close();
+        }
+
+        private interface Work {
+            void run() throws Exception;
+        }
+
+        private static void daemon(Work work) {
+            Thread thread = new Thread(() -> {
+                try {
+                    work.run();
+                } catch (Exception e) {
+                    // The socket was closed under it, by the node or by the end of the test.
+                }
+            });
+            thread.setDaemon(true);
+            thread.start();
+        }
+    }
+
+    /** A server that answers each request with the next of its lines, and keeps what it was sent. */
+    static final class FakeServer extends Peer {
+        final String name;
+        final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+        final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
+        final BlockingQueue<Socket> connections = new LinkedBlockingQueue<>();
+
+        FakeServer(String name, String... answers) throws IOException {
+            this.name = name;
+            this.answers.addAll(List.of(answers));
+        }
+
+        @Override
+        void serve(Socket socket) throws Exception {
+            connections.add(socket);
+            for (String head = head(socket.getInputStream()); head != null; head = head(socket.getInputStream())) {
+                String body = body(head, socket.getInputStream());
+                heard.add(head + body);
+                socket.getOutputStream().write(answers.take().getBytes(StandardCharsets.ISO_8859_1));
+            }
+        }
+
+        String heard() throws InterruptedException {
+            return heard.poll(PATIENCE_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Discovery: tells its list, whole, at the first call of each kind, and lets watches wait. */
+    static final class FakeDiscovery extends Peer {
+        final BlockingQueue<String> lists = new LinkedBlockingQueue<>();
+        final BlockingQueue<String> calls = new LinkedBlockingQueue<>();
+
+        FakeDiscovery(String list) throws IOException {
+            lists.add(list);
+        }
+
+        @Override
+        void serve(Socket socket) throws Exception {
+            for (String head = head(socket.getInputStream()); head != null; head = head(socket.getInputStream())) {
+                calls.add(head.split("\r\n")[0]);
+                socket.getOutputStream().write(ok(lists.take()).getBytes(StandardCharsets.UTF_8));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/onyxpaddle/node/ReloadTest.java
@@ -0,0 +1,56 @@
+package onyxpaddle.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import onyxpaddle.node.Loopback.FakeDiscovery;
+import onyxpaddle.node.Loopback.FakeServer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** SIGHUP: the node goes on, with the discovery that the file names now. */
+class ReloadTest {
+    @Test
+    void moveToTheDiscoveryThatTheFileNames(@TempDir Path folder) throws Exception {
+        try (FakeServer before = new FakeServer("s1", Loopback.ok("before"));
+                FakeServer after = new FakeServer("s2", Loopback.ok("after"));
+                FakeDiscovery next = new FakeDiscovery(Loopback.list(0, after)); Loopback on = new Loopback(before);
+                Loopback.Client client = on.client()) {
+            assertEquals("200 before", client.say(Loopback.request("r1", "read")).hear());
+            Path file = folder.resolve("config.json");
+            Files.writeString(file, Loopback.config(next, before));
+            on.node.reload(Map.of("GW_CONFIG", file.toString(), "GW_DISCOVERY", on.discovery.address()));
+
+            assertEquals("GET /v1/endpoints HTTP/1.1", next.calls.poll(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS));
+            // The second call comes when the first list is in force.
+            assertNotNull(next.calls.poll(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS));
+            on.discovery.lists.add(Loopback.list(99, before));
+            assertEquals("200 after", client.say(Loopback.request("r2", "read")).hear());
+            assertEquals(1, before.heard.size());
+        }
+    }
+
+    @Test
+    void fileThatMakesNoSenseChangesNothing(@TempDir Path folder) throws Exception {
+        try (FakeServer server = new FakeServer("s1", Loopback.ok("first")); Loopback on = new Loopback(server);
+                Loopback.Client client = on.client()) {
+            Path file = Files.writeString(folder.resolve("config.json"), "{\"name\":");
+            on.node.reload(Map.of("GW_CONFIG", file.toString()));
+            assertEquals("200 first", client.say(Loopback.request("r1", "read")).hear());
+        }
+    }
+
+    @Test
+    void theSignalRunsTheActionAndDoesNotEndTheProcess() throws Exception {
+        CountDownLatch signalled = new CountDownLatch(1);
+        Hangup.runs(signalled::countDown);
+        long self = ProcessHandle.current().pid();
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(self)).start().waitFor());
+        assertEquals(true, signalled.await(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS));
+    }
+}
--- /dev/null
+++ b/src/test/java/onyxpaddle/node/ServerAnswerTest.java
@@ -0,0 +1,64 @@
+package onyxpaddle.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import onyxpaddle.node.Loopback.FakeServer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What a server sends is passed on only where it is, whole and alone, the answer to the request at hand. */
+class ServerAnswerTest {
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "ICY 200 OK\r\nContent-Length: 5\r\n\r\nabcde",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nabcde",
+        "HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\nabcde",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabcde",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n5\r\nabcde\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\nabcde\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n\r\nabcde",
+        "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcde",
+    })
+    void spoiltAnswerFailsAndIsNotSentAgain(String answer) throws Exception {
+        try (FakeServer server = new FakeServer("s1", answer, Loopback.ok("second")); Loopback on = new Loopback(server);
+                Loopback.Client client = on.client()) {
+            client.say(Loopback.request("r1", "book", "Content-Length: 2") + "hi");
+            assertEquals("502 ", client.hear());
+            assertEquals(1, server.heard.size(), "a booking that may have run was sent again");
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", "noise\r\n\r\n", "noise", "\r\n"})
+    void bytesBehindAnAnswerNeverMeetTheNextRequest(String surplus) throws Exception {
+        try (FakeServer server = new FakeServer("s1", Loopback.ok("first") + surplus, Loopback.ok("second"));
+                Loopback on = new Loopback(server); Loopback.Client client = on.client()) {
+            assertEquals("200 first", client.say(Loopback.request("r1", "book", "Content-Length: 0")).hear());
+            assertEquals("200 second", client.say(Loopback.request("r2", "book", "Content-Length: 0")).hear());
+            assertEquals(2, server.connections.size(), "the connection with the surplus was used again");
+        }
+    }
+
+    @Test
+    void interimAnswersAreSkipped() throws Exception {
+        String interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n";
+        try (FakeServer server = new FakeServer("s1", interim + Loopback.ok("first")); Loopback on = new Loopback(server);
+                Loopback.Client client = on.client()) {
+            assertEquals("200 first", client.say(Loopback.request("r1", "read")).hear());
+        }
+    }
+
+    @Test
+    void refusalIsSentAgainOnlyWithTheServersWordThatItNeverRan() throws Exception {
+        String never = "HTTP/1.1 503 Busy\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n";
+        String bare = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+        try (FakeServer server = new FakeServer("s1", never, bare); Loopback on = new Loopback(server);
+                Loopback.Client client = on.client()) {
+            assertEquals("502 ", client.say(Loopback.request("r1", "book", "Content-Length: 0")).hear());
+            assertTrue(server.heard().contains("r1") && server.heard().contains("r1"));
+            assertEquals(0, server.heard.size());
+        }
+    }
+}
