Restarts: open connections serve on, the first call to discovery does not wait

(2) For 2.6 s both first-tier nodes were away, as one told to end closed its connections at once; it now serves on over open ones while the callers' time runs out before SIGKILL may come, and refuses the rest. (3) A server of four got nothing for 6 s, its chance 0.00, after many calls at once were turned away as full; these count apart now, at most 3, and fade in 1 s. Ruled out: the node's own lag (a few ms after the first second).

A 4xx of a server says nothing of the server and is not tried again; want of the node's own descriptors is 'not sent'. Every refusal says when to come back.

--- a/src/main/java/onyxpaddle/Balancing.java
+++ b/src/main/java/onyxpaddle/Balancing.java
@@ -29,7 +29,9 @@
     /** How one attempt ended. */
     public enum Outcome {
         OK(false), ERROR(false), FULL(true), TIMED_OUT(false), CONNECT_FAILED(true), RESET(false),
-        CANCELLED(false), NOT_SENT(true);
+        CANCELLED(false), NOT_SENT(true),
+        /** The server finds the request itself at fault, which says nothing of the server. */
+        REJECTED(false);
 
         /** Whether this outcome proves that the request never ran at the server. */
         public final boolean neverRan;
--- a/src/main/java/onyxpaddle/RatioBalancer.java
+++ b/src/main/java/onyxpaddle/RatioBalancer.java
@@ -28,6 +28,13 @@
     /** Time in which an old mean loses most of its distance to t_b, and a failure count its height. */
     private static final double FADE = 10e9;
     private static final double FAILURE_FADE = 5e9;
+    /**
+     * A server that turns calls away as full has room again as soon as a few have left. Guards against many
+     * calls that meet a full server at once, which kept it out for seconds, idle; should cover any
+     * refusal that passes by itself. Where a server stays full it costs a call now and then.
+     */
+    private static final double FULL_FADE = 1e9;
+    private static final double MOST_FULL = 3;
     private static final double ERROR_STEP = 0.1;
     /** Share of the draws that is left to a server however often it failed. */
     private static final double LEAST_CHANCE = 0.02;
@@ -205,6 +212,7 @@
         Server server = attempt.server;
         server.add(latency / r.use.usual(r.cost), now);
         server.failures.clear();
+        server.full.clear();
         server.errorShare -= ERROR_STEP * server.errorShare;
         server.zoneFailures.clear();
         r.use.learn(r.cost, latency);
@@ -214,6 +222,10 @@
     }
 
     private void failed(Server server, Outcome outcome) {
+        if (outcome == Outcome.FULL) {
+            server.full.add(now);
+            return;
+        }
         if (outcome == Outcome.ERROR) {
             double errors = server.errorsNow(now);
             server.errorShare = errors + ERROR_STEP * (1 - errors);
@@ -448,12 +460,14 @@
                     failed(attempt.server, ended.outcome());
                 }
             }
+            case REJECTED -> attempt.server.heardAt = now;
             case NOT_SENT -> { }
         }
     }
 
     private void again(Request r, Outcome outcome) {
-        if (r.out == 0 && mayAttempt(r) && (outcome.neverRan || spendRetry())) {
+        boolean worthIt = outcome != Outcome.REJECTED && r.out == 0 && mayAttempt(r);
+        if (worthIt && (outcome.neverRan || spendRetry())) {
             if (r.attempts.size() < 2) {
                 dispatch(r);
             } else {
@@ -587,9 +601,9 @@
     /** The one final answer that the node itself gives. */
     private void finish(Request r) {
         if (!r.done) {
-            // One turned away unsent is asked to stay away for as long as a place takes to come free.
+            // One turned away is asked to stay away for as long as a place takes to come free.
             Limits limits = settings.limits();
-            long away = r.waits && limits.retryAfter()
+            long away = limits.retryAfter()
                 ? Math.min(limits.maxRetryAfter(), (long) r.use.usual(r.cost) / 2) : 0;
             actions.add(mayRefuse(r) ? new Refuse(r.id, away) : new Fail(r.id));
             close(r);
@@ -676,6 +690,7 @@
         double size;
         double credit;
         final Failures failures = new Failures();
+        final Failures full = new Failures(FULL_FADE, MOST_FULL);
         final Failures zoneFailures;
         /** Share of late calls answered with an error: one that errs half the time soon clears its count. */
         double errorShare;
@@ -710,7 +725,8 @@
 
         double chanceLeft(long now) {
             double served = Math.pow(1 - errorsNow(now), 3);
-            return failures.factor(now) * zoneFailures.factor(now) * Math.max(LEAST_CHANCE, served);
+            return failures.factor(now) * full.factor(now) * zoneFailures.factor(now)
+                * Math.max(LEAST_CHANCE, served);
         }
 
         double mean() {
@@ -720,11 +736,22 @@
 
     /** Failures since the last served call, fading with time. */
     private static final class Failures {
+        final double fade;
+        final double most;
         double count;
         long at;
 
+        Failures() {
+            this(FAILURE_FADE, Double.MAX_VALUE);
+        }
+
+        Failures(double fade, double most) {
+            this.fade = fade;
+            this.most = most;
+        }
+
         void add(long now) {
-            count = countNow(now) + 1;
+            count = Math.min(most, countNow(now) + 1);
             at = now;
         }
 
@@ -733,7 +760,7 @@
         }
 
         double countNow(long now) {
-            return count == 0 ? 0 : count * Math.exp((at - now) / FAILURE_FADE);
+            return count == 0 ? 0 : count * Math.exp((at - now) / fade);
         }
 
         /** What they leave of a chance: less with each, never nothing. */
--- a/src/main/java/onyxpaddle/node/ClientConnection.java
+++ b/src/main/java/onyxpaddle/node/ClientConnection.java
@@ -183,7 +183,8 @@
         }
         try {
             RequestHead head = RequestHead.of(request, all.classes);
-            if (all.crowded()) {
+            if (all.crowded() || !all.outlasts(head.patience())) {
+                // Nothing of it was sent on: another node may take it.
                 reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
                 return;
             }
@@ -278,7 +279,7 @@
     }
 
     private boolean keepsAlive() {
-        keepAlive &= !all.draining();
+        keepAlive &= all.outlasts(ClientServer.LAST_CALL);
         return keepAlive;
     }
 
--- a/src/main/java/onyxpaddle/node/ClientServer.java
+++ b/src/main/java/onyxpaddle/node/ClientServer.java
@@ -35,6 +35,10 @@
     private static final long LISTEN_ON = 500 * MILLI;
     private static final long QUIET = 250 * MILLI;
     private static final long LISTEN_AT_MOST = 1500 * MILLI;
+    /** SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM; this is kept in hand of the latter. */
+    private static final long GRACE = 550 * MILLI;
+    /** Connections are closed between requests from so long before the end on. */
+    static final long LAST_CALL = 300 * MILLI;
 
     final Clock clock;
     final Budget budget;
@@ -51,6 +55,7 @@
     private Channel listener;
     private boolean draining;
     private long drainingSince;
+    private long longestDeadline;
     private long acceptedAt;
 
     ClientServer(EventLoop loop, ByteBufAllocator allocator, Clock clock, Budget budget, Dispatcher dispatcher,
@@ -61,7 +66,10 @@
         this.budget = budget;
         this.dispatcher = dispatcher;
         this.ready = ready;
-        settings.classes().forEach(c -> classes.put(c.name(), c));
+        for (RequestClass c : settings.classes()) {
+            classes.put(c.name(), c);
+            longestDeadline = Math.max(longestDeadline, c.deadline());
+        }
     }
 
     ChannelFuture listen(InetSocketAddress address) {
@@ -92,8 +100,13 @@
         return !draining && ready.getAsBoolean();
     }
 
-    boolean draining() {
-        return draining;
+    /** Whether a caller with so much patience has its answer before the node ends. */
+    boolean outlasts(long patience) {
+        return !draining || clock.now() + patience <= endsAt();
+    }
+
+    private long endsAt() {
+        return drainingSince + longestDeadline + GRACE;
     }
 
     // ---- how many are open ----
@@ -153,8 +166,10 @@
     // ---- the planned end ----
 
     /**
-     * Answers what is taken and what still comes, tells every client to close, and calls {@code done} when
-     * nothing is left. Connections in the backlog count as taken, so the listener stays until none comes any more.
+     * Answers what is taken and what still comes as long as its callers' time runs out before SIGKILL may come, and
+     * calls {@code done} when nothing is left. Connections in the backlog count as taken, so the listener stays until
+     * none comes any more; open ones are kept to the last, as their clients may have no other node to turn to just
+     * then. Should SIGKILL come sooner than it is said to, more is lost this way than by closing at once.
      */
     void drain(Runnable done) {
         if (draining) {
@@ -172,10 +187,12 @@
             return;
         }
         listener.close();
-        for (ClientConnection c : idle.toArray(new ClientConnection[0])) {
-            c.close();
+        if (!outlasts(LAST_CALL)) {
+            for (ClientConnection c : idle.toArray(new ClientConnection[0])) {
+                c.close();
+            }
         }
-        if (open.isEmpty() && dispatcher.unanswered() == 0) {
+        if (dispatcher.unanswered() == 0 && (open.isEmpty() || now >= endsAt())) {
             done.run();
         }
     }
--- a/src/main/java/onyxpaddle/node/Discovery.java
+++ b/src/main/java/onyxpaddle/node/Discovery.java
@@ -57,6 +57,7 @@
     private long seq;
     /** The version held is in doubt: the next call asks for the whole list. */
     private boolean lost;
+    private boolean heard;
     private int failures;
 
     Discovery(EventLoop loop, ByteBufAllocator allocator, InetSocketAddress address, boolean asked, long seq,
@@ -141,7 +142,8 @@
     }
 
     private void write() {
-        String uri = "/v1/endpoints" + (lost ? "" : "?after=" + seq + "&wait_ms=" + WAIT_MS);
+        // The first call doesn't wait for news: a node that starts is of use once it knows that its list is not old.
+        String uri = "/v1/endpoints" + (lost ? "" : "?after=" + seq + "&wait_ms=" + (heard ? WAIT_MS : 0));
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri,
             Unpooled.EMPTY_BUFFER);
         request.headers().set(HttpHeaderNames.HOST, host);
@@ -210,6 +212,7 @@
         }
         failures = 0;
         lost = false;
+        heard = true;
         seq = roster.seq();
         if (!HttpUtil.isKeepAlive(response)) {
             channel = null;
--- a/src/main/java/onyxpaddle/node/ServerConnection.java
+++ b/src/main/java/onyxpaddle/node/ServerConnection.java
@@ -136,7 +136,9 @@
         // A refusal counts as never run only with the server's own word for it; a bare 503 may have run.
         boolean neverRan = (status == 503 || status == 504)
             && "1".equals(response.headers().get("X-Never-Ran"));
-        end(neverRan ? Outcome.FULL : Outcome.ERROR);
+        // Guards a server's standing against clients that get nonsense as far as here.
+        boolean clientsFault = response.status().codeClass() == HttpStatusClass.CLIENT_ERROR;
+        end(neverRan ? Outcome.FULL : clientsFault ? Outcome.REJECTED : Outcome.ERROR);
     }
 
     /** Without a length of its own or chunks, an answer that broke off would look like a short one. */
--- a/src/main/java/onyxpaddle/node/ServerConnections.java
+++ b/src/main/java/onyxpaddle/node/ServerConnections.java
@@ -140,8 +140,8 @@
 
     private void dial(Peer peer, Attempt attempt) {
         if (descriptors >= budget.servers && !closeOldestIdle()) {
-            // Nothing was sent, so the module may try elsewhere or refuse.
-            dispatcher.ended(attempt, Outcome.CONNECT_FAILED, null);
+            // The node's own want of descriptors: nothing was sent, and the server has no part in it.
+            dispatcher.ended(attempt, Outcome.NOT_SENT, null);
             return;
         }
         descriptors++;
--- a/src/test/java/onyxpaddle/DrawTest.java
+++ b/src/test/java/onyxpaddle/DrawTest.java
@@ -48,6 +48,22 @@
         assertEquals(1.0 / 16, share.get("b"), 0.02);
     }
 
+    @Test
+    void burstOfRefusalsAsFullKeepsServerOutOnlyShortly() {
+        Node node = Node.plain().list("a", "b");
+        fill(node, Map.of("a", 50 * MS, "b", 50 * MS));
+        for (int i = 0, full = 0; full < 10; i++) {
+            String server = sent(node.arrive("w" + i, "write"));
+            full += server.equals("a") ? 1 : 0;
+            node.end("w" + i, 0, server, server.equals("a") ? Outcome.FULL : Outcome.NOT_SENT, 0);
+            node.handle(new ClientGone("w" + i));
+            node.end("w" + i, 1, server.equals("a") ? "b" : "a", Outcome.NOT_SENT, 0);
+        }
+        assertTrue(frequencies(node).get("a") < 0.2);
+        node.now += 2 * Node.SECOND;
+        assertTrue(frequencies(node).get("a") > 0.35);
+    }
+
     @Test
     void unsampledServerCountsAsTheBest() {
         Node node = Node.plain().list("a", "b");
--- a/src/test/java/onyxpaddle/node/ReloadTest.java
+++ b/src/test/java/onyxpaddle/node/ReloadTest.java
@@ -22,6 +22,8 @@
                 FakeDiscovery next = new FakeDiscovery(Loopback.list(0, after)); Loopback on = new Loopback(before);
                 Loopback.Client client = on.client()) {
             assertEquals("200 before", client.say(Loopback.request("r1", "read")).hear());
+            // At the start nothing is waited for: an answer makes the node ready, be it news or none.
+            assertEquals("GET /v1/endpoints?after=1&wait_ms=0 HTTP/1.1", on.discovery.calls.poll());
             Path file = folder.resolve("config.json");
             Files.writeString(file, Loopback.config(next, before));
             on.node.reload(Map.of("GW_CONFIG", file.toString(), "GW_DISCOVERY", on.discovery.address()));
--- a/src/test/java/onyxpaddle/node/ServerAnswerTest.java
+++ b/src/test/java/onyxpaddle/node/ServerAnswerTest.java
@@ -52,6 +52,15 @@
         }
     }
 
+    @Test
+    void requestThatTheServerFindsAtFaultIsNotSentAgain() throws Exception {
+        try (FakeServer server = new FakeServer("s1", "HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n", Loopback.ok("no"));
+                Loopback on = new Loopback(server); Loopback.Client client = on.client()) {
+            assertEquals("503 ", client.say(Loopback.request("r1", "read")).hear());
+            assertEquals(1, server.heard.size());
+        }
+    }
+
     @Test
     void refusalIsSentAgainOnlyWithTheServersWordThatItNeverRan() throws Exception {
         String never = "HTTP/1.1 503 Busy\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n";
