--- a/src/main/java/onyxpaddle/node/ServerConnection.java
+++ b/src/main/java/onyxpaddle/node/ServerConnection.java
@@ -98,7 +98,8 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
-            if (!exchanging || message instanceof HttpObject part && part.decoderResult().isFailure()) {
+            boolean unasked = !exchanging || attempt == null && !answered;
+            if (unasked || message instanceof HttpObject part && part.decoderResult().isFailure()) {
                 spoilt();
                 return;
             }
--- a/src/test/java/onyxpaddle/node/ClientRequestTest.java
+++ b/src/test/java/onyxpaddle/node/ClientRequestTest.java
@@ -88,6 +88,26 @@
         }
     }
 
+    @Test
+    void connectionsThatNeverAskDoNotLockOthersOut() throws Exception {
+        List<Client> bad = new ArrayList<>();
+        try (FakeServer server = new FakeServer("s1", Loopback.ok("served")); Loopback on = new Loopback(server)) {
+            // More than the node's share of descriptors for clients.
+            for (int i = 0; i < 150; i++) {
+                bad.add(on.client().say("GET /re"));
+            }
+            long start = System.nanoTime();
+            try (Client good = on.client()) {
+                assertEquals("200 served", good.say(Loopback.request("r1", "read")).hear());
+            }
+            assertTrue(System.nanoTime() - start < 1_500_000_000L, "it had to wait for the others' time to run out");
+        } finally {
+            for (Client client : bad) {
+                client.close();
+            }
+        }
+    }
+
     @Test
     void hundredsSentAheadDoNotPileUp() throws Exception {
         List<String> answers = new ArrayList<>();
