--- a/src/main/java/onyxpaddle/node/ClientServer.java
+++ b/src/main/java/onyxpaddle/node/ClientServer.java
@@ -122,7 +122,10 @@
         if (open.size() > budget.servedClients) {
             LinkedHashSet<ClientConnection> from = idle.isEmpty() ? unfinished : idle;
             if (!from.isEmpty()) {
-                from.iterator().next().close();
+                // It is let go of here and now: its own word that it has closed comes only after further accepts.
+                ClientConnection evicted = from.iterator().next();
+                closed(evicted);
+                evicted.close();
             }
         }
         if (open.size() >= budget.clients) {
--- a/src/main/java/onyxpaddle/node/Exchange.java
+++ b/src/main/java/onyxpaddle/node/Exchange.java
@@ -6,11 +6,14 @@
 import io.netty.util.concurrent.Future;
 import java.util.ArrayList;
 import java.util.List;
+import onyxpaddle.Balancing.Effect;
 
 /** One request from a caller, from its head until its answer is given and no attempt is out any more. */
 final class Exchange {
     final String id;
     final String requestClass;
+    /** Whether running twice does no harm. */
+    final boolean repeatable;
     final HttpMethod method;
     final String uri;
     final HttpHeaders headers;
@@ -28,6 +31,7 @@
     Exchange(RequestHead head, HttpRequest request, Body body, ClientConnection client) {
         this.id = head.id();
         this.requestClass = head.requestClass().name();
+        this.repeatable = head.requestClass().effect() == Effect.SAFE;
         this.method = request.method();
         this.uri = request.uri();
         this.headers = request.headers();
--- a/src/main/java/onyxpaddle/node/ServerConnection.java
+++ b/src/main/java/onyxpaddle/node/ServerConnection.java
@@ -49,6 +49,7 @@
     private long skipped;
     private ServerAnswer answer;
     private long startedAt;
+    private boolean kept;
 
     ServerConnection(ServerConnections all, String server, Channel channel) {
         this.all = all;
@@ -77,6 +78,7 @@
         interim = 0;
         skipped = 0;
         startedAt = all.clock.now();
+        kept = idleSince > 0;
         decoder.expect();
         Exchange x = next.exchange;
         HttpHeaders headers = Headers.forServer(x, channel.remoteAddress(), next.until - startedAt);
@@ -124,6 +126,9 @@
         }
         answered = true;
         reusable = HttpUtil.isKeepAlive(response);
+        if (kept) {
+            all.doubt.used(false);
+        }
         if (status == 200) {
             long length = HttpUtil.getContentLength(response, -1L);
             if (!attempt.written || length > Body.LARGEST || !wholeCanBeTold(response, length)) {
@@ -216,6 +221,9 @@
     }
 
     private void broken() {
+        if (kept && attempt != null && !answered && all.clock.now() - startedAt < ReuseDoubt.SOON) {
+            all.doubt.used(true);
+        }
         end(attempt != null && !attempt.written ? Outcome.CONNECT_FAILED : Outcome.RESET);
     }
 
--- a/src/main/java/onyxpaddle/node/ServerConnections.java
+++ b/src/main/java/onyxpaddle/node/ServerConnections.java
@@ -29,13 +29,16 @@
      * How long a connection rests after an answer before it carries a request again: what a server sends too much
      * comes right behind the answer, and must not meet the next request. Where all rest, a new one is dialled.
      */
-    private static final long REST = 10_000_000L;
+    private static final long REST = 20_000_000L;
     private static final int MOST_IDLE = 16;
+    /** As long as kept connections are in doubt, new ones are dialled often, and few are worth keeping. */
+    private static final int MOST_IDLE_IN_DOUBT = 2;
     private static final long SWEEP_MS = 250;
 
     final Clock clock;
     final Budget budget;
     final Dispatcher dispatcher;
+    final ReuseDoubt doubt = new ReuseDoubt();
     private final Bootstrap bootstrap;
     private final long mostIdle;
     private final Map<String, Peer> peers = new HashMap<>();
@@ -116,7 +119,7 @@
             dispatcher.ended(attempt, Outcome.CONNECT_FAILED, null);
             return;
         }
-        ServerConnection rested = rested(peer);
+        ServerConnection rested = doubt.holds() && !attempt.exchange.repeatable ? null : rested(peer);
         if (rested != null) {
             rested.start(attempt);
         } else {
@@ -182,7 +185,7 @@
         }
         c.idleSince = clock.now();
         peer.idle.addFirst(c);
-        if (peer.idle.size() > MOST_IDLE) {
+        if (peer.idle.size() > (doubt.holds() ? MOST_IDLE_IN_DOUBT : MOST_IDLE)) {
             peer.idle.pollLast().close();
         }
     }
@@ -196,17 +199,17 @@
     }
 
     private boolean closeOldestIdle() {
-        ServerConnection oldest = null;
+        Peer from = null;
         for (Peer peer : peers.values()) {
             ServerConnection c = peer.idle.peekLast();
-            if (c != null && (oldest == null || c.idleSince < oldest.idleSince)) {
-                oldest = c;
+            if (c != null && (from == null || c.idleSince < from.idle.peekLast().idleSince)) {
+                from = peer;
             }
         }
-        if (oldest != null) {
-            oldest.close();
+        if (from != null) {
+            from.idle.pollLast().close();
         }
-        return oldest != null;
+        return from != null;
     }
 
     private void sweep() {
--- a/src/test/java/onyxpaddle/node/Loopback.java
+++ b/src/test/java/onyxpaddle/node/Loopback.java
@@ -173,6 +173,8 @@
 
     /** A server that answers each request with the next of its lines, and keeps what it was sent. */
     static final class FakeServer extends Peer {
+        /** In place of an answer: the connection is reset. */
+        static final String BREAK = "";
         final String name;
         final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
         final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
@@ -189,7 +191,12 @@
             for (String head = head(socket.getInputStream()); head != null; head = head(socket.getInputStream())) {
                 String body = body(head, socket.getInputStream());
                 heard.add(head + body);
-                socket.getOutputStream().write(answers.take().getBytes(StandardCharsets.ISO_8859_1));
+                String answer = answers.take();
+                if (answer.equals(BREAK)) {
+                    socket.setSoLinger(true, 0);
+                    return;
+                }
+                socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
             }
         }
 
--- a/src/test/java/onyxpaddle/node/ServerAnswerTest.java
+++ b/src/test/java/onyxpaddle/node/ServerAnswerTest.java
@@ -52,6 +52,21 @@
         }
     }
 
+    @Test
+    void bookingGoesOnANewConnectionWhereKeptOnesBreak() throws Exception {
+        try (FakeServer server = new FakeServer("s1", Loopback.ok("first"), FakeServer.BREAK, Loopback.ok("again"),
+                    Loopback.ok("booked")); Loopback on = new Loopback(server); Loopback.Client client = on.client()) {
+            assertEquals("200 first", client.say(Loopback.request("r1", "read")).hear());
+            // Long enough for a connection to be used again.
+            Thread.sleep(100);
+            assertEquals("200 again", client.say(Loopback.request("r2", "read")).hear());
+            assertEquals(2, server.connections.size(), "the first was to be used again, and broken");
+            Thread.sleep(100);
+            assertEquals("200 booked", client.say(Loopback.request("r3", "book", "Content-Length: 0")).hear());
+            assertEquals(3, server.connections.size());
+        }
+    }
+
     @Test
     void requestThatTheServerFindsAtFaultIsNotSentAgain() throws Exception {
         try (FakeServer server = new FakeServer("s1", "HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n", Loopback.ok("no"));
