--- a/src/main/java/onyxpaddle/Main.java
+++ b/src/main/java/onyxpaddle/Main.java
@@ -7,8 +7,8 @@
 
     public static void main(String[] args) throws Exception {
         switch (args.length == 1 ? args[0] : "") {
-            case "serve" -> onyxpaddle.node.Node.main();
-            case "rehearse" -> onyxpaddle.node.Rehearsal.main();
+            case "serve" -> onyxpaddle.serve.Node.main();
+            case "rehearse" -> onyxpaddle.serve.Rehearsal.main();
             case "adapter" -> onyxpaddle.wire.Main.main(args);
             default -> {
                 System.err.println("usage: weldlink serve | adapter | rehearse");
--- a/src/main/java/onyxpaddle/node/AnswerDecoder.java
+++ b/src/main/java/onyxpaddle/http/AnswerDecoder.java
@@ -1,8 +1,9 @@
-package onyxpaddle.node;
+package onyxpaddle.http;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -19,14 +20,21 @@
     private boolean expecting;
     private boolean interim;
     private boolean surplus;
+    private boolean bodiless;
 
     AnswerDecoder(HttpDecoderConfig config) {
         super(config);
     }
 
-    /** A request is about to be written: its answer may be decoded. */
-    void expect() {
+    /** A request is about to be written: its answer may be decoded. {@code bodiless}: it has a head only. */
+    void expect(boolean bodiless) {
         expecting = true;
+        this.bodiless = bodiless;
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        return bodiless || super.isContentAlwaysEmpty(message);
     }
 
     /** Whether bytes have come that no request called for. */
--- /dev/null
+++ b/src/main/java/onyxpaddle/http/AnswerDialect.java
@@ -0,0 +1,25 @@
+package onyxpaddle.http;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import java.net.SocketAddress;
+import onyxpaddle.Balancing.Outcome;
+import onyxpaddle.node.Body;
+
+/** What a pool's servers are told, and what is made of the answers they give. */
+public interface AnswerDialect {
+    /**
+     * What an answer's head says of the attempt; {@code pass} is what goes to the caller with the body, null where
+     * the answer is of no use to it.
+     */
+    record Verdict(Outcome outcome, AnswerHead pass) {
+    }
+
+    HttpHeaders forServer(HttpHead head, Body body, SocketAddress server, long nanosLeft);
+
+    Verdict judge(HttpResponse response);
+
+    /** Whether the head tells where the body ends, so that an answer that broke off can't look like a short one. */
+    boolean tellsItsEnd(HttpMethod method, HttpResponse response, long length);
+}
--- a/src/main/java/onyxpaddle/node/ClientConnection.java
+++ b/src/main/java/onyxpaddle/http/ClientConnection.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package onyxpaddle.http;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -9,9 +9,9 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -22,13 +22,19 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
+import onyxpaddle.node.Answer;
+import onyxpaddle.node.Body;
+import onyxpaddle.node.Caller;
+import onyxpaddle.node.Exchange;
+import onyxpaddle.node.Log;
+import onyxpaddle.node.Sockets;
 
 /**
  * One client connection. It reads a request whole before it is taken, and gives it one answer. Requests on a
  * connection are dealt with one at a time; of what is sent ahead a little waits. A client that breaks the protocol
  * is told so and let go of: where its next request would begin can't be known.
  */
-final class ClientConnection extends ChannelInboundHandlerAdapter {
+final class ClientConnection extends ChannelInboundHandlerAdapter implements Caller {
     private static final long SECOND = 1_000_000_000L;
     /**
      * How long a request may take to come whole, from its first byte, or from the connect for the first one. A head
@@ -57,7 +63,7 @@
         CLOSING
     }
 
-    private final ClientServer all;
+    private final HttpFront all;
     private final SocketChannel channel;
     private final ArrayDeque<Object> ahead = new ArrayDeque<>();
     private State state = State.IDLE;
@@ -67,12 +73,13 @@
     /** The request is a question for the node itself, whether it is ready. */
     private boolean readiness;
     private Exchange exchange;
+    private Taken taken;
     private boolean keepAlive;
     private HttpVersion version = HttpVersion.HTTP_1_1;
     private long unreadSince;
     private int unread;
 
-    ClientConnection(ClientServer all, SocketChannel channel) {
+    ClientConnection(HttpFront all, SocketChannel channel) {
         this.all = all;
         this.channel = channel;
         this.since = all.clock.now();
@@ -177,23 +184,24 @@
         }
         version = request.protocolVersion().majorVersion() == 1 ? request.protocolVersion() : HttpVersion.HTTP_1_1;
         keepAlive = HttpUtil.isKeepAlive(request);
-        readiness = request.method().equals(HttpMethod.GET) && RequestHead.path(request.uri()).equals("/ready");
+        readiness = all.dialect.asksReadiness(request);
         if (readiness) {
             return;
         }
         try {
-            RequestHead head = RequestHead.of(request, all.classes);
-            if (all.crowded() || !all.outlasts(head.patience())) {
+            taken = all.dialect.read(request);
+            if (all.crowded() || !all.outlasts(taken.terms().patience())) {
                 // Nothing of it was sent on: another node may take it.
                 reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
                 return;
             }
-            exchange = new Exchange(head, request, new Body(all.budget, head.length()), this);
+            exchange = new Exchange(taken.terms(), taken.head(),
+                new Body(taken.bytes(), taken.length(), taken.largest()), this);
             if (HttpUtil.is100ContinueExpected(request)) {
                 channel.writeAndFlush(new DefaultFullHttpResponse(version, HttpResponseStatus.CONTINUE,
                     Unpooled.EMPTY_BUFFER));
             }
-        } catch (RequestHead.MalformedException e) {
+        } catch (MalformedException e) {
             reject(e.status);
         }
     }
@@ -204,17 +212,17 @@
             if (last) {
                 answer(all.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
             }
-        } else if (exchange.body.size() + content.content().readableBytes() > Body.LARGEST) {
+        } else if (exchange.body.size() + content.content().readableBytes() > taken.largest()) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
         } else if (!exchange.body.add(content.content())) {
             // Nothing of it was sent on, so the client may try again when there is room.
             reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
-        } else if (last && all.dispatcher.holds(exchange.id)) {
+        } else if (last && taken.pool().holds(exchange.id)) {
             reject(HttpResponseStatus.BAD_REQUEST);
         } else if (last) {
             anyRequest = true;
             enter(State.WAITING);
-            all.dispatcher.arrived(exchange);
+            taken.pool().arrived(exchange);
         }
     }
 
@@ -236,27 +244,31 @@
 
     // ---- answers ----
 
-    void served(ServerAnswer answer) {
+    @Override
+    public void served(Answer answer) {
         ByteBuf body = answer.body().size() > 0 ? answer.body().whole() : Unpooled.EMPTY_BUFFER;
-        DefaultFullHttpResponse response = new DefaultFullHttpResponse(version, HttpResponseStatus.OK, body);
-        if (answer.contentType() != null) {
-            response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType());
-        }
-        finish(response);
+        AnswerHead head = (AnswerHead) answer.head();
+        finish(new DefaultFullHttpResponse(version, head.status(), body, head.headers(), EmptyHttpHeaders.INSTANCE));
     }
 
-    void refused(long retryAfter) {
+    @Override
+    public void refused(long retryAfter) {
         answer(HttpResponseStatus.SERVICE_UNAVAILABLE, retryAfter);
     }
 
-    void failed(boolean late) {
-        answer(late ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY, 0);
+    @Override
+    public void failed(boolean late, Answer own) {
+        if (own != null) {
+            served(own);
+        } else {
+            answer(late ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY, 0);
+        }
     }
 
     private void answer(HttpResponseStatus status, long retryAfter) {
         DefaultFullHttpResponse response = new DefaultFullHttpResponse(version, status, Unpooled.EMPTY_BUFFER);
         if (retryAfter > 0) {
-            response.headers().set(HttpHeaderNames.RETRY_AFTER, Headers.seconds(retryAfter));
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, PlatformAnswers.seconds(retryAfter));
         }
         finish(response);
     }
@@ -279,7 +291,7 @@
     }
 
     private boolean keepsAlive() {
-        keepAlive &= all.outlasts(ClientServer.LAST_CALL);
+        keepAlive &= all.outlasts(HttpFront.LAST_CALL);
         return keepAlive;
     }
 
@@ -336,7 +348,7 @@
         ahead.forEach(ReferenceCountUtil::release);
         ahead.clear();
         if (before == State.WAITING) {
-            all.dispatcher.clientGone(exchange);
+            taken.pool().clientGone(exchange);
         } else if (exchange != null) {
             exchange.body.release();
         }
--- a/src/main/java/onyxpaddle/node/ClientServer.java
+++ b/src/main/java/onyxpaddle/http/HttpFront.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package onyxpaddle.http;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufAllocator;
@@ -15,18 +15,19 @@
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import onyxpaddle.Balancing.RequestClass;
-import onyxpaddle.Balancing.Settings;
+import java.util.function.IntSupplier;
+import onyxpaddle.node.Budget;
+import onyxpaddle.node.Clock;
+import onyxpaddle.node.SharedLimit;
+import onyxpaddle.node.Sockets;
 
 /** The listener and its client connections: how many are open, which of them are idle, and the planned end. */
-final class ClientServer {
+public final class HttpFront {
     private static final int LONGEST_LINE = 8 * 1024;
     private static final int LONGEST_HEAD = 16 * 1024;
     private static final long SWEEP_MS = 250;
@@ -41,12 +42,13 @@
     static final long LAST_CALL = 300 * MILLI;
 
     final Clock clock;
-    final Budget budget;
-    final Dispatcher dispatcher;
+    RequestDialect dialect;
+    private final Budget budget;
+    private final SharedLimit.Share connections;
+    private final IntSupplier unanswered;
     private final EventLoop loop;
     private final ByteBufAllocator allocator;
     private final BooleanSupplier ready;
-    final Map<String, RequestClass> classes = new HashMap<>();
     private final Set<ClientConnection> open = new HashSet<>();
     /** Connections whose request is not whole, or whose last answer is given, the longest so first. */
     private final LinkedHashSet<ClientConnection> unfinished = new LinkedHashSet<>();
@@ -55,24 +57,22 @@
     private Channel listener;
     private boolean draining;
     private long drainingSince;
-    private long longestDeadline;
     private long acceptedAt;
 
-    ClientServer(EventLoop loop, ByteBufAllocator allocator, Clock clock, Budget budget, Dispatcher dispatcher,
-            Settings settings, BooleanSupplier ready) {
+    /** {@code unanswered}: how many requests the node has taken and not answered yet. */
+    public HttpFront(EventLoop loop, ByteBufAllocator allocator, Clock clock, Budget budget, RequestDialect dialect,
+            IntSupplier unanswered, BooleanSupplier ready) {
         this.loop = loop;
         this.allocator = allocator;
         this.clock = clock;
         this.budget = budget;
-        this.dispatcher = dispatcher;
+        this.connections = budget.front();
+        this.dialect = dialect;
+        this.unanswered = unanswered;
         this.ready = ready;
-        for (RequestClass c : settings.classes()) {
-            classes.put(c.name(), c);
-            longestDeadline = Math.max(longestDeadline, c.deadline());
-        }
     }
 
-    ChannelFuture listen(InetSocketAddress address) {
+    public ChannelFuture listen(InetSocketAddress address) {
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, 4096)
@@ -84,7 +84,7 @@
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override
                 protected void initChannel(SocketChannel channel) {
-                    ClientConnection connection = new ClientConnection(ClientServer.this, channel);
+                    ClientConnection connection = new ClientConnection(HttpFront.this, channel);
                     // Not HttpServerCodec: it breaks the connection off where much is sent ahead, and what is taken with it.
                     channel.pipeline().addLast(connection.byteWatch(), new HttpRequestDecoder(new HttpDecoderConfig()
                         .setMaxInitialLineLength(LONGEST_LINE).setMaxHeaderSize(LONGEST_HEAD)
@@ -106,7 +106,7 @@
     }
 
     private long endsAt() {
-        return drainingSince + longestDeadline + GRACE;
+        return drainingSince + dialect.longestPatience() + GRACE;
     }
 
     // ---- how many are open ----
@@ -119,7 +119,8 @@
     void opened(ClientConnection c) {
         acceptedAt = clock.now();
         open.add(c);
-        if (open.size() > budget.servedClients) {
+        connections.takeAnyway(1);
+        if (crowded()) {
             LinkedHashSet<ClientConnection> from = idle.isEmpty() ? unfinished : idle;
             if (!from.isEmpty()) {
                 // It is let go of here and now: its own word that it has closed comes only after further accepts.
@@ -128,7 +129,7 @@
                 evicted.close();
             }
         }
-        if (open.size() >= budget.clients) {
+        if (connections.room() <= 0) {
             // What waits in the backlog is accepted as far as its client knows: it is taken in again as soon as
             // any other connection has closed.
             listener.config().setAutoRead(false);
@@ -136,17 +137,19 @@
     }
 
     void closed(ClientConnection c) {
-        open.remove(c);
+        if (open.remove(c)) {
+            connections.giveBack(1);
+        }
         idle.remove(c);
         unfinished.remove(c);
-        if (open.size() < budget.clients && listener.isOpen()) {
+        if (connections.room() > 0 && listener.isOpen()) {
             listener.config().setAutoRead(true);
         }
     }
 
     /** Whether there are so many clients that a further request is turned away. */
     boolean crowded() {
-        return open.size() > budget.servedClients;
+        return budget.crowded(connections);
     }
 
     void entered(ClientConnection c, ClientConnection.State state) {
@@ -174,7 +177,7 @@
      * none comes any more; open ones are kept to the last, as their clients may have no other node to turn to just
      * then. Should SIGKILL come sooner than it is said to, more is lost this way than by closing at once.
      */
-    void drain(Runnable done) {
+    public void drain(Runnable done) {
         if (draining) {
             return;
         }
@@ -195,7 +198,7 @@
                 c.close();
             }
         }
-        if (dispatcher.unanswered() == 0 && (open.isEmpty() || now >= endsAt())) {
+        if (unanswered.getAsInt() == 0 && (open.isEmpty() || now >= endsAt())) {
             done.run();
         }
     }
--- a/src/main/java/onyxpaddle/node/ServerConnections.java
+++ b/src/main/java/onyxpaddle/http/HttpUpstream.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package onyxpaddle.http;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufAllocator;
@@ -20,9 +20,16 @@
 import java.util.concurrent.TimeUnit;
 import onyxpaddle.Balancing.Outcome;
 import onyxpaddle.Balancing.ServerState;
-
-/** The connections to servers: dials them, keeps idle ones for further requests, and drops those too old. */
-final class ServerConnections {
+import onyxpaddle.node.Attempt;
+import onyxpaddle.node.Budget.PoolShare;
+import onyxpaddle.node.Clock;
+import onyxpaddle.node.Dispatcher;
+import onyxpaddle.node.Roster;
+import onyxpaddle.node.Sockets;
+import onyxpaddle.node.Upstream;
+
+/** A pool's connections to its servers: dials them, keeps idle ones for further requests, and drops those too old. */
+public final class HttpUpstream implements Upstream {
     /** Part of the servers' idle limit after which an idle connection is not used any more. */
     private static final double IDLE_SHARE = 0.7;
     /**
@@ -36,14 +43,14 @@
     private static final long SWEEP_MS = 250;
 
     final Clock clock;
-    final Budget budget;
+    final PoolShare budget;
+    final AnswerDialect dialect;
     final Dispatcher dispatcher;
     final ReuseDoubt doubt = new ReuseDoubt();
     private final Bootstrap bootstrap;
     private final long mostIdle;
     private final Map<String, Peer> peers = new HashMap<>();
     private final Set<ServerConnection> open = new HashSet<>();
-    private int descriptors;
 
     /** A server as this node reaches it. */
     private static final class Peer {
@@ -53,11 +60,13 @@
         final ArrayDeque<ServerConnection> idle = new ArrayDeque<>();
     }
 
-    ServerConnections(EventLoop loop, ByteBufAllocator allocator, Clock clock, Budget budget,
-            Dispatcher dispatcher, long keepalive, long dialTimeout) {
+    /** {@code keepalive}: after which servers close idle connections; {@code dialTimeout}: both in nanoseconds. */
+    public HttpUpstream(EventLoop loop, ByteBufAllocator allocator, Clock clock, PoolShare budget,
+            Dispatcher dispatcher, AnswerDialect dialect, long keepalive, long dialTimeout) {
         this.clock = clock;
         this.budget = budget;
         this.dispatcher = dispatcher;
+        this.dialect = dialect;
         mostIdle = (long) (IDLE_SHARE * keepalive);
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
             .option(ChannelOption.ALLOCATOR, allocator)
@@ -76,7 +85,7 @@
 
     // ---- servers ----
 
-    void apply(Roster roster) {
+    public void apply(Roster roster) {
         if (roster.whole()) {
             Set<String> left = new HashSet<>(peers.keySet());
             roster.hosts().forEach(host -> left.remove(host.entry().server()));
@@ -113,7 +122,8 @@
 
     // ---- attempts ----
 
-    void send(Attempt attempt) {
+    @Override
+    public void send(Attempt attempt) {
         Peer peer = peers.get(attempt.server);
         if (peer == null) {
             dispatcher.ended(attempt, Outcome.CONNECT_FAILED, null);
@@ -142,23 +152,21 @@
     }
 
     private void dial(Peer peer, Attempt attempt) {
-        if (descriptors >= budget.servers && !closeOldestIdle()) {
+        if (!budget.servers().take(1) && !(closeOldestIdle() && budget.servers().take(1))) {
             // The node's own want of descriptors: nothing was sent, and the server has no part in it.
             dispatcher.ended(attempt, Outcome.NOT_SENT, null);
             return;
         }
-        descriptors++;
         ChannelFuture dial = bootstrap.connect(peer.address);
-        dial.channel().closeFuture().addListener(f -> descriptors--);
-        attempt.dial = dial;
+        dial.channel().closeFuture().addListener(f -> budget.servers().giveBack(1));
+        attempt.carrier = dial;
         dial.addListener(f -> {
-            if (attempt.ended) {
+            if (attempt.ended()) {
                 dial.channel().close();
             } else if (!f.isSuccess()) {
                 dial.channel().close();
                 dispatcher.ended(attempt, Outcome.CONNECT_FAILED, null);
             } else {
-                attempt.dial = null;
                 ServerConnection c = new ServerConnection(this, attempt.server, dial.channel());
                 open.add(c);
                 c.start(attempt);
@@ -166,12 +174,12 @@
         });
     }
 
-    /** Stops an attempt by closing what carries it; the caller says how it ended. */
-    void giveUp(Attempt attempt) {
-        if (attempt.dial != null) {
-            attempt.dial.channel().close();
-        } else if (attempt.connection != null) {
-            attempt.connection.abandon();
+    @Override
+    public void giveUp(Attempt attempt) {
+        if (attempt.carrier instanceof ChannelFuture dial) {
+            dial.channel().close();
+        } else if (attempt.carrier instanceof ServerConnection connection) {
+            connection.abandon();
         }
     }
 
--- a/src/main/java/onyxpaddle/node/RequestHead.java
+++ b/src/main/java/onyxpaddle/http/PlatformRequests.java
@@ -1,4 +1,6 @@
-package onyxpaddle.node;
+package onyxpaddle.http;
+
+import static onyxpaddle.http.MalformedException.require;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -8,21 +10,28 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
 import onyxpaddle.Balancing.Effect;
 import onyxpaddle.Balancing.RequestClass;
+import onyxpaddle.node.Body;
+import onyxpaddle.node.Dispatcher;
+import onyxpaddle.node.Exchange.Terms;
+import onyxpaddle.node.SharedLimit;
 
 /**
- * What a request's head says, once it is found to say it as the protocol does. Guards against requests that node
- * and server could understand differently, and so against all that only pretends to be one; it should cover every
+ * What a request's head says, once it is found to say it as the platform's protocol does. Guards against requests that
+ * node and server could understand differently, and so against all that only pretends to be one; it should cover every
  * part of a head that decides what is done with the request. It would do harm where callers took liberties with the
  * protocol: each part is taken in one form only.
- *
- * @param length the body's length, or -1 where it comes in chunks
  */
-record RequestHead(String id, RequestClass requestClass, long patience, long length) {
+public final class PlatformRequests implements RequestDialect {
+    static final String ID_HEADER = "X-Trace-Id";
+    private static final String REQUEST_CLASS = "X-Qos";
+    private static final String KEY = "Idempotency-Key";
+    static final String EXPIRES_IN = "X-Expires-In";
     private static final double SECOND = 1e9;
     private static final Pattern ID = Pattern.compile("[!-~]{1,64}");
     private static final Pattern TARGET = Pattern.compile("/[!-~]*");
@@ -30,47 +39,76 @@
     /** The patience of callers of a class that has no deadline. */
     private static final long LONGEST_PATIENCE = 60_000_000_000L;
 
-    /** A head that is turned away; the status says why. */
-    static final class MalformedException extends Exception {
-        private static final long serialVersionUID = 1L;
-        final transient HttpResponseStatus status;
+    private final Map<String, RequestClass> classes = new HashMap<>();
+    private final Dispatcher pool;
+    private final SharedLimit.Share bytes;
+    private long longest;
 
-        MalformedException(HttpResponseStatus status) {
-            super(status.toString(), null, false, false);
-            this.status = status;
+    public PlatformRequests(List<RequestClass> known, Dispatcher pool, SharedLimit.Share bytes) {
+        this.pool = pool;
+        this.bytes = bytes;
+        for (RequestClass c : known) {
+            classes.put(c.name(), c);
+            longest = Math.max(longest, c.deadline());
         }
     }
 
-    static RequestHead of(HttpRequest request, Map<String, RequestClass> classes) throws MalformedException {
+    @Override
+    public boolean asksReadiness(HttpRequest request) {
+        return request.method().equals(HttpMethod.GET) && path(request.uri()).equals("/ready");
+    }
+
+    @Override
+    public long longestPatience() {
+        return longest;
+    }
+
+    @Override
+    public Taken read(HttpRequest request) throws MalformedException {
         HttpHeaders headers = request.headers();
         HttpMethod method = request.method();
         if (!method.equals(HttpMethod.GET) && !method.equals(HttpMethod.POST)) {
             throw new MalformedException(HttpResponseStatus.METHOD_NOT_ALLOWED);
         }
-        String id = single(headers, Headers.ID);
+        String id = single(headers, ID_HEADER);
         require(id != null && ID.matcher(id).matches() && TARGET.matcher(request.uri()).matches());
 
         String path = firstPart(request.uri());
-        String named = single(headers, Headers.REQUEST_CLASS);
+        String named = single(headers, REQUEST_CLASS);
         RequestClass requestClass = classes.get(path);
         if (requestClass == null || named != null && !named.equals(path)) {
             throw new MalformedException(HttpResponseStatus.NOT_FOUND);
         }
         Effect effect = requestClass.effect();
-        String key = single(headers, Headers.KEY);
+        String key = single(headers, KEY);
         require(method.equals(effect == Effect.SAFE ? HttpMethod.GET : HttpMethod.POST));
         require(effect == Effect.KEYED ? key != null && !key.isEmpty() : key == null);
 
         long length = length(request);
         require(length == 0 || !method.equals(HttpMethod.GET));
-        if (length > Body.LARGEST) {
+        if (length > Body.USUAL_LARGEST) {
             throw new MalformedException(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
         }
-        return new RequestHead(id, requestClass, patience(single(headers, Headers.EXPIRES_IN), requestClass), length);
+        long patience = patience(single(headers, EXPIRES_IN), requestClass);
+        Terms terms = new Terms(id, requestClass, patience, headers.get("X-Customer"), hintedCost(headers),
+            "1".equals(headers.get("X-Second-Try")));
+        return new Taken(pool, bytes, terms, new HttpHead(method, request.uri(), headers, Body.USUAL_LARGEST), length,
+            Body.USUAL_LARGEST);
+    }
+
+    /** The caller's guess at the work, given in microseconds, as seconds; 0 where it gives none that makes sense. */
+    private static double hintedCost(HttpHeaders headers) {
+        String hint = headers.get("X-Size-Hint");
+        try {
+            double cost = hint == null ? 0 : Double.parseDouble(hint) / 1e6;
+            return cost > 0 && cost < 1e6 ? cost : 0;
+        } catch (NumberFormatException e) {
+            return 0;
+        }
     }
 
     /** The body's length, -1 for chunks. One that states both is turned away by the decoder already. */
-    private static long length(HttpRequest request) throws MalformedException {
+    static long length(HttpRequest request) throws MalformedException {
         List<String> codings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
         if (codings.isEmpty()) {
             return HttpUtil.getContentLength(request, 0L);
@@ -94,7 +132,7 @@
     }
 
     /** The one value of a header that may not be repeated; null where it is absent. */
-    private static String single(HttpHeaders headers, String name) throws MalformedException {
+    static String single(HttpHeaders headers, String name) throws MalformedException {
         List<String> values = headers.getAll(name);
         require(values.size() <= 1);
         return values.isEmpty() ? null : values.get(0);
@@ -110,10 +148,4 @@
         int end = path.indexOf('/', 1);
         return path.substring(1, end < 0 ? path.length() : end);
     }
-
-    private static void require(boolean sound) throws MalformedException {
-        if (!sound) {
-            throw new MalformedException(HttpResponseStatus.BAD_REQUEST);
-        }
-    }
 }
--- a/src/main/java/onyxpaddle/node/ReuseDoubt.java
+++ b/src/main/java/onyxpaddle/http/ReuseDoubt.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package onyxpaddle.http;
 
 /**
  * How often a kept connection breaks under the request that it is given next, over the node's last uses of kept
--- a/src/main/java/onyxpaddle/node/ServerConnection.java
+++ b/src/main/java/onyxpaddle/http/ServerConnection.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package onyxpaddle.http;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -9,9 +9,8 @@
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
@@ -21,8 +20,14 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import java.util.List;
 import onyxpaddle.Balancing.Outcome;
+import onyxpaddle.http.AnswerDialect.Verdict;
+import onyxpaddle.node.Answer;
+import onyxpaddle.node.Attempt;
+import onyxpaddle.node.Body;
+import onyxpaddle.node.Exchange;
+import onyxpaddle.node.Log;
+import onyxpaddle.node.Sockets;
 
 /**
  * One connection to a server. It carries one attempt at a time, and maps what comes back to the outcomes of the
@@ -37,7 +42,7 @@
     final String server;
     final Channel channel;
     long idleSince;
-    private final ServerConnections all;
+    private final HttpUpstream all;
     /** The attempt that waits for its outcome, or null. */
     private Attempt attempt;
     private final AnswerDecoder decoder;
@@ -47,11 +52,13 @@
     private boolean reusable;
     private int interim;
     private long skipped;
-    private ServerAnswer answer;
+    private Answer answer;
+    private Outcome outcome;
+    private long largest;
     private long startedAt;
     private boolean kept;
 
-    ServerConnection(ServerConnections all, String server, Channel channel) {
+    ServerConnection(HttpUpstream all, String server, Channel channel) {
         this.all = all;
         this.server = server;
         this.channel = channel;
@@ -71,7 +78,7 @@
 
     void start(Attempt next) {
         attempt = next;
-        next.connection = this;
+        next.carrier = this;
         exchanging = true;
         answered = false;
         reusable = false;
@@ -79,11 +86,13 @@
         skipped = 0;
         startedAt = all.clock.now();
         kept = idleSince > 0;
-        decoder.expect();
         Exchange x = next.exchange;
-        HttpHeaders headers = Headers.forServer(x, channel.remoteAddress(), next.until - startedAt);
+        HttpHead head = (HttpHead) x.head;
+        largest = head.largestAnswer();
+        decoder.expect(head.method().equals(HttpMethod.HEAD));
+        HttpHeaders headers = all.dialect.forServer(head, x.body, channel.remoteAddress(), next.until - startedAt);
         ByteBuf body = x.body.size() == 0 ? Unpooled.EMPTY_BUFFER : x.body.whole();
-        channel.writeAndFlush(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, x.method, x.uri, body, headers,
+        channel.writeAndFlush(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri(), body, headers,
             EmptyHttpHeaders.INSTANCE)).addListener(f -> written(next, f.isSuccess()));
     }
 
@@ -129,37 +138,28 @@
         if (kept) {
             all.doubt.used(false);
         }
-        if (status == 200) {
-            long length = HttpUtil.getContentLength(response, -1L);
-            if (!attempt.written || length > Body.LARGEST || !wholeCanBeTold(response, length)) {
-                spoilt();
-            } else {
-                answer = new ServerAnswer(response.headers().get(HttpHeaderNames.CONTENT_TYPE),
-                    new Body(all.budget, length));
-            }
+        Verdict verdict = all.dialect.judge(response);
+        outcome = verdict.outcome();
+        if (verdict.pass() == null) {
+            end(outcome);
             return;
         }
-        // A refusal counts as never run only with the server's own word for it; a bare 503 may have run.
-        boolean neverRan = (status == 503 || status == 504)
-            && "1".equals(response.headers().get("X-Never-Ran"));
-        // Guards a server's standing against clients that get nonsense as far as here.
-        boolean clientsFault = response.status().codeClass() == HttpStatusClass.CLIENT_ERROR;
-        end(neverRan ? Outcome.FULL : clientsFault ? Outcome.REJECTED : Outcome.ERROR);
-    }
-
-    /** Without a length of its own or chunks, an answer that broke off would look like a short one. */
-    private static boolean wholeCanBeTold(HttpResponse response, long length) {
-        List<String> codings = response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
-        return codings.isEmpty() ? length >= 0
-            : codings.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0).trim());
+        long length = HttpUtil.getContentLength(response, -1L);
+        HttpMethod method = ((HttpHead) attempt.exchange.head).method();
+        boolean bodiless = method.equals(HttpMethod.HEAD);
+        if (!attempt.written || !bodiless && length > largest || !all.dialect.tellsItsEnd(method, response, length)) {
+            spoilt();
+        } else {
+            answer = new Answer(verdict.pass(), new Body(all.budget.bytes(), bodiless ? 0 : length, largest));
+        }
     }
 
     private void content(HttpContent content) {
         skipped += content.content().readableBytes();
-        if (skipped > Body.LARGEST || answer != null && !answer.body().add(content.content())) {
+        if (skipped > Math.max(Body.USUAL_LARGEST, largest) || answer != null && !answer.body().add(content.content())) {
             spoilt();
         } else if (content instanceof LastHttpContent) {
-            end(Outcome.OK);
+            complete();
             exchanging = false;
         }
     }
@@ -192,17 +192,27 @@
         }
     }
 
-    /** Ends the attempt, if it waits still, and lets go of what was held of the answer. */
-    private void end(Outcome outcome) {
+    /** Ends the attempt with the whole of its answer. */
+    private void complete() {
         Attempt current = attempt;
-        ServerAnswer held = answer;
+        Answer whole = answer;
         attempt = null;
         answer = null;
-        if (current != null) {
-            all.dispatcher.ended(current, outcome, held);
+        if (whole != null) {
+            all.dispatcher.ended(current, outcome, whole);
+        }
+    }
+
+    /** Ends the attempt, if it waits still, and lets go of what was held of the answer. */
+    private void end(Outcome how) {
+        Attempt current = attempt;
+        attempt = null;
+        if (answer != null) {
+            answer.body().release();
+            answer = null;
         }
-        if (held != null) {
-            held.body().release();
+        if (current != null) {
+            all.dispatcher.ended(current, how, null);
         }
     }
 
--- a/src/main/java/onyxpaddle/node/Discovery.java
+++ b/src/main/java/onyxpaddle/membership/Discovery.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package onyxpaddle.membership;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufAllocator;
@@ -23,9 +23,10 @@
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import onyxpaddle.node.Log;
+import onyxpaddle.node.Roster;
 
 /**
  * Keeps the list of servers up to date: one call at a time, each a watch from the version held, the next at once
@@ -33,7 +34,7 @@
  * told soon after its wait. Where lists are pushed it goes on by itself; where discovery is asked it calls when
  * the module subscribes, and tells it when that failed.
  */
-final class Discovery {
+public final class Discovery {
     private static final int WAIT_MS = 2000;
     private static final int ANSWER_LATE_MS = 2500;
     private static final int CONNECT_MS = 1000;
@@ -60,7 +61,7 @@
     private boolean heard;
     private int failures;
 
-    Discovery(EventLoop loop, ByteBufAllocator allocator, InetSocketAddress address, boolean asked, long seq,
+    public Discovery(EventLoop loop, ByteBufAllocator allocator, InetSocketAddress address, boolean asked, long seq,
             Consumer<Roster> onList, Runnable onRefused) {
         this.loop = loop;
         this.asked = asked;
@@ -82,7 +83,7 @@
             });
     }
 
-    void start() {
+    public void start() {
         if (!asked) {
             call();
         }
@@ -92,13 +93,13 @@
      * Starts in the place of another discovery. Its version numbers are its own, so the whole list is asked for, and
      * at once, also where the module asks: what it has to tell counts as told soon after the change.
      */
-    void startAnew() {
+    public void startAnew() {
         lost = true;
         call();
     }
 
     /** Ends it for good: no call is made, and no answer taken, after this. */
-    void stop() {
+    public void stop() {
         stopped = true;
         calling = false;
         stopTimeout();
@@ -112,7 +113,7 @@
     }
 
     /** The module asks for changes from now on. */
-    void subscribe() {
+    public void subscribe() {
         if (!calling) {
             call();
         }
@@ -194,7 +195,7 @@
         }
         Roster roster;
         try {
-            roster = Roster.parse(ByteBufUtil.getBytes(response.content()));
+            roster = RosterJson.parse(ByteBufUtil.getBytes(response.content()));
         } catch (IOException e) {
             lost = true;
             failed(on, "not a list");
@@ -242,8 +243,4 @@
             context.close();
         }
     }
-
-    static List<onyxpaddle.Balancing.ServerEntry> entries(Roster roster) {
-        return roster.hosts().stream().map(Roster.Host::entry).toList();
-    }
 }
--- /dev/null
+++ b/src/main/java/onyxpaddle/membership/RosterJson.java
@@ -0,0 +1,103 @@
+package onyxpaddle.membership;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import onyxpaddle.Balancing.ServerEntry;
+import onyxpaddle.Balancing.ServerState;
+import onyxpaddle.node.Addresses;
+import onyxpaddle.node.Clock;
+import onyxpaddle.node.Roster;
+import onyxpaddle.node.Roster.Host;
+
+/** Lists of servers as the platform's discovery words them. */
+public final class RosterJson {
+    public static final JsonFactory JSON = new JsonFactory();
+    private static final Map<String, ServerState> STATES = Map.of("ready", ServerState.READY,
+        "draining", ServerState.DRAINING, "gone", ServerState.GONE);
+
+    private RosterJson() {
+    }
+
+    public static Roster parse(byte[] json) throws IOException {
+        try (JsonParser parser = JSON.createParser(json)) {
+            parser.nextToken();
+            Roster roster = read(parser);
+            if (parser.nextToken() != null) {
+                throw new IOException("list: more than one document");
+            }
+            return roster;
+        }
+    }
+
+    /** Reads the object that the parser stands on; anything that is not a whole, sound list is an error. */
+    public static Roster read(JsonParser p) throws IOException {
+        long seq = -1;
+        boolean whole = false;
+        List<Host> hosts = null;
+        expect(p, JsonToken.START_OBJECT);
+        while (p.nextToken() != JsonToken.END_OBJECT) {
+            String name = p.currentName();
+            p.nextToken();
+            switch (name) {
+                case "seq" -> seq = p.getLongValue();
+                case "whole" -> whole = p.getBooleanValue();
+                case "hosts" -> hosts = hosts(p);
+                default -> p.skipChildren();
+            }
+        }
+        if (seq < 0 || hosts == null) {
+            throw new IOException("list: no seq or no hosts");
+        }
+        return new Roster(seq, whole, hosts);
+    }
+
+    private static List<Host> hosts(JsonParser p) throws IOException {
+        List<Host> hosts = new ArrayList<>();
+        expect(p, JsonToken.START_ARRAY);
+        while (p.nextToken() != JsonToken.END_ARRAY) {
+            hosts.add(host(p));
+        }
+        return hosts;
+    }
+
+    private static Host host(JsonParser p) throws IOException {
+        String id = null;
+        String dial = null;
+        String site = "";
+        long block = 0;
+        ServerState state = null;
+        double share = 1;
+        long born = 0;
+        expect(p, JsonToken.START_OBJECT);
+        while (p.nextToken() != JsonToken.END_OBJECT) {
+            String name = p.currentName();
+            boolean given = p.nextToken() != JsonToken.VALUE_NULL;
+            switch (given ? name : "") {
+                case "host" -> id = p.getText();
+                case "dial" -> dial = p.getText();
+                case "site" -> site = p.getText();
+                case "block" -> block = p.getLongValue();
+                case "health" -> state = STATES.get(p.getText());
+                case "share" -> share = p.getDoubleValue();
+                case "born_ms" -> born = p.getLongValue();
+                default -> p.skipChildren();
+            }
+        }
+        if (id == null || id.isEmpty() || state == null || dial == null && state != ServerState.GONE) {
+            throw new IOException("list: an entry lacks host, dial or health");
+        }
+        return new Host(new ServerEntry(id, site, block, state, share, Clock.ofMillis(born)),
+            dial == null ? null : Addresses.parse(dial));
+    }
+
+    private static void expect(JsonParser p, JsonToken token) throws IOException {
+        if (p.currentToken() != token) {
+            throw new IOException("list: expected " + token + ", not " + p.currentToken());
+        }
+    }
+}
--- a/src/main/java/onyxpaddle/node/Attempt.java
+++ b/src/main/java/onyxpaddle/node/Attempt.java
@@ -1,22 +1,20 @@
 package onyxpaddle.node;
 
-import io.netty.channel.ChannelFuture;
-import io.netty.util.concurrent.Future;
+import java.util.concurrent.Future;
 
 /** One sending of a request to a server. It ends exactly once, by {@link Dispatcher#ended}. */
-final class Attempt {
-    final Exchange exchange;
+public final class Attempt {
+    public final Exchange exchange;
     final int number;
-    final String server;
+    public final String server;
     final long sentAt;
-    final long until;
+    /** When it is given up, by the node's clock in nanoseconds. */
+    public final long until;
     Future<?> timer;
-    /** The dial that is under way for it, or null. */
-    ChannelFuture dial;
-    /** The connection that carries it, or null. */
-    ServerConnection connection;
+    /** What carries it, such as a dial or a connection: the upstream's own, null before and after. */
+    public Object carrier;
     /** The operating system has the request's last byte: from here on the server may run it. */
-    boolean written;
+    public boolean written;
     boolean ended;
 
     Attempt(Exchange exchange, int number, String server, long sentAt, long until) {
@@ -26,4 +24,8 @@
         this.sentAt = sentAt;
         this.until = until;
     }
+
+    public boolean ended() {
+        return ended;
+    }
 }
--- a/src/main/java/onyxpaddle/node/Body.java
+++ b/src/main/java/onyxpaddle/node/Body.java
@@ -9,32 +9,38 @@
  * A body held whole. It is copied out of the read buffers into pieces of its own: a peer that sends single bytes
  * would otherwise pin a read buffer for each of them, and the budget would not know.
  */
-final class Body {
-    /** The protocol's limit, for requests and for answers. */
-    static final int LARGEST = 64 * 1024;
+public final class Body {
+    /** The platform's limit, for requests and for answers. */
+    public static final int USUAL_LARGEST = 64 * 1024;
+    private static final int LARGEST_PIECE = 64 * 1024;
+    private static final int SMALL = 64 * 1024;
+    /** The part of a pool's bytes open to larger bodies, so that a few long uploads don't stop the rest. */
+    private static final double OPEN_TO_LARGE = 0.75;
 
-    private final Budget budget;
+    private final SharedLimit.Share budget;
+    private final long largest;
     private final List<byte[]> pieces = new ArrayList<>(1);
     private int firstPiece;
     private int inLast;
     private long size;
     private long taken;
 
-    /** {@code expected}: the length that the peer states, or -1. */
-    Body(Budget budget, long expected) {
+    /** {@code expected}: the length that the peer states, or -1; {@code largest}: the most it may hold, in bytes. */
+    public Body(SharedLimit.Share budget, long expected, long largest) {
         this.budget = budget;
-        this.firstPiece = (int) Math.min(LARGEST, expected < 0 ? 1024 : Math.max(1, expected));
+        this.largest = largest;
+        this.firstPiece = (int) Math.min(Math.min(LARGEST_PIECE, largest), expected < 0 ? 1024 : Math.max(1, expected));
     }
 
     /** Adds what the buffer holds; false if that is more than a body may hold or than the budget has room for. */
-    boolean add(ByteBuf more) {
-        if (size + more.readableBytes() > LARGEST) {
+    public boolean add(ByteBuf more) {
+        if (size + more.readableBytes() > largest) {
             return false;
         }
         while (more.isReadable()) {
             if (pieces.isEmpty() || inLast == last().length) {
-                int next = pieces.isEmpty() ? firstPiece : Math.max(LARGEST / 8, (int) Math.min(LARGEST, size));
-                if (!budget.take(next, taken)) {
+                int next = pieces.isEmpty() ? firstPiece : Math.max(LARGEST_PIECE / 8, (int) Math.min(LARGEST_PIECE, size));
+                if (!budget.take(next, taken + next <= SMALL ? 1 : OPEN_TO_LARGE)) {
                     return false;
                 }
                 taken += next;
@@ -53,12 +59,12 @@
         return pieces.get(pieces.size() - 1);
     }
 
-    long size() {
+    public long size() {
         return size;
     }
 
     /** All of it as one buffer. */
-    ByteBuf whole() {
+    public ByteBuf whole() {
         ByteBuf[] all = new ByteBuf[pieces.size()];
         for (int i = 0; i < all.length; i++) {
             byte[] piece = pieces.get(i);
@@ -68,7 +74,7 @@
     }
 
     /** Gives the bytes back to the budget; the body is not used after. */
-    void release() {
+    public void release() {
         budget.giveBack(taken);
         taken = 0;
         pieces.clear();
--- a/src/main/java/onyxpaddle/node/Budget.java
+++ b/src/main/java/onyxpaddle/node/Budget.java
@@ -2,45 +2,46 @@
 
 /**
  * What the node may hold, from the limits in its configuration: bytes of bodies on the heap, and descriptors for
- * clients and for servers. Used by the event loop alone.
+ * clients and for servers. Pools share the first and the last, fronts the second. Used by the event loop alone.
  */
-final class Budget {
+public final class Budget {
     /** For the JVM's own files, the selector, the listener, discovery, and accepts that are under way. */
     private static final int RESERVED_DESCRIPTORS = 64;
-    /** The part of the bytes that only small bodies may use, so that a few long uploads don't stop the rest. */
-    private static final double KEPT_FOR_SMALL = 0.25;
-    private static final int SMALL = 64 * 1024;
+    /** The part of the client connections that may have work taken in; those beyond are refused as they ask. */
+    private static final double SERVED_CLIENTS = 0.8;
 
-    private final long bytes;
-    private long held;
-    final int clients;
-    /** Of the client connections, how many may have work taken in; those beyond are refused as they ask. */
-    final int servedClients;
-    final int servers;
+    private final SharedLimit bytes;
+    private final SharedLimit clients;
+    private final SharedLimit servers;
 
-    Budget(int descriptors, long heap) {
+    public Budget(int descriptors, long heap) {
         int usable = Math.max(16, descriptors - RESERVED_DESCRIPTORS);
-        servers = usable * 2 / 5;
-        clients = usable - servers;
-        servedClients = clients * 4 / 5;
-        bytes = heap / 2;
+        int forServers = usable * 2 / 5;
+        bytes = new SharedLimit(heap / 2);
+        servers = new SharedLimit(forServers);
+        clients = new SharedLimit(usable - forServers);
     }
 
-    /** Takes so many bytes for a body that holds {@code before} already; false where there are none left. */
-    boolean take(int more, long before) {
-        long open = before + more <= SMALL ? bytes : (long) (bytes * (1 - KEPT_FOR_SMALL));
-        if (held + more > open) {
-            return false;
+    /** A pool's parts of the node's bytes of bodies and of its connections to servers. */
+    public record PoolShare(SharedLimit.Share bytes, SharedLimit.Share servers) {
+        public void leave() {
+            bytes.leave();
+            servers.leave();
         }
-        held += more;
-        return true;
     }
 
-    void giveBack(long count) {
-        held -= count;
+    public PoolShare pool() {
+        return new PoolShare(bytes.join(), servers.join());
     }
 
-    long held() {
-        return held;
+    /** A front's part of the node's client connections. */
+    public SharedLimit.Share front() {
+        return clients.join();
+    }
+
+    /** Whether a front with this share has so many clients that a further request is turned away. */
+    public boolean crowded(SharedLimit.Share front) {
+        long most = front.most();
+        return front.held() > most * SERVED_CLIENTS;
     }
 }
--- /dev/null
+++ b/src/main/java/onyxpaddle/node/Caller.java
@@ -0,0 +1,18 @@
+package onyxpaddle.node;
+
+/** Where a request came from. It hears exactly one final answer, on the event loop, unless it left before. */
+public interface Caller {
+    /** Served; the answer is on loan until this returns, the arrays behind its body for longer. */
+    void served(Answer answer);
+
+    /** Not run, trying again is harmless; {@code retryAfter} in nanoseconds, 0 for no advice. */
+    void refused(long retryAfter);
+
+    /**
+     * Failed, with no word on the effect.
+     *
+     * @param late whether the caller's time is over
+     * @param own what the server itself said of the failure, on loan until this returns; null where it said nothing
+     */
+    void failed(boolean late, Answer own);
+}
--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -1,108 +1,114 @@
 package onyxpaddle.node;
 
-import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import onyxpaddle.Balancing.*;
 import onyxpaddle.RatioBalancer;
+import onyxpaddle.node.Exchange.Terms;
 
 /**
- * Stands between the sockets and the module: turns what happens into the module's events, one at a time, and
+ * Stands between callers, servers and the module: turns what happens into the module's events, one at a time, and
  * carries out its actions in their order. It owns requests and attempts and sees to it that each attempt ends
  * once and each request has one answer; whom to send to, and when to stop, is the module's alone.
  */
-final class Dispatcher {
+public final class Dispatcher {
     /** How long after its deadline a request that the module left unanswered is failed. */
     private static final long GUARD = 8_000_000L;
 
     private final Clock clock;
-    private final EventLoop loop;
+    private final ScheduledExecutorService loop;
     private final RatioBalancer module;
     private final Limits limits;
     private final Map<String, Exchange> exchanges = new HashMap<>();
     private final ArrayDeque<Event> events = new ArrayDeque<>();
-    private ServerConnections servers;
+    private Upstream upstream;
     private Runnable onSubscribe = () -> { };
     private boolean delivering;
     private int unanswered;
 
-    Dispatcher(Clock clock, EventLoop loop, RatioBalancer module, Limits limits) {
+    /** {@code loop}: the one thread on which everything here happens. */
+    public Dispatcher(Clock clock, ScheduledExecutorService loop, RatioBalancer module, Limits limits) {
         this.clock = clock;
         this.loop = loop;
         this.module = module;
         this.limits = limits;
     }
 
-    void connect(ServerConnections serverConnections, Runnable subscribe) {
-        servers = serverConnections;
+    public void connect(Upstream servers, Runnable subscribe) {
+        upstream = servers;
         onSubscribe = subscribe;
     }
 
     /** Requests that still wait for their final answer. */
-    int unanswered() {
+    public int unanswered() {
         return unanswered;
     }
 
-    boolean holds(String id) {
+    public boolean holds(String id) {
         return exchanges.containsKey(id);
     }
 
     // ---- what happens ----
 
     /** A request's last byte has come: it is taken, and its time counts from here. */
-    void arrived(Exchange x) {
+    public void arrived(Exchange x) {
         long now = clock.now();
-        x.deadline = now + x.patience;
+        Terms terms = x.terms;
+        x.deadline = now + terms.patience();
         exchanges.put(x.id, x);
         unanswered++;
         // Guards against a request that the module forgot, or lost to a fault of its own.
-        x.guard = loop.schedule(() -> overdue(x), x.patience + GUARD, TimeUnit.NANOSECONDS);
-        tell(new Arrival(x.id, x.requestClass, x.deadline, x.headers.get("X-Customer"), hintedCost(x),
-            "1".equals(x.headers.get("X-Second-Try"))));
+        x.guard = loop.schedule(() -> overdue(x), terms.patience() + GUARD, TimeUnit.NANOSECONDS);
+        tell(new Arrival(x.id, terms.requestClass().name(), x.deadline, terms.tenant(), terms.cost(),
+            terms.clientRetry()));
     }
 
-    /** The caller's guess at the work, given in microseconds, as seconds; 0 where it gives none that makes sense. */
-    private static double hintedCost(Exchange x) {
-        String hint = x.headers.get("X-Size-Hint");
-        try {
-            double cost = hint == null ? 0 : Double.parseDouble(hint) / 1e6;
-            return cost > 0 && cost < 1e6 ? cost : 0;
-        } catch (NumberFormatException e) {
-            return 0;
-        }
-    }
-
-    void clientGone(Exchange x) {
+    public void clientGone(Exchange x) {
         if (finish(x)) {
             tell(new ClientGone(x.id));
             forget(x);
         }
     }
 
-    /** The end of an attempt; {@code answer} is what an OK has brought. */
-    void ended(Attempt attempt, Outcome outcome, ServerAnswer answer) {
+    /**
+     * The end of an attempt. {@code answer} is what an OK has brought, or a server's own word for its failure, which
+     * is kept for the caller; null otherwise. It is the dispatcher's from here on.
+     */
+    public void ended(Attempt attempt, Outcome outcome, Answer answer) {
         if (attempt.ended) {
+            release(answer);
             return;
         }
         attempt.ended = true;
-        attempt.connection = null;
-        attempt.dial = null;
+        attempt.carrier = null;
         stopTimer(attempt);
         Exchange x = attempt.exchange;
         x.out--;
         if (outcome == Outcome.OK && finish(x)) {
-            x.client.served(answer);
+            x.caller.served(answer);
+        } else if (answer != null && !x.over) {
+            release(x.failure);
+            x.failure = answer;
+            answer = null;
         }
+        release(answer);
         // Load reports are not passed on: the module takes no account of them.
         tell(new AttemptEnded(x.id, attempt.number, attempt.server, outcome, clock.now() - attempt.sentAt, x.over,
             null));
         forget(x);
     }
 
-    void membership(ListKind kind, List<ServerEntry> entries) {
+    private static void release(Answer answer) {
+        if (answer != null) {
+            answer.body().release();
+        }
+    }
+
+    public void membership(ListKind kind, List<ServerEntry> entries) {
         tell(new Membership(kind, entries));
     }
 
@@ -110,7 +116,7 @@
         if (!x.over) {
             Log.line("request " + x.id + " was left unanswered until its deadline");
             finish(x);
-            x.client.failed(true);
+            x.caller.failed(true, x.failure);
             tell(new ClientGone(x.id));
             forget(x);
         }
@@ -120,7 +126,7 @@
         if (!attempt.ended) {
             // What was not written whole has never run, however long the wait was.
             boolean written = attempt.written;
-            servers.giveUp(attempt);
+            upstream.giveUp(attempt);
             ended(attempt, written ? Outcome.TIMED_OUT : Outcome.CONNECT_FAILED, null);
         }
     }
@@ -164,13 +170,13 @@
         } else if (action instanceof Refuse refuse) {
             Exchange x = exchanges.get(refuse.request());
             if (x != null && finish(x)) {
-                x.client.refused(refuse.retryAfter());
+                x.caller.refused(refuse.retryAfter());
                 forget(x);
             }
         } else if (action instanceof Fail fail) {
             Exchange x = exchanges.get(fail.request());
             if (x != null && finish(x)) {
-                x.client.failed(clock.now() >= x.deadline);
+                x.caller.failed(clock.now() >= x.deadline, x.failure);
                 forget(x);
             }
         } else if (action instanceof Subscribe) {
@@ -195,7 +201,7 @@
             return;
         }
         attempt.timer = loop.schedule(() -> expire(attempt), until - now, TimeUnit.NANOSECONDS);
-        servers.send(attempt);
+        upstream.send(attempt);
     }
 
     private void cancel(Cancel cancel) {
@@ -205,7 +211,7 @@
         }
         Attempt attempt = x.attempts.get(cancel.attempt());
         if (!attempt.ended) {
-            servers.giveUp(attempt);
+            upstream.giveUp(attempt);
             ended(attempt, Outcome.CANCELLED, null);
         }
     }
@@ -226,6 +232,7 @@
     private void forget(Exchange x) {
         if (x.over && x.out == 0 && exchanges.remove(x.id, x)) {
             x.body.release();
+            release(x.failure);
         }
     }
 
--- a/src/main/java/onyxpaddle/node/Exchange.java
+++ b/src/main/java/onyxpaddle/node/Exchange.java
@@ -1,42 +1,40 @@
 package onyxpaddle.node;
 
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpRequest;
-import io.netty.util.concurrent.Future;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.Future;
 import onyxpaddle.Balancing.Effect;
+import onyxpaddle.Balancing.RequestClass;
 
 /** One request from a caller, from its head until its answer is given and no attempt is out any more. */
-final class Exchange {
-    final String id;
-    final String requestClass;
+public final class Exchange {
+    /** What a front tells of a request: {@code tenant} may be null, {@code cost} is in seconds, 0 for no hint. */
+    public record Terms(String id, RequestClass requestClass, long patience, String tenant, double cost,
+            boolean clientRetry) {
+    }
+
+    public final String id;
+    final Terms terms;
     /** Whether running twice does no harm. */
-    final boolean repeatable;
-    final HttpMethod method;
-    final String uri;
-    final HttpHeaders headers;
-    /** How long the caller waits, from its last byte. */
-    final long patience;
-    final Body body;
-    final ClientConnection client;
+    public final boolean repeatable;
+    public final Metadata head;
+    public final Body body;
+    final Caller caller;
     final List<Attempt> attempts = new ArrayList<>(2);
     long deadline;
     int out;
     /** The final answer is given or has begun, or nobody waits for it. */
     boolean over;
     Future<?> guard;
+    /** A server's own word for a failure, for the caller should no other server do better; null for none. */
+    Answer failure;
 
-    Exchange(RequestHead head, HttpRequest request, Body body, ClientConnection client) {
-        this.id = head.id();
-        this.requestClass = head.requestClass().name();
-        this.repeatable = head.requestClass().effect() == Effect.SAFE;
-        this.method = request.method();
-        this.uri = request.uri();
-        this.headers = request.headers();
-        this.patience = head.patience();
+    public Exchange(Terms terms, Metadata head, Body body, Caller caller) {
+        this.id = terms.id();
+        this.terms = terms;
+        this.repeatable = terms.requestClass().effect() == Effect.SAFE;
+        this.head = head;
         this.body = body;
-        this.client = client;
+        this.caller = caller;
     }
 }
--- a/src/main/java/onyxpaddle/node/Log.java
+++ b/src/main/java/onyxpaddle/node/Log.java
@@ -6,7 +6,7 @@
  * Lines on standard error. A daemon thread writes them, so that a pipe nobody reads never blocks the event loop;
  * the queue is bounded and so is each second's number of lines, with a count of those left out.
  */
-final class Log {
+public final class Log {
     private static final int LINES_PER_SECOND = 30;
     private static final int LONGEST = 400;
     private static final ArrayBlockingQueue<String> LINES = new ArrayBlockingQueue<>(256);
@@ -24,7 +24,7 @@
     private Log() {
     }
 
-    static synchronized void line(String text) {
+    public static synchronized void line(String text) {
         long now = System.nanoTime() / 1_000_000_000L;
         if (now != second) {
             second = now;
@@ -40,7 +40,7 @@
         }
     }
 
-    static void failure(String doing, Throwable cause) {
+    public static void failure(String doing, Throwable cause) {
         StackTraceElement[] trace = cause.getStackTrace();
         line(doing + ": " + cause + (trace.length > 0 ? " at " + trace[0] : ""));
     }
--- a/src/main/java/onyxpaddle/node/Sockets.java
+++ b/src/main/java/onyxpaddle/node/Sockets.java
@@ -4,9 +4,9 @@
 import io.netty.buffer.PooledByteBufAllocator;
 
 /** Sizes that all sockets share. */
-final class Sockets {
+public final class Sockets {
     /** Most bytes of one read: what a stream may overshoot its write mark by, for every connection. */
-    static final int READ_SIZE = 16 * 1024;
+    public static final int READ_SIZE = 16 * 1024;
     private static final int PAGE = 8 * 1024;
     /** Chunks of 512 KB, as a node in small memory holds few buffers at any moment. */
     private static final int ORDER = 6;
@@ -18,7 +18,7 @@
     }
 
     /** One arena: there is one thread that reads and writes. */
-    static ByteBufAllocator allocator() {
+    public static ByteBufAllocator allocator() {
         return new PooledByteBufAllocator(true, 1, 1, PAGE, ORDER, SMALL_CACHED, NORMAL_CACHED, false);
     }
 }
--- a/src/main/java/onyxpaddle/node/Hangup.java
+++ b/src/main/java/onyxpaddle/serve/Hangup.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package onyxpaddle.serve;
 
 import java.lang.reflect.Proxy;
 
--- a/src/main/java/onyxpaddle/node/Node.java
+++ b/src/main/java/onyxpaddle/serve/Node.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package onyxpaddle.serve;
 
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.EventLoop;
@@ -11,6 +11,18 @@
 import java.util.concurrent.TimeUnit;
 import onyxpaddle.Balancing.ListKind;
 import onyxpaddle.RatioBalancer;
+import onyxpaddle.http.HttpFront;
+import onyxpaddle.http.HttpUpstream;
+import onyxpaddle.http.PlatformAnswers;
+import onyxpaddle.http.PlatformRequests;
+import onyxpaddle.membership.Discovery;
+import onyxpaddle.node.Budget;
+import onyxpaddle.node.Budget.PoolShare;
+import onyxpaddle.node.Clock;
+import onyxpaddle.node.Dispatcher;
+import onyxpaddle.node.Log;
+import onyxpaddle.node.Roster;
+import onyxpaddle.node.Sockets;
 
 /** The real node: one event loop that reads and writes all sockets and runs the module. */
 public final class Node {
@@ -25,10 +37,10 @@
     private final long startedAt = clock.now();
     private final CountDownLatch drained = new CountDownLatch(1);
     private Dispatcher dispatcher;
-    private ServerConnections servers;
+    private HttpUpstream servers;
     private Discovery discovery;
-    private ClientServer clients;
-    private NodeConfig config;
+    private HttpFront clients;
+    private PlatformConfig config;
     private ByteBufAllocator allocator;
     private boolean anyServer;
     private boolean heard;
@@ -42,9 +54,9 @@
         try {
             Node node = new Node();
             Hangup.runs(() -> node.reload(System.getenv()));
-            node.run(NodeConfig.load(System.getenv()));
+            node.run(PlatformConfig.load(System.getenv()));
             Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
-        } catch (NodeConfig.InvalidConfigException e) {
+        } catch (PlatformConfig.InvalidConfigException e) {
             System.err.println("weldlink: " + e.getMessage());
             System.exit(EXIT_CONFIG);
         } catch (Exception e) {
@@ -53,13 +65,13 @@
         }
     }
 
-    static Node start(NodeConfig config) throws Exception {
+    static Node start(PlatformConfig config) throws Exception {
         Node node = new Node();
         node.run(config);
         return node;
     }
 
-    private void run(NodeConfig first) throws Exception {
+    private void run(PlatformConfig first) throws Exception {
         try {
             group.next().submit(() -> build(first)).sync();
             bound = (InetSocketAddress) clients.listen(first.listen()).sync().channel().localAddress();
@@ -70,18 +82,21 @@
         Log.line("node " + first.name() + " listens on " + bound);
     }
 
-    private void build(NodeConfig first) {
+    private void build(PlatformConfig first) {
         config = first;
         EventLoop loop = group.next();
         allocator = Sockets.allocator();
         Budget budget = new Budget(config.sockets(), Runtime.getRuntime().maxMemory());
         RatioBalancer module = new RatioBalancer(config.settings(), config.seed());
         dispatcher = new Dispatcher(clock, loop, module, config.settings().limits());
-        servers = new ServerConnections(loop, allocator, clock, budget, dispatcher, config.keepalive(),
-            config.settings().limits().connectTimeout());
+        PoolShare share = budget.pool();
+        servers = new HttpUpstream(loop, allocator, clock, share, dispatcher, new PlatformAnswers(),
+            config.keepalive(), config.settings().limits().connectTimeout());
         discovery = discovery(loop);
         dispatcher.connect(servers, () -> discovery.subscribe());
-        clients = new ClientServer(loop, allocator, clock, budget, dispatcher, config.settings(), this::ready);
+        clients = new HttpFront(loop, allocator, clock, budget,
+            new PlatformRequests(config.settings().classes(), dispatcher, share.bytes()), dispatcher::unanswered,
+            this::ready);
         apply(config.known(), ListKind.REMEMBERED);
         discovery.start();
     }
@@ -101,14 +116,14 @@
      */
     void reload(Map<String, String> environment) {
         try {
-            NodeConfig next = NodeConfig.reload(environment);
+            PlatformConfig next = PlatformConfig.reload(environment);
             group.next().execute(() -> move(next));
-        } catch (NodeConfig.InvalidConfigException e) {
+        } catch (PlatformConfig.InvalidConfigException e) {
             Log.line("SIGHUP: the configuration stays as it was: " + e.getMessage());
         }
     }
 
-    private void move(NodeConfig next) {
+    private void move(PlatformConfig next) {
         if (config == null || next.discovery().equals(config.discovery())) {
             return;
         }
@@ -122,7 +137,7 @@
     private void apply(Roster roster, ListKind kind) {
         anyServer |= !roster.hosts().isEmpty();
         servers.apply(roster);
-        dispatcher.membership(kind, Discovery.entries(roster));
+        dispatcher.membership(kind, roster.entries());
     }
 
     /** Requests can be served once a server is known; the list at the start may be old, so news is waited for. */
--- a/src/main/java/onyxpaddle/node/NodeConfig.java
+++ b/src/main/java/onyxpaddle/serve/PlatformConfig.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package onyxpaddle.serve;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
@@ -11,9 +11,12 @@
 import java.util.Map;
 import onyxpaddle.Balancing.Settings;
 import onyxpaddle.FlatSettings;
+import onyxpaddle.membership.RosterJson;
+import onyxpaddle.node.Addresses;
+import onyxpaddle.node.Roster;
 
 /** What the node is told at its start: the environment and the file that {@code GW_CONFIG} names. */
-record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+record PlatformConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
         Roster known, Settings settings, long keepalive) {
     private static final long USUAL_KEEPALIVE = 5_000_000_000L;
 
@@ -27,13 +30,13 @@
     }
 
     /** As after SIGHUP: the environment is as old as the process, so the file's word on discovery goes before it. */
-    static NodeConfig reload(Map<String, String> environment) throws InvalidConfigException {
+    static PlatformConfig reload(Map<String, String> environment) throws InvalidConfigException {
         Map<String, String> lasting = new HashMap<>(environment);
         lasting.remove("GW_DISCOVERY");
         return load(lasting);
     }
 
-    static NodeConfig load(Map<String, String> environment) throws InvalidConfigException {
+    static PlatformConfig load(Map<String, String> environment) throws InvalidConfigException {
         String file = environment.get("GW_CONFIG");
         if (file == null || file.isEmpty()) {
             throw new InvalidConfigException("GW_CONFIG is not set");
@@ -48,10 +51,10 @@
     }
 
     /** The environment's name and addresses go before the file's, which hold the same. */
-    static NodeConfig parse(byte[] json, Map<String, String> environment) throws InvalidConfigException {
+    static PlatformConfig parse(byte[] json, Map<String, String> environment) throws InvalidConfigException {
         Map<String, String> flat = new HashMap<>();
         Roster known = new Roster(0, true, List.of());
-        try (JsonParser p = Roster.JSON.createParser(json)) {
+        try (JsonParser p = RosterJson.JSON.createParser(json)) {
             if (p.nextToken() != JsonToken.START_OBJECT) {
                 throw new InvalidConfigException("GW_CONFIG: not a JSON object");
             }
@@ -59,7 +62,7 @@
                 String name = p.currentName();
                 p.nextToken();
                 if (name.equals("known") && p.currentToken() == JsonToken.START_OBJECT) {
-                    known = Roster.read(p);
+                    known = RosterJson.read(p);
                 } else {
                     flatten(p, name, flat);
                 }
@@ -84,7 +87,7 @@
         try {
             FlatSettings settings = new FlatSettings(pairs);
             long keepalive = settings.span("limits.keepaliveS");
-            return new NodeConfig(flat.getOrDefault("name", ""), address(flat, "listen"),
+            return new PlatformConfig(flat.getOrDefault("name", ""), address(flat, "listen"),
                 address(flat, "discovery"), seed(flat), sockets(flat), known, settings.settings(),
                 keepalive > 0 ? keepalive : USUAL_KEEPALIVE);
         } catch (IllegalArgumentException e) {
@@ -95,7 +98,7 @@
     private static InetSocketAddress address(Map<String, String> flat, String name) throws InvalidConfigException {
         String text = flat.getOrDefault(name, "");
         try {
-            return Roster.address(text);
+            return Addresses.parse(text);
         } catch (IOException e) {
             throw new InvalidConfigException(name + ": " + (text.isEmpty() ? "missing" : e.getMessage()));
         }
--- a/src/main/java/onyxpaddle/node/Rehearsal.java
+++ b/src/main/java/onyxpaddle/serve/Rehearsal.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package onyxpaddle.serve;
 
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
@@ -34,7 +34,7 @@
         });
         peers.start();
         Hangup.runs(() -> { });
-        Node node = Node.start(NodeConfig.parse(config(peers.getAddress()).getBytes(StandardCharsets.US_ASCII),
+        Node node = Node.start(PlatformConfig.parse(config(peers.getAddress()).getBytes(StandardCharsets.US_ASCII),
             Map.of()));
         for (int i = 0; i < REQUESTS; i++) {
             ask(node.address(), i);
--- /dev/null
+++ b/src/test/java/onyxpaddle/PackageRulesTest.java
@@ -0,0 +1,59 @@
+package onyxpaddle;
+
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAPackage;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.base.DescribedPredicate;
+import com.tngtech.archunit.core.domain.JavaClass;
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Who may know whom: the core no protocol, a decision module no I/O and no clock, and no two packages each other. */
+class PackageRulesTest {
+    private static final JavaClasses ALL = new ClassFileImporter()
+        .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("onyxpaddle");
+    /** Modules that decide, besides the root package. */
+    private static final Set<String> DECIDERS = Set.of("onyxpaddle.RatioBalancer", "onyxpaddle.Balancing",
+        "onyxpaddle.FlatSettings", "onyxpaddle.node.SharedLimit", "onyxpaddle.node.Budget");
+
+    private static final DescribedPredicate<JavaClass> DECIDES = DescribedPredicate.describe("decide",
+        c -> DECIDERS.stream().anyMatch(name -> c.getName().equals(name) || c.getName().startsWith(name + "$"))
+            || c.getPackageName().equals("onyxpaddle.route"));
+
+    @Test
+    void theCoreKnowsNoProtocolAndNoSocket() {
+        noClasses().that().resideInAPackage("onyxpaddle.node").should().dependOnClassesThat()
+            .resideInAnyPackage("io.netty.channel..", "io.netty.handler..", "io.netty.bootstrap..", "com.fasterxml..")
+            .check(ALL);
+        classes().that().resideInAPackage("onyxpaddle.node").should().onlyDependOnClassesThat(
+            resideInAPackage("onyxpaddle").or(resideInAPackage("onyxpaddle.node"))
+                .or(DescribedPredicate.not(resideInAPackage("onyxpaddle..")))).check(ALL);
+    }
+
+    @Test
+    void protocolsAndSourcesKnowTheCoreOnly() {
+        noClasses().that().resideInAPackage("onyxpaddle.http").should().dependOnClassesThat()
+            .resideInAnyPackage("onyxpaddle.membership..", "onyxpaddle.serve..", "onyxpaddle.sidecar..").check(ALL);
+        noClasses().that().resideInAPackage("onyxpaddle.membership").should().dependOnClassesThat()
+            .resideInAnyPackage("onyxpaddle.http..", "onyxpaddle.serve..", "onyxpaddle.sidecar..").check(ALL);
+    }
+
+    @Test
+    void whatDecidesDoesNoInputOrOutputAndReadsNoClock() {
+        noClasses().that(DECIDES).should().dependOnClassesThat()
+            .resideInAnyPackage("io.netty..", "java.io..", "java.net..", "java.nio..").check(ALL);
+        noClasses().that(DECIDES).should().callMethod(System.class, "nanoTime")
+            .orShould().callMethod(System.class, "currentTimeMillis")
+            .orShould().dependOnClassesThat().haveFullyQualifiedName("java.time.Clock").check(ALL);
+    }
+
+    @Test
+    void noPackagesKnowEachOther() {
+        slices().matching("onyxpaddle.(*)..").should().beFreeOfCycles().check(ALL);
+    }
+}
--- a/src/test/java/onyxpaddle/node/ClientRequestTest.java
+++ b/src/test/java/onyxpaddle/serve/ClientRequestTest.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package onyxpaddle.serve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -6,8 +6,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import onyxpaddle.node.Loopback.Client;
-import onyxpaddle.node.Loopback.FakeServer;
+import onyxpaddle.serve.Loopback.Client;
+import onyxpaddle.serve.Loopback.FakeServer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
--- a/src/test/java/onyxpaddle/node/DrainTest.java
+++ b/src/test/java/onyxpaddle/serve/DrainTest.java
@@ -1,10 +1,10 @@
-package onyxpaddle.node;
+package onyxpaddle.serve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 
-import onyxpaddle.node.Loopback.Client;
-import onyxpaddle.node.Loopback.FakeServer;
+import onyxpaddle.serve.Loopback.Client;
+import onyxpaddle.serve.Loopback.FakeServer;
 import org.junit.jupiter.api.Test;
 
 /** SIGTERM: what was taken is answered, open connections serve on, and the node ends by itself. */
--- a/src/test/java/onyxpaddle/node/Loopback.java
+++ b/src/test/java/onyxpaddle/serve/Loopback.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package onyxpaddle.serve;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -24,7 +24,7 @@
 
     Loopback(FakeServer... servers) throws Exception {
         discovery = new FakeDiscovery(list(1, servers));
-        node = Node.start(NodeConfig.parse(config(discovery, servers).getBytes(StandardCharsets.UTF_8), Map.of()));
+        node = Node.start(PlatformConfig.parse(config(discovery, servers).getBytes(StandardCharsets.UTF_8), Map.of()));
     }
 
     static String config(FakeDiscovery discovery, FakeServer... servers) {
--- a/src/test/java/onyxpaddle/node/ReloadTest.java
+++ b/src/test/java/onyxpaddle/serve/ReloadTest.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package onyxpaddle.serve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -8,8 +8,8 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import onyxpaddle.node.Loopback.FakeDiscovery;
-import onyxpaddle.node.Loopback.FakeServer;
+import onyxpaddle.serve.Loopback.FakeDiscovery;
+import onyxpaddle.serve.Loopback.FakeServer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
--- a/src/test/java/onyxpaddle/node/ServerAnswerTest.java
+++ b/src/test/java/onyxpaddle/serve/ServerAnswerTest.java
@@ -1,9 +1,9 @@
-package onyxpaddle.node;
+package onyxpaddle.serve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import onyxpaddle.node.Loopback.FakeServer;
+import onyxpaddle.serve.Loopback.FakeServer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
