--- /dev/null
+++ b/src/main/java/onyxpaddle/config/MachineLimits.java
@@ -0,0 +1,32 @@
+package onyxpaddle.config;
+
+/**
+ * What the machine holds, against which limits are checked; 0 where it is not known.
+ *
+ * @param descriptors the most that a process here may have open
+ * @param memory bytes of memory in all
+ */
+public record MachineLimits(long descriptors, long memory) {
+    public static final MachineLimits UNKNOWN = new MachineLimits(0, 0);
+
+    /** Those of this machine. */
+    public static MachineLimits here() {
+        java.lang.management.OperatingSystemMXBean os =
+            java.lang.management.ManagementFactory.getOperatingSystemMXBean();
+        return os instanceof com.sun.management.UnixOperatingSystemMXBean unix
+            ? new MachineLimits(unix.getMaxFileDescriptorCount(), unix.getTotalMemorySize()) : UNKNOWN;
+    }
+
+    /** Adds a fault for each limit that the machine cannot hold. */
+    public void check(View limits, NodeConfig.Limits wanted, Faults faults) {
+        if (descriptors > 0 && wanted.descriptors() > descriptors) {
+            faults.add(limits.place("descriptors"), limits.path("descriptors"), wanted.descriptors()
+                + " descriptors where a process on this machine may have " + descriptors,
+                "at most " + descriptors + ", or raise the limit (`ulimit -n`)");
+        }
+        if (memory > 0 && wanted.memory() > memory) {
+            faults.add(limits.place("memory"), limits.path("memory"), Units.sizeText(wanted.memory())
+                + " where the machine has " + (memory >> 20) + " MiB in all", "less than the machine has");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/onyxpaddle/config/NodeConfigReader.java
@@ -0,0 +1,273 @@
+package onyxpaddle.config;
+
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import onyxpaddle.config.NodeConfig.Effect;
+import onyxpaddle.config.NodeConfig.Limits;
+import onyxpaddle.config.NodeConfig.Listener;
+import onyxpaddle.config.NodeConfig.Pool;
+import onyxpaddle.config.NodeConfig.RequestClass;
+import onyxpaddle.config.NodeConfig.Server;
+import onyxpaddle.route.Route;
+import onyxpaddle.route.RouteFaults;
+import onyxpaddle.route.RouteFaults.Conflict;
+
+/** Reads a node's configuration and finds all that is wrong with it, of form and of sense, in one run. */
+public final class NodeConfigReader {
+    private static final long MS = 1_000_000L;
+    private static final long S = 1_000_000_000L;
+    public static final long USUAL_DIAL = 250 * MS;
+    public static final long USUAL_KEEP_ALIVE = 5 * S;
+    public static final long USUAL_BODY = 1 << 20;
+    public static final long USUAL_MEMORY = 64L << 20;
+    public static final int USUAL_DESCRIPTORS = 1024;
+    private static final long USUAL_CLIENT_IDLE = 60 * S;
+    /** Part of the servers' idle limit after which an idle connection is not used any more. */
+    public static final double IDLE_PART = 0.7;
+
+    private final View root;
+    private final Path folder;
+    private final Faults faults;
+
+    private NodeConfigReader(View root, Path folder, Faults faults) {
+        this.root = root;
+        this.folder = folder;
+        this.faults = faults;
+    }
+
+    /** The configuration in a file; null where it has any fault. */
+    public static NodeConfig file(Path file, MachineLimits machine, Faults faults) {
+        Faults own = new Faults();
+        Value value = SourceFile.read(file, own);
+        NodeConfig config = value == null ? null : read(value, file.toAbsolutePath().getParent(), machine, own);
+        faults.addAll(own.list());
+        return own.any() ? null : config;
+    }
+
+    /** {@code folder}: from which list files are named. What it returns is whole only if there are no faults. */
+    public static NodeConfig read(Value value, Path folder, MachineLimits machine, Faults faults) {
+        ShapeCheck.check(value, NodeShape.NODE, faults);
+        return new NodeConfigReader(new View(value), folder, faults).all(machine);
+    }
+
+    private NodeConfig all(MachineLimits machine) {
+        Limits limits = limits(root.section("limits"));
+        machine.check(root.section("limits"), limits, faults);
+        Map<String, Listener> listeners = listeners();
+        Map<String, RequestClass> classes = new LinkedHashMap<>();
+        root.named("classes").forEach((name, view) -> {
+            RequestClass c = requestClass(name, view, faults);
+            if (c != null) {
+                classes.put(name, c);
+            }
+        });
+        Map<String, Pool> pools = new LinkedHashMap<>();
+        root.named("pools").forEach((name, view) -> pools.put(name, pool(name, view, limits, listeners.values())));
+        List<Route> routes = routes();
+        return new NodeConfig(root.text("name", Shape.Kind.NAME, ""), root.text("tenant", Shape.Kind.NAME, null), limits,
+            listeners, classes, pools, routes);
+    }
+
+    public static Limits limits(View view) {
+        return new Limits(view.size("memory", USUAL_MEMORY), view.count("descriptors", USUAL_DESCRIPTORS));
+    }
+
+    private Map<String, Listener> listeners() {
+        Map<String, Listener> listeners = new LinkedHashMap<>();
+        root.named("listeners").forEach((name, view) -> {
+            HostPort address = view.address("address");
+            if (address == null) {
+                return;
+            }
+            for (Listener other : listeners.values()) {
+                if (other.address().clashes(address)) {
+                    faults.add(view.place("address"), view.path("address"), address + " is claimed by the listener `"
+                        + other.name() + "` too (" + other.address() + ")", "a port of its own for each listener");
+                }
+            }
+            listeners.put(name, new Listener(name, address, view.span("idle", USUAL_CLIENT_IDLE)));
+        });
+        return listeners;
+    }
+
+    /** A class, checked; null where it has no effect or no deadline. */
+    public static RequestClass requestClass(String name, View view, Faults faults) {
+        String word = view.word("effect", null, "safe", "keyed", "unsafe");
+        long deadline = view.span("deadline", -1);
+        if (word == null || deadline < 0) {
+            return null;
+        }
+        Effect effect = Effect.valueOf(word.toUpperCase(java.util.Locale.ROOT));
+        long aim = view.span("aim", deadline);
+        if (aim > deadline) {
+            faults.add(view.place("aim"), view.path("aim"), "the aim of " + Units.spanText(aim)
+                + " lies after the deadline of " + Units.spanText(deadline), "an aim no later than the deadline");
+        }
+        long memory = view.span("memory", 0);
+        if (effect == Effect.KEYED && memory == 0) {
+            faults.add(view.place("memory"), view.path("memory"), "a keyed class whose servers remember no key",
+                "how long they do, such as `memory: 5 s`, or `effect: unsafe`");
+        }
+        if (effect != Effect.KEYED && memory > 0) {
+            faults.add(view.place("memory"), view.path("memory"), "a memory for keys in a class that is " + word,
+                "`effect: keyed`, or no memory");
+        }
+        boolean retry = view.flag("retry", effect != Effect.UNSAFE);
+        if (retry && effect == Effect.UNSAFE) {
+            faults.add(view.place("retry"), view.path("retry"), "an unsafe class that is to be retried",
+                "`retry: false`, or `effect: safe` or `keyed` if a repeat does no harm");
+        }
+        return new RequestClass(name, effect, aim, deadline, view.number("worth", 1), view.number("late-worth", 0),
+            memory, retry);
+    }
+
+    private Pool pool(String name, View view, Limits limits, Collection<Listener> listeners) {
+        int sources = (view.has("servers") ? 1 : 0) + (view.has("file") ? 1 : 0) + (view.has("discovery") ? 1 : 0);
+        if (sources != 1) {
+            faults.add(view.place(), view.path(), sources == 0 ? "no servers" : "servers from " + sources + " sources",
+                "one of `servers`, `file` and `discovery`");
+        }
+        List<Server> servers = ServerLists.read(view, "servers", faults);
+        Path file = listFile(view, folder, faults);
+        List<Server> known = servers;
+        if (file != null) {
+            List<Server> listed = ServerLists.file(file, faults);
+            known = listed == null ? List.of() : listed;
+        }
+        for (Server server : known) {
+            for (Listener listener : listeners) {
+                if (server.address().reaches(listener.address())) {
+                    String key = file != null ? "file" : "servers";
+                    faults.add(view.place(key), view.path(key), "the server " + server.address()
+                        + " is this node's own listener `" + listener.name() + "`: requests would go round in a circle",
+                        "the address of the servers themselves");
+                }
+            }
+        }
+        return settings(name, view, servers, file, view.address("discovery"), limits, faults);
+    }
+
+    /** The list file that a section names, by its folder; null where it names none. */
+    public static Path listFile(View view, Path folder, Faults faults) {
+        String text = view.text("file", Shape.Kind.TEXT, null);
+        if (text == null) {
+            return null;
+        }
+        try {
+            return folder.resolve(text).normalize();
+        } catch (InvalidPathException e) {
+            faults.add(view.place("file"), view.path("file"), "is no name of a file", "the name of a list file");
+            return null;
+        }
+    }
+
+    /** A pool's settings but for where its servers come from, checked. */
+    public static Pool settings(String name, View view, List<Server> servers, Path file, HostPort discovery,
+            Limits limits, Faults faults) {
+        long keepAlive = view.span("keep-alive", USUAL_KEEP_ALIVE);
+        long idle = view.span("idle", (long) (IDLE_PART * keepAlive));
+        if (idle >= keepAlive) {
+            faults.add(view.place("idle"), view.path("idle"), "connections are kept for " + Units.spanText(idle)
+                + " where servers close them after " + Units.spanText(keepAlive) + " (`keep-alive`)",
+                "less than `keep-alive`, as a request on a connection that is just closed fails");
+        }
+        long body = view.size("body", USUAL_BODY);
+        if (body > limits.memory() / 8) {
+            faults.add(view.place("body"), view.path("body"), "bodies of " + Units.sizeText(body) + " in a memory of "
+                + Units.sizeText(limits.memory()), "at most an eighth of `limits.memory`, so that several fit");
+        }
+        return new Pool(name, servers, file, discovery, view.span("connect-timeout", USUAL_DIAL), keepAlive, idle,
+            view.count("attempts", 3), view.count("in-flight", 0), body, view.span("cold", 0),
+            view.number("start-capacity", 1));
+    }
+
+    private List<Route> routes() {
+        List<Route> routes = new ArrayList<>();
+        Map<Route, View> places = new HashMap<>();
+        Map<String, Place> names = new HashMap<>();
+        Set<String> listeners = new HashSet<>();
+        Set<String> pools = new HashSet<>();
+        Set<String> classes = new HashSet<>();
+        for (View view : root.items("routes")) {
+            String name = view.text("name", Shape.Kind.NAME, null);
+            String listener = known(view, "listener", "listeners");
+            String pool = known(view, "pool", "pools");
+            String requestClass = known(view, "class", "classes");
+            String path = view.text("path", Shape.Kind.PATH, null);
+            listeners.add(String.valueOf(listener));
+            pools.add(String.valueOf(pool));
+            classes.add(String.valueOf(requestClass));
+            Place first = name == null ? null : names.putIfAbsent(name, view.place());
+            if (first != null) {
+                faults.add(view.place("name"), view.path("name"), "two routes are called `" + name
+                    + "`, the other at line " + first.line(), "a name of its own for each");
+            }
+            if (name == null || listener == null || pool == null || requestClass == null || path == null) {
+                continue;
+            }
+            Map<String, String> headers = new LinkedHashMap<>();
+            view.named("headers").forEach((header, value) -> {
+                String text = value.self(Shape.Kind.TEXT);
+                if (text != null) {
+                    headers.put(header, text);
+                }
+            });
+            Route route = new Route(name, listener, view.text("host", Shape.Kind.HOST, null), path,
+                new HashSet<>(view.texts("methods", Shape.Kind.METHOD)), headers, pool, requestClass,
+                view.text("rewrite", Shape.Kind.PATH, null));
+            if (places.put(route, view) == null) {
+                routes.add(route);
+            }
+        }
+        conflicts(routes, places, faults);
+        unused("listeners", listeners, "no route belongs to this listener: it answers 404 to everything");
+        unused("pools", pools, "no route leads to this pool");
+        unused("classes", classes, "no route gives its requests this class");
+        return routes;
+    }
+
+    /** Adds a fault for each two routes that conflict, at the place of the later one. */
+    public static void conflicts(List<Route> routes, Map<Route, View> places, Faults faults) {
+        for (Conflict conflict : RouteFaults.find(routes)) {
+            View at = places.get(conflict.route());
+            View other = places.get(conflict.other());
+            String who = "route `" + conflict.other().name() + "` at line " + other.place().line() + " ("
+                + conflict.other().conditions() + ")";
+            if (conflict.ambiguous()) {
+                faults.add(at.place(), at.path(), "ambiguous: nothing decides between this route and " + who,
+                    "a path, method or header that tells the two apart");
+            } else {
+                faults.add(at.place(), at.path(), "shadowed: all its requests go to " + who,
+                    "remove it, or narrow the other");
+            }
+        }
+    }
+
+    private String known(View view, String key, String among) {
+        String name = view.text(key, Shape.Kind.NAME, null);
+        if (name != null && !root.named(among).containsKey(name)) {
+            List<String> names = new ArrayList<>(root.named(among).keySet());
+            String near = ShapeCheck.nearestOf(name, names);
+            faults.add(view.place(key), view.path(key), "there is nothing called `" + name + "` in " + among,
+                near != null ? "did you mean `" + near + "`?" : "one of " + String.join(", ", names));
+            return null;
+        }
+        return name;
+    }
+
+    private void unused(String key, Set<String> used, String wrong) {
+        root.named(key).keySet().forEach(name -> {
+            if (!used.contains(name) && root.has("routes")) {
+                faults.add(root.namePlace(key, name), ShapeCheck.join(key, name), wrong, "remove it, or add a route");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/onyxpaddle/config/ServerLists.java
@@ -0,0 +1,79 @@
+package onyxpaddle.config;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import onyxpaddle.config.NodeConfig.Server;
+
+/** Reads lists of servers: those in a configuration, and list files. */
+public final class ServerLists {
+    private ServerLists() {
+    }
+
+    /** The servers under a key, without duplicates of id or address, which are faults. */
+    public static List<Server> read(View at, String key, Faults faults) {
+        List<Server> servers = new ArrayList<>();
+        Map<String, Place> ids = new HashMap<>();
+        Map<HostPort, Place> addresses = new HashMap<>();
+        for (View item : at.items(key)) {
+            String text = item.isSection() ? item.text("address", Shape.Kind.ADDRESS, null)
+                : item.self(Shape.Kind.ADDRESS);
+            HostPort address = text == null ? null : HostPort.parse(text);
+            if (address == null) {
+                continue;
+            }
+            if (address.port() == 0 || address.any()) {
+                faults.add(item.place(), item.path(), "nothing can be reached at " + address,
+                    "the address and port that the server listens on");
+                continue;
+            }
+            String id = item.text("id", Shape.Kind.TEXT, address.toString());
+            Place sameId = ids.putIfAbsent(id, item.place());
+            Place sameAddress = addresses.putIfAbsent(address, item.place());
+            if (sameId != null || sameAddress != null) {
+                faults.add(item.place(), item.path(), "the server " + (sameAddress != null ? address : id)
+                    + " stands twice, first at line " + (sameAddress != null ? sameAddress : sameId).line(),
+                    "each server once, with an id and an address of its own");
+                continue;
+            }
+            servers.add(new Server(id, address, item.number("weight", 1), item.text("zone", Shape.Kind.NAME, ""),
+                item.word("state", "ready", "ready", "draining").equals("draining")));
+        }
+        return servers;
+    }
+
+    /** The servers of a list file; null where it is at fault in any way, as half a list is worse than the last one. */
+    public static List<Server> file(Path file, Faults faults) {
+        Faults own = new Faults();
+        String text = SourceFile.text(file, own);
+        List<Server> servers = text == null ? null : text(file.toString(), text, own);
+        faults.addAll(own.list());
+        return servers;
+    }
+
+    /** As {@link #file}, of a text that was read already. */
+    public static List<Server> text(String name, String text, Faults faults) {
+        Faults own = new Faults();
+        List<Server> servers = null;
+        if (!text.endsWith("\n")) {
+            own.add(Place.of(name), "", "does not end with a line break: it may be half written",
+                "write the list to another file and rename it, or end its last line");
+        } else {
+            Value value = SourceFile.parse(name, text, own);
+            if (value != null) {
+                ShapeCheck.check(value, NodeShape.LIST_FILE, own);
+                View view = new View(value);
+                servers = read(view, "servers", own);
+                int count = view.count("count", -1);
+                if (count >= 0 && count != servers.size() && !own.any()) {
+                    own.add(view.place("count"), "count", "says " + count + " where the list names " + servers.size(),
+                        "the number of servers in the list");
+                }
+            }
+        }
+        faults.addAll(own.list());
+        return own.any() ? null : servers;
+    }
+}
--- /dev/null
+++ b/src/main/java/onyxpaddle/config/Shape.java
@@ -0,0 +1,93 @@
+package onyxpaddle.config;
+
+import java.util.List;
+
+/**
+ * What a file may hold: the one statement of its keys, from which the check of a file, the JSON Schema for editors and
+ * the tables of the docs are made.
+ */
+public sealed interface Shape {
+    /** The kinds of plain values. */
+    enum Kind {
+        TEXT("text"),
+        /** Lower-case letters, digits and hyphens, 40 characters at most, as in host names (RFC 1123, 2.1). */
+        NAME("a name of lower-case letters, digits and hyphens"),
+        WORD("a word"),
+        PORT("a port from 1 to 65535"),
+        /** IP and port, in digits: names are not looked up. */
+        ADDRESS("an address in digits with a port, such as `127.0.0.1:7001`"),
+        SPAN("a time with its unit, such as `300 ms` or `2 s`"),
+        SIZE("a size with its unit, such as `64 KiB` or `1 MiB`"),
+        COUNT("a whole number"),
+        NUMBER("a number"),
+        FLAG("`true` or `false`"),
+        /** The start of a URL's path. */
+        PATH("a path from its first slash on, such as `/slots`"),
+        METHOD("an HTTP method in capitals, such as `GET`"),
+        HEADER("a header's name, such as `X-Clinic`"),
+        /** A host as in the Host header, without a port. */
+        HOST("a host name, such as `records.svc`");
+
+        final String told;
+
+        Kind(String told) {
+            this.told = told;
+        }
+    }
+
+    /** A plain value; for numbers, spans (ns), sizes (B) and counts within these bounds. */
+    record Plain(Kind kind, List<String> words, double least, double most) implements Shape {
+        public Plain {
+            words = List.copyOf(words);
+        }
+    }
+
+    record ListOf(Shape item, boolean mayBeEmpty) implements Shape {
+    }
+
+    /** Sections under names that the writer chooses. */
+    record MapOf(Kind name, Shape item, boolean mayBeEmpty) implements Shape {
+    }
+
+    record Section(List<Key> keys) implements Shape {
+        public Section {
+            keys = List.copyOf(keys);
+        }
+    }
+
+    /** A short form in plain text, or the long one. */
+    record ShortOr(Plain brief, Section full) implements Shape {
+    }
+
+    /** {@code usual}: what holds where the key is absent, as text; null where there is no such value. */
+    record Key(String name, Shape shape, boolean required, String usual, String about) {
+    }
+
+    static Plain plain(Kind kind) {
+        return new Plain(kind, List.of(), -Double.MAX_VALUE, Double.MAX_VALUE);
+    }
+
+    static Plain within(Kind kind, double least, double most) {
+        return new Plain(kind, List.of(), least, most);
+    }
+
+    static Plain word(String... words) {
+        return new Plain(Kind.WORD, List.of(words), 0, 0);
+    }
+
+    static ListOf some(Shape item) {
+        return new ListOf(item, false);
+    }
+
+    static Section section(Key... keys) {
+        return new Section(List.of(keys));
+    }
+
+    static Key required(String name, Shape shape, String about) {
+        return new Key(name, shape, true, null, about);
+    }
+
+    static Key optional(String name, Shape shape, String usual, String about) {
+        return new Key(name, shape, false, usual, about);
+    }
+}
--- /dev/null
+++ b/src/main/java/onyxpaddle/config/ShapeCheck.java
@@ -0,0 +1,271 @@
+package onyxpaddle.config;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.regex.Pattern;
+import onyxpaddle.config.Shape.Key;
+import onyxpaddle.config.Shape.ListOf;
+import onyxpaddle.config.Shape.MapOf;
+import onyxpaddle.config.Shape.Plain;
+import onyxpaddle.config.Shape.Section;
+import onyxpaddle.config.Shape.ShortOr;
+import onyxpaddle.config.Value.Mapping;
+import onyxpaddle.config.Value.Scalar;
+import onyxpaddle.config.Value.Sequence;
+
+/** Holds a tree against a shape. All that does not fit is a fault; what fits is usable whatever else is wrong. */
+public final class ShapeCheck {
+    private static final Pattern NAME = Pattern.compile("[a-z0-9](?:[a-z0-9-]{0,38}[a-z0-9])?");
+    private static final Pattern PATH = Pattern.compile("/[!-~&&[^?#%]]{0,255}");
+    private static final Pattern TOKEN = Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]{1,64}");
+    private static final Pattern HOST = Pattern.compile("[A-Za-z0-9](?:[A-Za-z0-9.-]{0,251}[A-Za-z0-9])?");
+    private static final Pattern WHOLE = Pattern.compile("-?[0-9]{1,12}");
+    private static final Pattern NUMBER = Pattern.compile("-?[0-9]{1,12}(\\.[0-9]{1,9})?");
+    private static final Set<String> METHODS = Set.of("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS");
+    /** A value that takes longer to say than this is no setting. */
+    private static final int LONGEST_TEXT = 1000;
+    private static final int MOST_ITEMS = 10_000;
+
+    private final Faults faults;
+
+    private ShapeCheck(Faults faults) {
+        this.faults = faults;
+    }
+
+    public static void check(Value value, Shape shape, Faults faults) {
+        new ShapeCheck(faults).any(value, shape);
+    }
+
+    private void any(Value value, Shape shape) {
+        if (shape instanceof Plain plain) {
+            plain(value, plain);
+        } else if (shape instanceof ListOf list) {
+            list(value, list);
+        } else if (shape instanceof MapOf map) {
+            map(value, map);
+        } else if (shape instanceof Section section) {
+            section(value, section);
+        } else if (shape instanceof ShortOr either) {
+            any(value, value instanceof Mapping ? either.full() : either.brief());
+        }
+    }
+
+    private void fault(Value at, String wrong, String right) {
+        faults.add(at.place(), at.path(), wrong, right);
+    }
+
+    private void list(Value value, ListOf list) {
+        if (!(value instanceof Sequence sequence)) {
+            fault(value, "is " + value.kind() + " where a list belongs", "`[one, another]`, or a line `- one` for each");
+            return;
+        }
+        if (sequence.items().isEmpty() && !list.mayBeEmpty()) {
+            fault(value, "the list is empty", "name at least one, or leave the key out");
+        }
+        if (sequence.items().size() > MOST_ITEMS) {
+            fault(value, "holds " + sequence.items().size() + " items", "at most " + MOST_ITEMS);
+            return;
+        }
+        sequence.items().forEach(item -> any(item, list.item()));
+    }
+
+    private void map(Value value, MapOf map) {
+        if (!(value instanceof Mapping mapping)) {
+            fault(value, "is " + value.kind() + " where sections under names belong", "`name:` with its keys below");
+            return;
+        }
+        if (mapping.keys().isEmpty() && !map.mayBeEmpty()) {
+            fault(value, "names nothing", "name at least one, or leave the key out");
+        }
+        mapping.keys().forEach((name, place) -> {
+            String wrong = wrong(name, Shape.plain(map.name()));
+            if (wrong != null) {
+                faults.add(place, join(value.path(), name), "the name " + wrong, map.name().told);
+            }
+            if (mapping.values().get(name) != null) {
+                any(mapping.values().get(name), map.item());
+            }
+        });
+    }
+
+    private void section(Value value, Section section) {
+        if (value instanceof Scalar scalar && scalar.blank()) {
+            value = new Mapping(value.place(), value.path(), java.util.Map.of(), java.util.Map.of());
+        }
+        if (!(value instanceof Mapping mapping)) {
+            fault(value, "is " + value.kind() + " where a section belongs", "keys: " + names(section));
+            return;
+        }
+        mapping.keys().forEach((name, place) -> {
+            Key key = section.keys().stream().filter(k -> k.name().equals(name)).findFirst().orElse(null);
+            if (key == null) {
+                String near = nearest(name, section);
+                faults.add(place, join(mapping.path(), name), "unknown key",
+                    near == null ? "keys here: " + names(section) : "did you mean `" + near + "`?");
+            } else if (mapping.values().get(name) instanceof Scalar scalar && scalar.blank()
+                    && !(key.shape() instanceof Section)) {
+                faults.add(place, join(mapping.path(), name), "says nothing",
+                    key.required() ? told(key.shape()) : told(key.shape()) + ", or leave the key out");
+            } else if (mapping.values().get(name) != null) {
+                any(mapping.values().get(name), key.shape());
+            }
+        });
+        for (Key key : section.keys()) {
+            if (key.required() && !mapping.keys().containsKey(key.name())) {
+                fault(mapping, "`" + key.name() + "` is missing", "`" + key.name() + ":` " + told(key.shape()));
+            }
+        }
+    }
+
+    private static String names(Section section) {
+        return String.join(", ", section.keys().stream().map(Key::name).toList());
+    }
+
+    static String join(String path, String name) {
+        return path.isEmpty() ? name : path + "." + name;
+    }
+
+    // ---- plain values ----
+
+    private void plain(Value value, Plain plain) {
+        if (!(value instanceof Scalar scalar)) {
+            fault(value, "is " + value.kind(), told(plain));
+            return;
+        }
+        String wrong = wrong(scalar.text(), plain);
+        if (wrong != null) {
+            fault(value, wrong, hint(scalar.text(), plain));
+        }
+    }
+
+    /** What is wrong with a text as a value of this kind; null where it is sound. */
+    static String wrong(String text, Plain plain) {
+        String shown = new Scalar(null, "", text, true).kind();
+        if (text.length() > LONGEST_TEXT) {
+            return "is " + text.length() + " characters long";
+        }
+        return switch (plain.kind()) {
+            case TEXT -> text.isEmpty() || text.chars().anyMatch(c -> c < ' ') ? "is empty or holds control characters" : null;
+            case NAME -> NAME.matcher(text).matches() ? null : "is no name: " + shown;
+            case WORD -> plain.words().contains(text) ? null : "unknown word " + shown;
+            case PORT -> bounded(text, WHOLE, 1, 65535, shown, "port");
+            case COUNT -> bounded(text, WHOLE, plain.least(), plain.most(), shown, "whole number");
+            case NUMBER -> bounded(text, NUMBER, plain.least(), plain.most(), shown, "number");
+            case ADDRESS -> HostPort.parse(text) == null ? "is no address: " + shown : null;
+            case SPAN -> amount(Units.span(text), plain, shown, "time");
+            case SIZE -> amount(Units.size(text), plain, shown, "size");
+            case FLAG -> text.equals("true") || text.equals("false") ? null : "is neither true nor false: " + shown;
+            case PATH -> PATH.matcher(text).matches() && !dotted(text) ? null : "is no path: " + shown;
+            case METHOD -> METHODS.contains(text) ? null : "is no method: " + shown;
+            case HEADER -> TOKEN.matcher(text).matches() ? null : "is no header name: " + shown;
+            case HOST -> HOST.matcher(text.startsWith("*.") ? text.substring(2) : text).matches() ? null
+                : "is no host name: " + shown;
+        };
+    }
+
+    private static boolean dotted(String path) {
+        return path.contains("//") || path.contains("/./") || path.contains("/../") || path.endsWith("/.")
+            || path.endsWith("/..");
+    }
+
+    private static String bounded(String text, Pattern form, double least, double most, String shown, String what) {
+        if (!form.matcher(text).matches()) {
+            return "is no " + what + ": " + shown;
+        }
+        double number = Double.parseDouble(text);
+        return number < least ? "is too small: " + shown : number > most ? "is too large: " + shown : null;
+    }
+
+    private static String amount(long amount, Plain plain, String shown, String what) {
+        if (amount < 0) {
+            return "is no " + what + " with a unit: " + shown;
+        }
+        return amount < plain.least() ? "is too small: " + shown : amount > plain.most() ? "is too large: " + shown : null;
+    }
+
+    private static String hint(String text, Plain plain) {
+        if (WHOLE.matcher(text).matches() && plain.kind() == Shape.Kind.SPAN) {
+            return "a unit: `" + text + " ms` or `" + text + " s`? " + told(plain);
+        }
+        if (WHOLE.matcher(text).matches() && plain.kind() == Shape.Kind.SIZE) {
+            return "a unit: `" + text + " KiB` or `" + text + " B`? " + told(plain);
+        }
+        if (plain.kind() == Shape.Kind.METHOD && METHODS.contains(text.toUpperCase(Locale.ROOT))) {
+            return "did you mean `" + text.toUpperCase(Locale.ROOT) + "`?";
+        }
+        if (plain.kind() == Shape.Kind.WORD) {
+            String near = nearestOf(text, plain.words());
+            return (near == null ? "" : "did you mean `" + near + "`? ") + told(plain);
+        }
+        return told(plain);
+    }
+
+    static String told(Shape shape) {
+        if (shape instanceof Plain plain) {
+            if (plain.kind() == Shape.Kind.WORD) {
+                return "one of " + String.join(", ", plain.words());
+            }
+            return plain.kind().told + bounds(plain);
+        }
+        return shape instanceof ListOf list ? "a list; each: " + told(list.item())
+            : shape instanceof ShortOr either ? told(either.brief()) + ", or its section"
+            : shape instanceof MapOf ? "sections under names" : "a section";
+    }
+
+    private static String bounds(Plain plain) {
+        if (plain.least() == -Double.MAX_VALUE) {
+            return "";
+        }
+        return " from " + amountText(plain, plain.least()) + (plain.most() < Double.MAX_VALUE
+            ? " to " + amountText(plain, plain.most()) : " on");
+    }
+
+    private static String amountText(Plain plain, double amount) {
+        return switch (plain.kind()) {
+            case SPAN -> Units.spanText((long) amount);
+            case SIZE -> Units.sizeText((long) amount);
+            default -> amount == Math.rint(amount) ? Long.toString((long) amount) : Double.toString(amount);
+        };
+    }
+
+    // ---- the nearest word ----
+
+    private static String nearest(String name, Section section) {
+        return nearestOf(name, section.keys().stream().map(Key::name).toList());
+    }
+
+    /** The word that is the fewest slips away, if it is near enough to have been meant; null otherwise. */
+    static String nearestOf(String text, List<String> words) {
+        String best = null;
+        int least = Math.max(1, Math.min(3, text.length() / 2)) + 1;
+        for (String word : new ArrayList<>(words)) {
+            int distance = text.length() > 60 ? 99 : slips(text.toLowerCase(Locale.ROOT).replace('_', '-'), word);
+            if (distance < least) {
+                least = distance;
+                best = word;
+            }
+        }
+        return best;
+    }
+
+    /** Letters that are missing, too many, wrong or swapped (optimal string alignment distance). */
+    private static int slips(String a, String b) {
+        int[][] d = new int[a.length() + 1][b.length() + 1];
+        for (int i = 0; i <= a.length(); i++) {
+            for (int j = 0; j <= b.length(); j++) {
+                if (i == 0 || j == 0) {
+                    d[i][j] = i + j;
+                    continue;
+                }
+                int change = a.charAt(i - 1) == b.charAt(j - 1) ? 0 : 1;
+                d[i][j] = Math.min(Math.min(d[i - 1][j] + 1, d[i][j - 1] + 1), d[i - 1][j - 1] + change);
+                if (i > 1 && j > 1 && a.charAt(i - 1) == b.charAt(j - 2) && a.charAt(i - 2) == b.charAt(j - 1)) {
+                    d[i][j] = Math.min(d[i][j], d[i - 2][j - 2] + 1);
+                }
+            }
+        }
+        return d[a.length()][b.length()];
+    }
+}
--- a/src/main/java/onyxpaddle/http/AnswerDecoder.java
+++ b/src/main/java/onyxpaddle/http/AnswerDecoder.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
 
@@ -21,6 +22,7 @@
     private boolean interim;
     private boolean surplus;
     private boolean bodiless;
+    private boolean untilClose;
 
     AnswerDecoder(HttpDecoderConfig config) {
         super(config);
@@ -30,11 +32,16 @@
     void expect(boolean bodiless) {
         expecting = true;
         this.bodiless = bodiless;
+        untilClose = false;
     }
 
+    /** Netty asks this once a head is read whole, and then whether to read on until the connection ends. */
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
-        return bodiless || super.isContentAlwaysEmpty(message);
+        boolean empty = bodiless || super.isContentAlwaysEmpty(message);
+        untilClose = !empty && !HttpUtil.isKeepAlive(message) && !HttpUtil.isContentLengthSet(message)
+            && !HttpUtil.isTransferEncodingChunked(message);
+        return empty;
     }
 
     /** Whether bytes have come that no request called for. */
@@ -42,10 +49,13 @@
         return surplus;
     }
 
-    /** Has heads read by the strict rules for requests: for answers Netty takes a line without a colon, too. */
+    /**
+     * Has heads read by the strict rules for requests: for answers Netty takes a line without a colon, too. A body that
+     * ends with its connection is the one thing that only answers have.
+     */
     @Override
     protected boolean isDecodingRequest() {
-        return true;
+        return !untilClose;
     }
 
     @Override
--- a/src/main/java/onyxpaddle/http/AnswerDialect.java
+++ b/src/main/java/onyxpaddle/http/AnswerDialect.java
@@ -18,7 +18,7 @@
 
     HttpHeaders forServer(HttpHead head, Body body, SocketAddress server, long nanosLeft);
 
-    Verdict judge(HttpResponse response);
+    Verdict judge(HttpMethod method, HttpResponse response);
 
     /** Whether the head tells where the body ends, so that an answer that broke off can't look like a short one. */
     boolean tellsItsEnd(HttpMethod method, HttpResponse response, long length);
--- a/src/main/java/onyxpaddle/http/ClientConnection.java
+++ b/src/main/java/onyxpaddle/http/ClientConnection.java
@@ -9,9 +9,12 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -21,10 +24,12 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import onyxpaddle.node.Answer;
 import onyxpaddle.node.Body;
 import onyxpaddle.node.Caller;
+import onyxpaddle.node.Dispatcher;
 import onyxpaddle.node.Exchange;
 import onyxpaddle.node.Log;
 import onyxpaddle.node.Sockets;
@@ -41,9 +46,8 @@
      * may take 2 s and 64 KiB come at 64 kB/s; nobody is left without a word for 3 s.
      */
     private static final long LONGEST_REQUEST = 2_400_000_000L;
-    /** How long a connection stays open that has never asked for anything. */
-    private static final long LONGEST_SILENCE = 2_200_000_000L;
-    private static final long LONGEST_IDLE = 5 * SECOND;
+    /** What a larger body than the usual one may take longer, for each byte: 64 kB/s. */
+    private static final long FOR_EACH_BYTE = SECOND / 64_000;
     /** How long a client may leave an answer unread. */
     private static final long LONGEST_UNREAD = 5 * SECOND;
     /** What is read off after the last answer, so that closing does not reset it away. */
@@ -72,6 +76,8 @@
     private boolean anyRequest;
     /** The request is a question for the node itself, whether it is ready. */
     private boolean readiness;
+    /** The request is a HEAD: what answers it has no body, whatever its headers say. */
+    private boolean headOnly;
     private Exchange exchange;
     private Taken taken;
     private boolean keepAlive;
@@ -184,12 +190,13 @@
         }
         version = request.protocolVersion().majorVersion() == 1 ? request.protocolVersion() : HttpVersion.HTTP_1_1;
         keepAlive = HttpUtil.isKeepAlive(request);
+        headOnly = request.method().equals(HttpMethod.HEAD);
         readiness = all.dialect.asksReadiness(request);
         if (readiness) {
             return;
         }
         try {
-            taken = all.dialect.read(request);
+            taken = all.dialect.read(request, channel.remoteAddress());
             if (all.crowded() || !all.outlasts(taken.terms().patience())) {
                 // Nothing of it was sent on: another node may take it.
                 reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
@@ -248,12 +255,17 @@
     public void served(Answer answer) {
         ByteBuf body = answer.body().size() > 0 ? answer.body().whole() : Unpooled.EMPTY_BUFFER;
         AnswerHead head = (AnswerHead) answer.head();
-        finish(new DefaultFullHttpResponse(version, head.status(), body, head.headers(), EmptyHttpHeaders.INSTANCE));
+        finish(new DefaultFullHttpResponse(version, head.status(), body, head.headers(), EmptyHttpHeaders.INSTANCE),
+            head.bodiless());
     }
 
     @Override
-    public void refused(long retryAfter) {
-        answer(HttpResponseStatus.SERVICE_UNAVAILABLE, retryAfter);
+    public void refused(long retryAfter, Answer own) {
+        if (own != null) {
+            served(own);
+        } else {
+            answer(HttpResponseStatus.SERVICE_UNAVAILABLE, retryAfter);
+        }
     }
 
     @Override
@@ -266,15 +278,17 @@
     }
 
     private void answer(HttpResponseStatus status, long retryAfter) {
-        DefaultFullHttpResponse response = new DefaultFullHttpResponse(version, status, Unpooled.EMPTY_BUFFER);
-        if (retryAfter > 0) {
-            response.headers().set(HttpHeaderNames.RETRY_AFTER, PlatformAnswers.seconds(retryAfter));
-        }
-        finish(response);
+        HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
+        String text = all.dialect.ownAnswer(status, retryAfter, headers);
+        ByteBuf body = text.isEmpty() || headOnly ? Unpooled.EMPTY_BUFFER
+            : Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
+        finish(new DefaultFullHttpResponse(version, status, body, headers, EmptyHttpHeaders.INSTANCE), headOnly);
     }
 
-    private void finish(DefaultFullHttpResponse response) {
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+    private void finish(DefaultFullHttpResponse response, boolean bodiless) {
+        if (!bodiless) {
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+        }
         HttpUtil.setKeepAlive(response, keepsAlive());
         sent(channel.writeAndFlush(response));
         exchange = null;
@@ -291,7 +305,7 @@
     }
 
     private boolean keepsAlive() {
-        keepAlive &= all.outlasts(HttpFront.LAST_CALL);
+        keepAlive &= !all.retired() && all.outlasts(HttpFront.LAST_CALL);
         return keepAlive;
     }
 
@@ -315,16 +329,25 @@
 
     // ---- ends ----
 
+    private long longerFor() {
+        return exchange == null ? 0 : Math.max(0, taken.largest() - Body.USUAL_LARGEST) * FOR_EACH_BYTE;
+    }
+
+    /** Whether a request that is not yet answered is, or will be, this pool's. */
+    boolean uses(Dispatcher pool) {
+        return exchange != null && taken.pool() == pool;
+    }
+
     void checkProgress(long now) {
         long spent = now - since;
         switch (state) {
             case IDLE -> {
-                if (spent > (anyRequest ? LONGEST_IDLE : LONGEST_SILENCE)) {
+                if (spent > all.longestIdle(anyRequest)) {
                     close();
                 }
             }
             case RECEIVING -> {
-                if (spent > LONGEST_REQUEST) {
+                if (spent > LONGEST_REQUEST + longerFor()) {
                     reject(HttpResponseStatus.REQUEST_TIMEOUT);
                 }
             }
--- a/src/main/java/onyxpaddle/http/HttpFront.java
+++ b/src/main/java/onyxpaddle/http/HttpFront.java
@@ -18,11 +18,13 @@
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import onyxpaddle.node.Budget;
 import onyxpaddle.node.Clock;
+import onyxpaddle.node.Dispatcher;
 import onyxpaddle.node.SharedLimit;
 import onyxpaddle.node.Sockets;
 
@@ -38,6 +40,8 @@
     private static final long LISTEN_AT_MOST = 1500 * MILLI;
     /** SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM; this is kept in hand of the latter. */
     private static final long GRACE = 550 * MILLI;
+    /** Idle connections of a front that is gone for its clients. */
+    private static final long RETIRED_IDLE = 5_000 * MILLI;
     /** Connections are closed between requests from so long before the end on. */
     static final long LAST_CALL = 300 * MILLI;
 
@@ -55,6 +59,9 @@
     /** Connections between requests, the one that has been so for the longest first. */
     private final LinkedHashSet<ClientConnection> idle = new LinkedHashSet<>();
     private Channel listener;
+    private Future<?> sweeping;
+    private boolean opened;
+    private boolean retired;
     private boolean draining;
     private long drainingSince;
     private long acceptedAt;
@@ -72,11 +79,13 @@
         this.ready = ready;
     }
 
-    public ChannelFuture listen(InetSocketAddress address) {
-        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    /** {@code wait}: connections are left in the backlog until {@link #open}. */
+    public ChannelFuture listen(InetSocketAddress address, boolean wait) {
+        sweeping = loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, 4096)
             .option(ChannelOption.SO_REUSEADDR, true)
+            .option(ChannelOption.AUTO_READ, !wait)
             .childOption(ChannelOption.ALLOCATOR, allocator)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(Sockets.READ_SIZE))
@@ -93,6 +102,7 @@
             })
             .bind(address);
         listener = bound.channel();
+        opened = !wait;
         return bound;
     }
 
@@ -109,6 +119,62 @@
         return drainingSince + dialect.longestPatience() + GRACE;
     }
 
+    // ---- reload ----
+
+    /** From now on requests are read by this dialect; those read before go on as they were. */
+    public void use(RequestDialect next) {
+        dialect = next;
+    }
+
+    /** Takes connections from now on, where {@link #listen} was told to wait. */
+    public void open() {
+        opened = true;
+        listener.config().setAutoRead(true);
+    }
+
+    /**
+     * Takes no further connection, and ends each open one with its next answer or when it has been idle for as long as
+     * any may. None is closed between requests: one that is just written to it would be lost.
+     */
+    public void retire() {
+        retired = true;
+        listener.close();
+    }
+
+    /** How long a connection may stay open between requests; {@code asked}: it has asked for something before. */
+    long longestIdle(boolean asked) {
+        long longest = asked ? dialect.longestIdle() : dialect.longestSilence();
+        return retired ? Math.min(longest, RETIRED_IDLE) : longest;
+    }
+
+    boolean retired() {
+        return retired;
+    }
+
+    /** Closes it for good, with all its connections. */
+    public void close() {
+        retire();
+        sweeping.cancel(false);
+        for (ClientConnection c : open.toArray(new ClientConnection[0])) {
+            c.close();
+        }
+        connections.leave();
+    }
+
+    public boolean empty() {
+        return open.isEmpty();
+    }
+
+    /** Whether a request that is not yet answered is, or will be, this pool's. */
+    public boolean uses(Dispatcher pool) {
+        for (ClientConnection c : open) {
+            if (c.uses(pool)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     // ---- how many are open ----
 
     /**
@@ -167,6 +233,10 @@
         for (ClientConnection c : open.toArray(new ClientConnection[0])) {
             c.checkProgress(now);
         }
+        if (!listener.config().isAutoRead() && opened && connections.room() > 0 && listener.isOpen()) {
+            // Another front may have given back what this one waits for.
+            listener.config().setAutoRead(true);
+        }
     }
 
     // ---- the planned end ----
--- a/src/main/java/onyxpaddle/http/HttpHead.java
+++ b/src/main/java/onyxpaddle/http/HttpHead.java
@@ -4,6 +4,11 @@
 import io.netty.handler.codec.http.HttpMethod;
 import onyxpaddle.node.Metadata;
 
-/** A request's head as it goes to a server; {@code largestAnswer}: the most bytes its answer's body may have. */
-public record HttpHead(HttpMethod method, String uri, HttpHeaders headers, long largestAnswer) implements Metadata {
+/**
+ * A request's head as it goes to a server.
+ *
+ * @param largestAnswer the most bytes its answer's body may have
+ * @param caller whom it came from, in digits, for the servers to know; null where they aren't told
+ */
+public record HttpHead(HttpMethod method, String uri, HttpHeaders headers, long largestAnswer, String caller) implements Metadata {
 }
--- a/src/main/java/onyxpaddle/http/HttpUpstream.java
+++ b/src/main/java/onyxpaddle/http/HttpUpstream.java
@@ -17,6 +17,7 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import onyxpaddle.Balancing.Outcome;
 import onyxpaddle.Balancing.ServerState;
@@ -30,8 +31,6 @@
 
 /** A pool's connections to its servers: dials them, keeps idle ones for further requests, and drops those too old. */
 public final class HttpUpstream implements Upstream {
-    /** Part of the servers' idle limit after which an idle connection is not used any more. */
-    private static final double IDLE_SHARE = 0.7;
     /**
      * How long a connection rests after an answer before it carries a request again: what a server sends too much
      * comes right behind the answer, and must not meet the next request. Where all rest, a new one is dialled.
@@ -49,6 +48,7 @@
     final ReuseDoubt doubt = new ReuseDoubt();
     private final Bootstrap bootstrap;
     private final long mostIdle;
+    private final Future<?> sweeping;
     private final Map<String, Peer> peers = new HashMap<>();
     private final Set<ServerConnection> open = new HashSet<>();
 
@@ -60,14 +60,14 @@
         final ArrayDeque<ServerConnection> idle = new ArrayDeque<>();
     }
 
-    /** {@code keepalive}: after which servers close idle connections; {@code dialTimeout}: both in nanoseconds. */
+    /** {@code mostIdle}: how long an idle connection is kept; {@code dialTimeout}: both in nanoseconds. */
     public HttpUpstream(EventLoop loop, ByteBufAllocator allocator, Clock clock, PoolShare budget,
-            Dispatcher dispatcher, AnswerDialect dialect, long keepalive, long dialTimeout) {
+            Dispatcher dispatcher, AnswerDialect dialect, long mostIdle, long dialTimeout) {
         this.clock = clock;
         this.budget = budget;
         this.dispatcher = dispatcher;
         this.dialect = dialect;
-        mostIdle = (long) (IDLE_SHARE * keepalive);
+        this.mostIdle = mostIdle;
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
             .option(ChannelOption.ALLOCATOR, allocator)
             .option(ChannelOption.TCP_NODELAY, true)
@@ -80,7 +80,7 @@
                     // Its handlers come with the ServerConnection, once the dial has succeeded.
                 }
             });
-        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        sweeping = loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
     // ---- servers ----
@@ -120,6 +120,16 @@
         }
     }
 
+    /** Ends it for good: no attempt is out, and none comes after. */
+    public void close() {
+        sweeping.cancel(false);
+        peers.values().forEach(HttpUpstream::closeIdle);
+        peers.clear();
+        for (ServerConnection c : open.toArray(new ServerConnection[0])) {
+            c.close();
+        }
+    }
+
     // ---- attempts ----
 
     @Override
--- /dev/null
+++ b/src/main/java/onyxpaddle/http/PlainAnswers.java
@@ -0,0 +1,81 @@
+package onyxpaddle.http;
+
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import java.net.SocketAddress;
+import java.util.Set;
+import onyxpaddle.Balancing.Outcome;
+import onyxpaddle.node.Body;
+
+/**
+ * Answers of ordinary HTTP servers: all but hop-by-hop headers pass, and so does every status. 500, 502, 503 and 504
+ * count as failures of the server, may be tried again where the class allows, and go to the caller if nothing better
+ * comes; every other status is the answer. A 503 or 504 with {@code X-Never-Ran: 1} is a refusal that never ran.
+ */
+public final class PlainAnswers implements AnswerDialect {
+    private static final Verdict TURNED_AWAY = new Verdict(Outcome.FULL, null);
+    private static final Set<String> FOR_SERVER = Set.of("expect", "content-length", "x-expires-in", "x-forwarded-for");
+    private static final Set<String> FRAMING = Set.of("content-length");
+
+    private final String via;
+
+    /** {@code node}: the name by which servers see this node in Via. */
+    public PlainAnswers(String node) {
+        via = "1.1 " + node;
+    }
+
+    @Override
+    public HttpHeaders forServer(HttpHead x, Body body, SocketAddress server, long nanosLeft) {
+        HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders();
+        HopByHop.copy(x.headers(), headers, FOR_SERVER);
+        if (!headers.contains(HttpHeaderNames.HOST)) {
+            headers.set(HttpHeaderNames.HOST, server.toString().replaceFirst("^.*/", ""));
+        }
+        headers.add(HttpHeaderNames.VIA, via);
+        String before = x.headers().get("X-Forwarded-For");
+        headers.set("X-Forwarded-For", before == null ? x.caller() : before + ", " + x.caller());
+        headers.set(PlatformRequests.EXPIRES_IN, PlatformAnswers.seconds(Math.max(0, nanosLeft)));
+        if (body.size() > 0 || x.headers().contains(HttpHeaderNames.CONTENT_LENGTH) || takesBody(x.method())) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, body.size());
+        }
+        return headers;
+    }
+
+    private static boolean takesBody(HttpMethod method) {
+        return method.equals(HttpMethod.POST) || method.equals(HttpMethod.PUT) || method.equals(HttpMethod.PATCH);
+    }
+
+    @Override
+    public Verdict judge(HttpMethod method, HttpResponse response) {
+        int status = response.status().code();
+        if ((status == 503 || status == 504) && "1".equals(response.headers().get("X-Never-Ran"))) {
+            return TURNED_AWAY;
+        }
+        boolean bodiless = bodiless(method, status);
+        HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders();
+        HopByHop.copy(response.headers(), headers, bodiless ? Set.of() : FRAMING);
+        boolean failed = response.status().codeClass() == HttpStatusClass.SERVER_ERROR
+            && (status == 500 || status >= 502 && status <= 504);
+        return new Verdict(failed ? Outcome.ERROR : Outcome.OK, new AnswerHead(response.status(), headers, bodiless));
+    }
+
+    private static boolean bodiless(HttpMethod method, int status) {
+        return method.equals(HttpMethod.HEAD) || status == 204 || status == 304;
+    }
+
+    /**
+     * Where neither a length nor chunks tell the end, the end of the connection does (RFC 9112, 6.3, rule 8): taken
+     * only where the server has said that it closes, and only where it ends without a reset.
+     */
+    @Override
+    public boolean tellsItsEnd(HttpMethod method, HttpResponse response, long length) {
+        boolean byClose = !response.headers().contains(HttpHeaderNames.TRANSFER_ENCODING) && length < 0
+            && !HttpUtil.isKeepAlive(response);
+        return bodiless(method, response.status().code()) || byClose || PlatformAnswers.framed(response, length);
+    }
+}
--- a/src/main/java/onyxpaddle/http/PlatformAnswers.java
+++ b/src/main/java/onyxpaddle/http/PlatformAnswers.java
@@ -10,8 +10,6 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.net.SocketAddress;
 import java.util.List;
-import java.util.Locale;
-import java.util.Map;
 import java.util.Set;
 import onyxpaddle.Balancing.Outcome;
 import onyxpaddle.node.Body;
@@ -21,22 +19,14 @@
     private static final Verdict TURNED_AWAY = new Verdict(Outcome.FULL, null);
     private static final Verdict AT_FAULT = new Verdict(Outcome.REJECTED, null);
     private static final Verdict ERROR = new Verdict(Outcome.ERROR, null);
-    /** Headers that speak of one connection only, and those that are written anew. */
-    private static final Set<String> NOT_PASSED_ON = Set.of("connection", "keep-alive", "proxy-connection",
-        "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade", "expect",
-        "host", "content-length", "x-expires-in");
+    /** What is written anew for each server. */
+    private static final Set<String> OWN = Set.of("expect", "host", "content-length", "x-expires-in");
 
     @Override
     public HttpHeaders forServer(HttpHead x, Body body, SocketAddress server, long nanosLeft) {
         HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders();
         headers.set(HttpHeaderNames.HOST, x.headers().get(HttpHeaderNames.HOST, "app.svc"));
-        String named = x.headers().get(HttpHeaderNames.CONNECTION, "").toLowerCase(Locale.ROOT);
-        for (Map.Entry<String, String> header : x.headers()) {
-            String name = header.getKey().toLowerCase(Locale.ROOT);
-            if (!NOT_PASSED_ON.contains(name) && (named.isEmpty() || !namedIn(named, name))) {
-                headers.add(header.getKey(), header.getValue());
-            }
-        }
+        HopByHop.copy(x.headers(), headers, OWN);
         headers.set(PlatformRequests.EXPIRES_IN, seconds(Math.max(0, nanosLeft)));
         if (body.size() > 0 || x.method().equals(HttpMethod.POST)) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, body.size());
@@ -44,17 +34,8 @@
         return headers;
     }
 
-    private static boolean namedIn(String connection, String name) {
-        for (String word : connection.split(",")) {
-            if (word.trim().equals(name)) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     @Override
-    public Verdict judge(HttpResponse response) {
+    public Verdict judge(HttpMethod method, HttpResponse response) {
         int status = response.status().code();
         if (status == 200) {
             HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders();
@@ -62,7 +43,7 @@
             if (contentType != null) {
                 headers.set(HttpHeaderNames.CONTENT_TYPE, contentType);
             }
-            return new Verdict(Outcome.OK, new AnswerHead(HttpResponseStatus.OK, headers));
+            return new Verdict(Outcome.OK, new AnswerHead(HttpResponseStatus.OK, headers, false));
         }
         // A refusal counts as never run only with the server's own word for it; a bare 503 may have run.
         boolean neverRan = (status == 503 || status == 504)
@@ -74,6 +55,11 @@
 
     @Override
     public boolean tellsItsEnd(HttpMethod method, HttpResponse response, long length) {
+        return framed(response, length);
+    }
+
+    /** A length of its own, or chunks and nothing else. */
+    static boolean framed(HttpResponse response, long length) {
         List<String> codings = response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
         return codings.isEmpty() ? length >= 0
             : codings.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0).trim());
--- a/src/main/java/onyxpaddle/http/PlatformRequests.java
+++ b/src/main/java/onyxpaddle/http/PlatformRequests.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -36,6 +37,8 @@
     private static final Pattern ID = Pattern.compile("[!-~]{1,64}");
     private static final Pattern TARGET = Pattern.compile("/[!-~]*");
     private static final Pattern SPAN = Pattern.compile("[0-9]{1,9}(\\.[0-9]{1,12})?");
+    private static final long LONGEST_SILENCE = 2_200_000_000L;
+    private static final long LONGEST_IDLE = 5_000_000_000L;
     /** The patience of callers of a class that has no deadline. */
     private static final long LONGEST_PATIENCE = 60_000_000_000L;
 
@@ -64,7 +67,25 @@
     }
 
     @Override
-    public Taken read(HttpRequest request) throws MalformedException {
+    public long longestSilence() {
+        return LONGEST_SILENCE;
+    }
+
+    @Override
+    public long longestIdle() {
+        return LONGEST_IDLE;
+    }
+
+    @Override
+    public String ownAnswer(HttpResponseStatus status, long retryAfter, HttpHeaders headers) {
+        if (retryAfter > 0) {
+            headers.set(HttpHeaderNames.RETRY_AFTER, PlatformAnswers.seconds(retryAfter));
+        }
+        return "";
+    }
+
+    @Override
+    public Taken read(HttpRequest request, InetSocketAddress caller) throws MalformedException {
         HttpHeaders headers = request.headers();
         HttpMethod method = request.method();
         if (!method.equals(HttpMethod.GET) && !method.equals(HttpMethod.POST)) {
@@ -89,10 +110,10 @@
         if (length > Body.USUAL_LARGEST) {
             throw new MalformedException(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
         }
-        long patience = patience(single(headers, EXPIRES_IN), requestClass);
+        long patience = patience(single(headers, EXPIRES_IN), requestClass.deadline());
         Terms terms = new Terms(id, requestClass, patience, headers.get("X-Customer"), hintedCost(headers),
             "1".equals(headers.get("X-Second-Try")));
-        return new Taken(pool, bytes, terms, new HttpHead(method, request.uri(), headers, Body.USUAL_LARGEST), length,
+        return new Taken(pool, bytes, terms, new HttpHead(method, request.uri(), headers, Body.USUAL_LARGEST, null), length,
             Body.USUAL_LARGEST);
     }
 
@@ -120,8 +141,8 @@
     }
 
     /** How long the caller waits; without its word as long as its class does, and never longer than that. */
-    private static long patience(String seconds, RequestClass requestClass) throws MalformedException {
-        long longest = requestClass.deadline() > 0 ? requestClass.deadline() : LONGEST_PATIENCE;
+    static long patience(String seconds, long deadline) throws MalformedException {
+        long longest = deadline > 0 ? deadline : LONGEST_PATIENCE;
         if (seconds == null) {
             return longest;
         }
--- a/src/main/java/onyxpaddle/http/ServerConnection.java
+++ b/src/main/java/onyxpaddle/http/ServerConnection.java
@@ -57,6 +57,8 @@
     private long largest;
     private long startedAt;
     private boolean kept;
+    /** The connection was reset: what still comes of the decoder looks like an end and is none. */
+    private boolean broke;
 
     ServerConnection(HttpUpstream all, String server, Channel channel) {
         this.all = all;
@@ -109,6 +111,9 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
+            if (broke) {
+                return;
+            }
             boolean unasked = !exchanging || attempt == null && !answered;
             if (unasked || message instanceof HttpObject part && part.decoderResult().isFailure()) {
                 spoilt();
@@ -138,15 +143,15 @@
         if (kept) {
             all.doubt.used(false);
         }
-        Verdict verdict = all.dialect.judge(response);
+        HttpMethod method = ((HttpHead) attempt.exchange.head).method();
+        Verdict verdict = all.dialect.judge(method, response);
         outcome = verdict.outcome();
         if (verdict.pass() == null) {
             end(outcome);
             return;
         }
         long length = HttpUtil.getContentLength(response, -1L);
-        HttpMethod method = ((HttpHead) attempt.exchange.head).method();
-        boolean bodiless = method.equals(HttpMethod.HEAD);
+        boolean bodiless = verdict.pass().bodiless();
         if (!attempt.written || !bodiless && length > largest || !all.dialect.tellsItsEnd(method, response, length)) {
             spoilt();
         } else {
@@ -248,6 +253,7 @@
         if (!(cause instanceof java.io.IOException)) {
             Log.failure("connection to server " + server, cause);
         }
+        broke = true;
         close();
     }
 }
--- a/src/main/java/onyxpaddle/node/Addresses.java
+++ b/src/main/java/onyxpaddle/node/Addresses.java
@@ -26,4 +26,14 @@
         }
         return new InetSocketAddress(InetAddress.getByAddress(bytes), port);
     }
+
+    /** The address of digits that were checked before. */
+    public static InetSocketAddress of(String digits, int port) {
+        try {
+            return new InetSocketAddress(InetAddress.getByAddress(NetUtil.createByteArrayFromIpAddressString(digits)),
+                port);
+        } catch (IOException e) {
+            throw new IllegalArgumentException("not an address: " + digits, e);
+        }
+    }
 }
--- a/src/main/java/onyxpaddle/node/Caller.java
+++ b/src/main/java/onyxpaddle/node/Caller.java
@@ -5,8 +5,13 @@
     /** Served; the answer is on loan until this returns, the arrays behind its body for longer. */
     void served(Answer answer);
 
-    /** Not run, trying again is harmless; {@code retryAfter} in nanoseconds, 0 for no advice. */
-    void refused(long retryAfter);
+    /**
+     * Trying again is harmless.
+     *
+     * @param retryAfter when to, in nanoseconds; 0 for no advice
+     * @param own what a server itself said of its failure, as in {@link #failed}
+     */
+    void refused(long retryAfter, Answer own);
 
     /**
      * Failed, with no word on the effect.
--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -25,6 +25,8 @@
     private final Limits limits;
     private final Map<String, Exchange> exchanges = new HashMap<>();
     private final ArrayDeque<Event> events = new ArrayDeque<>();
+    /** Null where the pool takes all that comes. */
+    private final InFlightLimit limit;
     private Upstream upstream;
     private Runnable onSubscribe = () -> { };
     private boolean delivering;
@@ -32,10 +34,17 @@
 
     /** {@code loop}: the one thread on which everything here happens. */
     public Dispatcher(Clock clock, ScheduledExecutorService loop, RatioBalancer module, Limits limits) {
+        this(clock, loop, module, limits, null);
+    }
+
+    /** As the other, with a bound on requests at once. */
+    public Dispatcher(Clock clock, ScheduledExecutorService loop, RatioBalancer module, Limits limits,
+            InFlightLimit limit) {
         this.clock = clock;
         this.loop = loop;
         this.module = module;
         this.limits = limits;
+        this.limit = limit;
     }
 
     public void connect(Upstream servers, Runnable subscribe) {
@@ -48,6 +57,11 @@
         return unanswered;
     }
 
+    /** Whether nothing is out any more, answered or not. */
+    public boolean idle() {
+        return exchanges.isEmpty();
+    }
+
     public boolean holds(String id) {
         return exchanges.containsKey(id);
     }
@@ -58,6 +72,12 @@
     public void arrived(Exchange x) {
         long now = clock.now();
         Terms terms = x.terms;
+        if (limit != null && !limit.admits(unanswered, terms.requestClass().worth())) {
+            x.over = true;
+            x.body.release();
+            x.caller.refused(limit.retryAfter(), null);
+            return;
+        }
         x.deadline = now + terms.patience();
         exchanges.put(x.id, x);
         unanswered++;
@@ -89,6 +109,9 @@
         Exchange x = attempt.exchange;
         x.out--;
         if (outcome == Outcome.OK && finish(x)) {
+            if (limit != null) {
+                limit.answered(clock.now() - x.deadline + x.terms.patience());
+            }
             x.caller.served(answer);
         } else if (answer != null && !x.over) {
             release(x.failure);
@@ -170,7 +193,7 @@
         } else if (action instanceof Refuse refuse) {
             Exchange x = exchanges.get(refuse.request());
             if (x != null && finish(x)) {
-                x.caller.refused(refuse.retryAfter());
+                x.caller.refused(refuse.retryAfter(), x.failure);
                 forget(x);
             }
         } else if (action instanceof Fail fail) {
--- a/src/main/java/onyxpaddle/serve/Hangup.java
+++ b/src/main/java/onyxpaddle/serve/Hangup.java
@@ -1,6 +1,7 @@
 package onyxpaddle.serve;
 
 import java.lang.reflect.Proxy;
+import onyxpaddle.node.Log;
 
 /**
  * Catches SIGHUP, on which the JVM would end otherwise. The JDK's class for signals is called by reflection: it
@@ -10,7 +11,10 @@
     private Hangup() {
     }
 
-    /** From now on SIGHUP runs the action, on a thread of the JVM's own, in place of ending the process. */
+    /**
+     * From now on SIGHUP runs the action, on a thread of the JVM's own, in place of ending the process. A process that
+     * was started with SIGHUP ignored, as by nohup, never sees one: the JVM leaves it so, and this says it.
+     */
     static void runs(Runnable action) throws ReflectiveOperationException {
         Class<?> signal = Class.forName("sun.misc.Signal");
         Class<?> handlerType = Class.forName("sun.misc.SignalHandler");
@@ -24,7 +28,10 @@
                 case "hashCode" -> System.identityHashCode(proxy);
                 default -> "SIGHUP handler";
             });
-        signal.getMethod("handle", signal, handlerType)
+        Object before = signal.getMethod("handle", signal, handlerType)
             .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), handler);
+        if (handlerType.getField("SIG_IGN").get(null).equals(before)) {
+            Log.line("SIGHUP is ignored, as this process was started so (by nohup?): it will not reload");
+        }
     }
 }
--- a/src/main/java/onyxpaddle/serve/Node.java
+++ b/src/main/java/onyxpaddle/serve/Node.java
@@ -30,6 +30,8 @@
     private static final long WAIT_FOR_LIST = 1_000_000_000L;
     /** The planned end takes no longer than this; by then every deadline has long passed. */
     private static final long LONGEST_DRAIN_S = 10;
+    /** Part of the servers' idle limit after which an idle connection is not used any more. */
+    private static final double IDLE_SHARE = 0.7;
     private static final int EXIT_CONFIG = 78;
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -74,7 +76,7 @@
     private void run(PlatformConfig first) throws Exception {
         try {
             group.next().submit(() -> build(first)).sync();
-            bound = (InetSocketAddress) clients.listen(first.listen()).sync().channel().localAddress();
+            bound = (InetSocketAddress) clients.listen(first.listen(), false).sync().channel().localAddress();
         } catch (Exception e) {
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
             throw e;
@@ -91,7 +93,7 @@
         dispatcher = new Dispatcher(clock, loop, module, config.settings().limits());
         PoolShare share = budget.pool();
         servers = new HttpUpstream(loop, allocator, clock, share, dispatcher, new PlatformAnswers(),
-            config.keepalive(), config.settings().limits().connectTimeout());
+            (long) (IDLE_SHARE * config.keepalive()), config.settings().limits().connectTimeout());
         discovery = discovery(loop);
         dispatcher.connect(servers, () -> discovery.subscribe());
         clients = new HttpFront(loop, allocator, clock, budget,
--- /dev/null
+++ b/src/main/java/onyxpaddle/serve/PoolSettings.java
@@ -0,0 +1,86 @@
+package onyxpaddle.serve;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import onyxpaddle.Balancing;
+import onyxpaddle.Balancing.Effect;
+import onyxpaddle.Balancing.KeyGroup;
+import onyxpaddle.Balancing.Limits;
+import onyxpaddle.Balancing.Rules;
+import onyxpaddle.Balancing.ServerEntry;
+import onyxpaddle.Balancing.ServerState;
+import onyxpaddle.Balancing.Settings;
+import onyxpaddle.Balancing.Tenant;
+import onyxpaddle.Balancing.Weights;
+import onyxpaddle.config.NodeConfig;
+import onyxpaddle.config.NodeConfig.Pool;
+import onyxpaddle.config.NodeConfig.RequestClass;
+import onyxpaddle.config.NodeConfig.Server;
+import onyxpaddle.http.PlainRequests.Classes;
+import onyxpaddle.node.Addresses;
+import onyxpaddle.node.Roster;
+
+/** What a configuration says, in the terms of the module that decides. */
+final class PoolSettings {
+    /** A sidecar's node lets all in up to its pools' own limits: the module's learnt one is for a first tier's clients. */
+    private static final int BEHIND = 1;
+    private static final long MS = 1_000_000L;
+    private static final long DRAIN_GRACE = 2_000 * MS;
+    private static final long ANSWER_SLACK = 8 * MS;
+    private static final long LONGEST_RETRY_AFTER = 1_500 * MS;
+    private static final double FALL_MULTIPLE = 3;
+    private static final long FALL_SPAN = 3_000 * MS;
+    private static final String UNKEYED = "/unkeyed";
+
+    private PoolSettings() {
+    }
+
+    static Settings of(Pool pool, NodeConfig config) {
+        List<Balancing.RequestClass> classes = new ArrayList<>();
+        for (RequestClass c : config.classesOf(pool.name())) {
+            Classes both = classes(c);
+            classes.add(both.keyed());
+            if (both.unkeyed() != both.keyed()) {
+                classes.add(both.unkeyed());
+            }
+        }
+        List<Tenant> tenants = config.tenant() == null ? List.of() : List.of(new Tenant(config.tenant(), 0));
+        return new Settings("", List.of(), BEHIND, 0, 1, classes, tenants, 1, false, false, Weights.NOMINAL, List.of(), 0,
+            0, new Limits(pool.attempts(), false, true, false, true, LONGEST_RETRY_AFTER, pool.connectTimeout()),
+            new Rules(pool.startCapacity(), pool.cold(), FALL_MULTIPLE, FALL_SPAN, DRAIN_GRACE, ANSWER_SLACK, 0));
+    }
+
+    /** A class with its key and without: a keyed request that brings no key can't be told from its repeat. */
+    static Classes classes(RequestClass c) {
+        Effect effect = switch (c.effect()) {
+            case SAFE -> c.retry() ? Effect.SAFE : Effect.UNSAFE;
+            case KEYED -> c.retry() ? Effect.KEYED : Effect.UNSAFE;
+            case UNSAFE -> Effect.UNSAFE;
+        };
+        Balancing.RequestClass keyed = of(c, c.name(), effect);
+        return new Classes(keyed, effect == Effect.KEYED ? of(c, c.name() + UNKEYED, Effect.UNSAFE) : keyed);
+    }
+
+    private static Balancing.RequestClass of(RequestClass c, String name, Effect effect) {
+        return new Balancing.RequestClass(name, effect, KeyGroup.ALL, effect == Effect.KEYED ? c.memory() : 0, c.aim(), 0,
+            c.deadline(), c.worth(), c.lateWorth(), false);
+    }
+
+    static Map<String, Classes> classes(NodeConfig config) {
+        Map<String, Classes> classes = new HashMap<>();
+        config.classes().forEach((name, c) -> classes.put(name, classes(c)));
+        return classes;
+    }
+
+    static Roster roster(List<Server> servers) {
+        List<Roster.Host> hosts = new ArrayList<>();
+        for (Server server : servers) {
+            ServerState state = server.draining() ? ServerState.DRAINING : ServerState.READY;
+            hosts.add(new Roster.Host(new ServerEntry(server.id(), server.zone(), 0, state, server.weight(), 0),
+                Addresses.of(server.address().host(), server.address().port())));
+        }
+        return new Roster(0, true, hosts);
+    }
+}
--- /dev/null
+++ b/src/main/java/onyxpaddle/serve/Sidecar.java
@@ -0,0 +1,335 @@
+package onyxpaddle.serve;
+
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import onyxpaddle.config.Fault;
+import onyxpaddle.config.Faults;
+import onyxpaddle.config.MachineLimits;
+import onyxpaddle.config.NodeConfig;
+import onyxpaddle.config.NodeConfig.Listener;
+import onyxpaddle.config.NodeConfigReader;
+import onyxpaddle.http.HttpFront;
+import onyxpaddle.http.PlainRequests;
+import onyxpaddle.http.PlainRequests.Target;
+import onyxpaddle.http.RequestDialect;
+import onyxpaddle.node.Addresses;
+import onyxpaddle.node.Budget;
+import onyxpaddle.node.Clock;
+import onyxpaddle.node.Log;
+import onyxpaddle.node.Sockets;
+import onyxpaddle.route.RouteTable;
+
+/**
+ * A node by a configuration of its own: listeners, routes and pools, which come and go as the file changes. A change is
+ * all or nothing: listeners that are new are bound first, and only when all are does anything else move. What was
+ * taken before goes on by the routes and pools it was taken by; they end when it has.
+ */
+public final class Sidecar {
+    private static final int EXIT_CONFIG = 78;
+    private static final long REAP_MS = 50;
+    private static final long LONGEST_DRAIN_S = 60;
+    private static final int MOST_FAULTS_LOGGED = 20;
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final Clock clock = new Clock();
+    private final ByteBufAllocator allocator = Sockets.allocator();
+    private final SecureRandom seeds = new SecureRandom();
+    private final String idPrefix = Long.toHexString(seeds.nextLong()) + "-";
+    private final ScheduledExecutorService files = Executors.newSingleThreadScheduledExecutor(task -> {
+        Thread thread = new Thread(task, "list-files");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final Budget budget;
+    private final Map<String, PoolUnit> pools = new LinkedHashMap<>();
+    private final Map<String, Door> doors = new LinkedHashMap<>();
+    private final List<PoolUnit> leavingPools = new ArrayList<>();
+    private final List<HttpFront> leavingFronts = new ArrayList<>();
+    private NodeConfig config;
+    private Future<?> reaping;
+    private long requests;
+    /** The change that is under way, and the newest that waits for it. */
+    private Change current;
+    private Change next;
+
+    /** A listener as it runs. */
+    private record Door(Listener listener, HttpFront front, InetSocketAddress bound) {
+    }
+
+    private record Change(NodeConfig config, CompletableFuture<String> done) {
+    }
+
+    private Sidecar(NodeConfig first) {
+        long heap = Math.min(first.limits().memory(), Runtime.getRuntime().maxMemory());
+        budget = new Budget(first.limits().descriptors(), heap);
+    }
+
+    /** Runs a node by the file, until it is told to stop. */
+    public static void main(Path file) {
+        Faults faults = new Faults();
+        NodeConfig first = NodeConfigReader.file(file, MachineLimits.here(), faults);
+        if (first == null) {
+            faults.list().forEach(System.err::println);
+            System.exit(EXIT_CONFIG);
+        }
+        try {
+            Sidecar node = start(first);
+            Hangup.runs(() -> node.reload(file));
+            Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
+        } catch (Exception e) {
+            System.err.println("lupinmount: cannot start: " + e.getMessage());
+            System.exit(1);
+        }
+    }
+
+    /** Starts a node; fails where an address is taken. */
+    public static Sidecar start(NodeConfig first) throws Exception {
+        Sidecar node = new Sidecar(first);
+        String failure = node.change(first).get();
+        if (failure != null) {
+            node.stop();
+            throw new java.io.IOException(failure);
+        }
+        return node;
+    }
+
+    // ---- change ----
+
+    /** Reads the file again, off the event loop; a faulty one changes nothing and is told in full. */
+    void reload(Path file) {
+        Faults faults = new Faults();
+        NodeConfig read = NodeConfigReader.file(file, MachineLimits.here(), faults);
+        if (read == null) {
+            Log.line("reload: nothing is changed, as the file is at fault:");
+            faults.list().stream().limit(MOST_FAULTS_LOGGED).map(Fault::toString).forEach(Log::line);
+            return;
+        }
+        change(read).thenAccept(failure -> Log.line(failure == null ? "reload: done"
+            : "reload: nothing is changed: " + failure));
+    }
+
+    /**
+     * Moves to a configuration. What comes is null once it is in force, or why nothing was changed. Of several that
+     * come while one is under way, the newest alone is followed up; the others are done when it is.
+     */
+    public CompletableFuture<String> change(NodeConfig to) {
+        Change change = new Change(to, new CompletableFuture<>());
+        loop.execute(() -> {
+            if (next != null) {
+                CompletableFuture<String> passed = next.done();
+                change.done().thenAccept(passed::complete);
+            }
+            next = change;
+            proceed();
+        });
+        return change.done();
+    }
+
+    private void proceed() {
+        if (current != null || next == null) {
+            return;
+        }
+        current = next;
+        next = null;
+        List<Door> fresh = new ArrayList<>();
+        List<ChannelFuture> binding = new ArrayList<>();
+        for (Listener listener : current.config().listeners().values()) {
+            if (standing(listener) == null) {
+                HttpFront front = new HttpFront(loop, allocator, clock, budget, null, this::unanswered, this::ready);
+                binding.add(front.listen(Addresses.of(listener.address().host(), listener.address().port()), true));
+                fresh.add(new Door(listener, front, null));
+            }
+        }
+        bound(fresh, binding, 0, null);
+    }
+
+    /** Waits for one bind after the other, then goes on, or takes back those that went well. */
+    private void bound(List<Door> fresh, List<ChannelFuture> binding, int index, String failure) {
+        if (index < binding.size()) {
+            binding.get(index).addListener(f -> {
+                String wrong = f.isSuccess() ? failure : "cannot listen on " + fresh.get(index).listener().address() + " ("
+                    + fresh.get(index).listener().name() + "): " + f.cause().getMessage();
+                bound(fresh, binding, index + 1, wrong);
+            });
+            return;
+        }
+        Change change = current;
+        if (failure == null) {
+            List<Door> ready = new ArrayList<>();
+            for (int i = 0; i < fresh.size(); i++) {
+                ready.add(new Door(fresh.get(i).listener(), fresh.get(i).front(),
+                    (InetSocketAddress) binding.get(i).channel().localAddress()));
+            }
+            commit(change.config(), ready);
+        } else {
+            fresh.forEach(door -> door.front().close());
+        }
+        change.done().complete(failure);
+        current = null;
+        proceed();
+    }
+
+    private Door standing(Listener listener) {
+        Door door = doors.get(listener.name());
+        return door != null && door.listener().address().equals(listener.address()) ? door : null;
+    }
+
+    private void commit(NodeConfig to, List<Door> fresh) {
+        if (config != null && !config.limits().equals(to.limits())) {
+            Log.line("reload: `limits` hold from a start only; all else is taken");
+        }
+        config = to;
+        commitPools(to);
+        Map<String, Target> targets = new HashMap<>();
+        pools.forEach((name, pool) -> targets.put(name, pool.target()));
+        Map<String, Door> before = new HashMap<>(doors);
+        doors.clear();
+        for (Listener listener : to.listeners().values()) {
+            RequestDialect dialect = dialect(to, listener, targets);
+            Door old = before.get(listener.name());
+            Door door = old != null && old.listener().address().equals(listener.address()) ? old
+                : fresh.stream().filter(d -> d.listener().equals(listener)).findFirst().orElseThrow();
+            door.front().use(dialect);
+            if (door == old) {
+                before.remove(listener.name());
+            } else {
+                door.front().open();
+                Log.line("listener " + listener.name() + " is on " + door.bound());
+            }
+            doors.put(listener.name(), new Door(listener, door.front(), door.bound()));
+        }
+        for (Door door : before.values()) {
+            Log.line("listener " + door.listener().name() + " on " + door.bound() + " ends");
+            door.front().retire();
+            leavingFronts.add(door.front());
+        }
+        if (reaping == null) {
+            reaping = loop.scheduleWithFixedDelay(this::reap, REAP_MS, REAP_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void commitPools(NodeConfig to) {
+        Map<String, PoolUnit> before = new HashMap<>(pools);
+        pools.clear();
+        to.pools().forEach((name, pool) -> {
+            PoolUnit old = before.get(name);
+            if (old != null && old.serves(pool, to)) {
+                old.servers(pool);
+                before.remove(name);
+                pools.put(name, old);
+            } else {
+                PoolUnit unit = new PoolUnit(pool, to, seeds.nextLong(),
+                    new PoolUnit.Surroundings(loop, allocator, clock, budget, files, to.name()));
+                unit.start();
+                pools.put(name, unit);
+            }
+        });
+        leavingPools.addAll(before.values());
+    }
+
+    private RequestDialect dialect(NodeConfig to, Listener listener, Map<String, Target> targets) {
+        RouteTable table = new RouteTable(to.routes().stream().filter(r -> r.listener().equals(listener.name())).toList());
+        return new PlainRequests(table, targets, PoolSettings.classes(to), to.tenant(), listener.idle(),
+            () -> idPrefix + Long.toHexString(requests++));
+    }
+
+    /** Lets go of the fronts and pools that nothing needs any more. */
+    private void reap() {
+        leavingFronts.removeIf(front -> {
+            if (front.empty()) {
+                front.close();
+            }
+            return front.empty();
+        });
+        for (Iterator<PoolUnit> i = leavingPools.iterator(); i.hasNext();) {
+            PoolUnit pool = i.next();
+            // A retired front still reads by the routes it had, so all its pools stay for as long as it does.
+            if (leavingFronts.isEmpty() && pool.dispatcher.idle()
+                    && doors.values().stream().noneMatch(d -> d.front().uses(pool.dispatcher))) {
+                pool.stop();
+                i.remove();
+            }
+        }
+    }
+
+    // ---- what is asked of it ----
+
+    private int unanswered() {
+        int sum = 0;
+        for (PoolUnit pool : pools.values()) {
+            sum += pool.dispatcher.unanswered();
+        }
+        for (PoolUnit pool : leavingPools) {
+            sum += pool.dispatcher.unanswered();
+        }
+        return sum;
+    }
+
+    private boolean ready() {
+        return pools.values().stream().allMatch(PoolUnit::ready);
+    }
+
+    /** Where a listener is bound; null where there is no such listener. */
+    public InetSocketAddress address(String listener) {
+        try {
+            return loop.submit(() -> doors.containsKey(listener) ? doors.get(listener).bound() : null).get();
+        } catch (InterruptedException | java.util.concurrent.ExecutionException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** How many pools and fronts still end, for tests. */
+    int leaving() throws Exception {
+        return loop.submit(() -> leavingPools.size() + leavingFronts.size()).get();
+    }
+
+    // ---- end ----
+
+    /** Ends as planned: returns when all that was taken is answered. */
+    public void drain() {
+        Log.line("draining");
+        CountDownLatch left = new CountDownLatch(1);
+        loop.execute(() -> {
+            Set<HttpFront> open = new HashSet<>();
+            doors.values().forEach(door -> open.add(door.front()));
+            doors.values().forEach(door -> door.front().drain(() -> {
+                open.remove(door.front());
+                if (open.isEmpty()) {
+                    left.countDown();
+                }
+            }));
+        });
+        try {
+            left.await(LONGEST_DRAIN_S, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Ends at once. */
+    public void stop() {
+        files.shutdownNow();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+}
--- /dev/null
+++ b/src/main/java/onyxpaddle/standin/StandInServer.java
@@ -0,0 +1,203 @@
+package onyxpaddle.standin;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * An HTTP server that stands in for a box or an application on loopback. It answers each request with its own name and
+ * what it was asked, after a delay, and counts how often each request ran: by the {@code X-Effect} header, which its
+ * callers make unique, or by no name at all. It can stand still, and can fail.
+ *
+ * <p>A caller may ask it for something special: {@code X-Answer-Status}, {@code X-Answer-Bytes}, {@code X-Answer-Delay}
+ * (milliseconds).
+ */
+public final class StandInServer implements AutoCloseable {
+    private static final int LARGEST = 64 << 20;
+    private static final int MOST_COUNTED = 1_000_000;
+
+    private final String name;
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final ChannelGroup open = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final Channel listener;
+    private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
+    private final AtomicLong served = new AtomicLong();
+    private volatile long delayMillis;
+    private volatile long jitterMillis;
+    private volatile boolean silent;
+    private volatile boolean refuses;
+
+    /** {@code port}: 0 for one that the system chooses. */
+    public StandInServer(String name, int port) throws Exception {
+        this.name = name;
+        try {
+            listener = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 4096)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        open.add(channel);
+                        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(LARGEST),
+                            new Requests());
+                    }
+                }).bind("127.0.0.1", port).sync().channel();
+        } catch (Exception e) {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            throw e;
+        }
+    }
+
+    public InetSocketAddress address() {
+        return (InetSocketAddress) listener.localAddress();
+    }
+
+    public String hostPort() {
+        return "127.0.0.1:" + address().getPort();
+    }
+
+    /** Each answer comes after so many milliseconds, and up to so many more. */
+    public StandInServer delay(long millis, long jitter) {
+        delayMillis = millis;
+        jitterMillis = jitter;
+        return this;
+    }
+
+    /** From now on it takes requests and says nothing, or answers again. */
+    public StandInServer silent(boolean on) {
+        silent = on;
+        return this;
+    }
+
+    /** From now on it turns each request away unseen, or serves again. */
+    public StandInServer refuses(boolean on) {
+        refuses = on;
+        return this;
+    }
+
+    /** How often the request with this {@code X-Effect} ran. */
+    public int runs(String effect) {
+        AtomicInteger count = runs.get(effect);
+        return count == null ? 0 : count.get();
+    }
+
+    /** How often each named request ran. */
+    public Map<String, AtomicInteger> allRuns() {
+        return runs;
+    }
+
+    /** How many requests it has answered or let run. */
+    public long served() {
+        return served.get();
+    }
+
+    @Override
+    public void close() {
+        listener.close().syncUninterruptibly();
+        open.close().syncUninterruptibly();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    private final class Requests extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            if (request.decoderResult().isFailure()) {
+                context.close();
+                return;
+            }
+            boolean keep = HttpUtil.isKeepAlive(request);
+            if (refuses) {
+                DefaultFullHttpResponse refusal = answer(503, "full\n");
+                refusal.headers().set("X-Never-Ran", "1");
+                write(context, refusal, keep);
+                return;
+            }
+            String effect = request.headers().get("X-Effect");
+            if (effect != null && runs.size() < MOST_COUNTED) {
+                runs.computeIfAbsent(effect, e -> new AtomicInteger()).incrementAndGet();
+            }
+            served.incrementAndGet();
+            if (silent) {
+                return;
+            }
+            DefaultFullHttpResponse response = response(request);
+            long millis = number(request, "X-Answer-Delay", delayMillis
+                + (jitterMillis > 0 ? ThreadLocalRandom.current().nextLong(jitterMillis + 1) : 0));
+            if (millis <= 0) {
+                write(context, response, keep);
+            } else {
+                context.executor().schedule(() -> write(context, response, keep), millis, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        private DefaultFullHttpResponse response(FullHttpRequest request) {
+            int status = (int) number(request, "X-Answer-Status", 200);
+            long bytes = number(request, "X-Answer-Bytes", -1);
+            String text = name + " " + request.method() + " " + request.uri() + " " + request.content().readableBytes()
+                + " bytes\n";
+            DefaultFullHttpResponse response = answer(status, bytes < 0 ? text : "x".repeat((int) Math.min(LARGEST, bytes)));
+            response.headers().set("X-Stand-In", name);
+            return response;
+        }
+
+        private static long number(FullHttpRequest request, String header, long usual) {
+            String text = request.headers().get(header);
+            return text != null && text.matches("[0-9]{1,9}") ? Long.parseLong(text) : usual;
+        }
+
+        private static DefaultFullHttpResponse answer(int status, String text) {
+            ByteBuf body = status == 204 || status == 304 ? Unpooled.EMPTY_BUFFER
+                : Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(status), body);
+            if (status != 204 && status != 304) {
+                response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+            }
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain");
+            return response;
+        }
+
+        private static void write(ChannelHandlerContext context, DefaultFullHttpResponse response, boolean keep) {
+            HttpUtil.setKeepAlive(response, keep);
+            var sent = context.writeAndFlush(response);
+            if (!keep) {
+                sent.addListener(ChannelFutureListener.CLOSE);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- a/src/test/java/onyxpaddle/serve/Loopback.java
+++ b/src/test/java/onyxpaddle/serve/Loopback.java
@@ -172,7 +172,7 @@
     }
 
     /** A server that answers each request with the next of its lines, and keeps what it was sent. */
-    static final class FakeServer extends Peer {
+    static class FakeServer extends Peer {
         /** In place of an answer: the connection is reset. */
         static final String BREAK = "";
         final String name;
--- /dev/null
+++ b/src/test/java/onyxpaddle/serve/SidecarReloadTest.java
@@ -0,0 +1,205 @@
+package onyxpaddle.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import onyxpaddle.serve.Loopback.Client;
+import onyxpaddle.standin.StandInServer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Configurations that change while requests are under way. */
+class SidecarReloadTest {
+    private static final long PATIENCE_S = 20;
+
+    private static void await(Check check) throws Exception {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+        while (!check.holds()) {
+            assertTrue(System.nanoTime() < end, "waited in vain");
+            Thread.sleep(5);
+        }
+    }
+
+    private interface Check {
+        boolean holds() throws Exception;
+    }
+
+    /**
+     * A thousand requests at once, more as they are answered, and twenty changes that move servers, pools' settings and
+     * routes under them: each has one answer, none runs twice that must not, and nothing of the old is left behind.
+     */
+    @Test
+    void aThousandInFlightOverTwentyChanges() throws Exception {
+        try (StandInServer one = new StandInServer("one", 0).delay(20, 60);
+                StandInServer two = new StandInServer("two", 0).delay(20, 60);
+                SidecarRig rig = new SidecarRig(config(0, one, two))) {
+            List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+            for (int change = 1; change <= 20; change++) {
+                for (int i = 0; i < 50; i++) {
+                    answers.add(rig.client.sendAsync(rig.request("/visits").header("X-Effect", "v" + answers.size())
+                        .POST(BodyPublishers.ofString("x")).build(), BodyHandlers.ofString()));
+                }
+                assertNull(rig.node.change(SidecarRig.config(config(change, one, two))).get(PATIENCE_S, TimeUnit.SECONDS));
+            }
+            int served = 0;
+            for (int i = 0; i < answers.size(); i++) {
+                HttpResponse<String> answer = answers.get(i).get(PATIENCE_S, TimeUnit.SECONDS);
+                int runs = one.runs("v" + i) + two.runs("v" + i);
+                assertTrue(answer.statusCode() == 200 ? runs == 1 : answer.statusCode() == 503 && runs == 0,
+                    "v" + i + " ran " + runs + " times and was answered " + answer.statusCode());
+                served += answer.statusCode() == 200 ? 1 : 0;
+            }
+            assertEquals(1000, answers.size());
+            assertEquals(1000, served, "refused with servers that had room");
+            await(() -> rig.node.leaving() == 0);
+        }
+    }
+
+    private static String config(int change, StandInServer one, StandInServer two) {
+        String attempts = "attempts: " + (2 + change % 3);
+        return switch (change % 4) {
+            case 0 -> SidecarRig.simple(attempts, one, two);
+            case 1 -> SidecarRig.simple(attempts, two);
+            case 2 -> SidecarRig.simple("attempts: 3", one);
+            default -> SidecarRig.simple(attempts, one, two).replace("pools:\n  app:", "pools:\n  box:")
+                .replace("pool: app", "pool: box");
+        };
+    }
+
+    @Test
+    void poolThatGoesWithRequestsInFlightStillAnswersThem() throws Exception {
+        try (StandInServer old = new StandInServer("old", 0).delay(300, 0);
+                StandInServer next = new StandInServer("next", 0); SidecarRig rig = new SidecarRig(SidecarRig.simple("", old));
+                Client kept = new Client(rig.node.address("in"))) {
+            kept.say("POST /visits HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx");
+            await(() -> old.served() == 1);
+            String other = SidecarRig.simple("", next).replace("  app:", "  other:").replace("pool: app", "pool: other");
+            assertNull(rig.node.change(SidecarRig.config(other)).get(PATIENCE_S, TimeUnit.SECONDS));
+            assertEquals("next POST /visits 1 bytes\n", rig.post("/visits", "y").body());
+            assertEquals(1, rig.node.leaving());
+            assertEquals("200 old POST /visits 1 bytes\n", kept.hear());
+            await(() -> rig.node.leaving() == 0);
+        }
+    }
+
+    /** A request whose head was read by the old routes and whose body comes after the change. */
+    @Test
+    void requestHalfReadAtAChangeGoesWhereItsHeadSaid() throws Exception {
+        try (StandInServer old = new StandInServer("old", 0); StandInServer next = new StandInServer("next", 0);
+                SidecarRig rig = new SidecarRig(SidecarRig.simple("", old));
+                Client half = new Client(rig.node.address("in"))) {
+            half.say("POST /visits HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n");
+            assertTrue(half.hear().startsWith("100"));
+            String other = SidecarRig.simple("", next).replace("  app:", "  other:").replace("pool: app", "pool: other");
+            assertNull(rig.node.change(SidecarRig.config(other)).get(PATIENCE_S, TimeUnit.SECONDS));
+            Thread.sleep(150);
+            assertEquals("200 old POST /visits 4 bytes\n", half.say("late").hear());
+            await(() -> rig.node.leaving() == 0);
+        }
+    }
+
+    @Test
+    void portThatIsTakenChangesNothing() throws Exception {
+        ServerSocket taken = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+        try (StandInServer old = new StandInServer("old", 0); StandInServer next = new StandInServer("next", 0);
+                SidecarRig rig = new SidecarRig(SidecarRig.simple("", old))) {
+            String wanted = SidecarRig.simple("", next).replace("  in: {address: \"127.0.0.1:0\"}",
+                "  in: {address: \"127.0.0.1:0\"}\n  more: {address: \"127.0.0.1:" + taken.getLocalPort() + "\"}")
+                + "  - {name: more, listener: more, path: /, pool: app, class: book}\n";
+            String why = rig.node.change(SidecarRig.config(wanted)).get(PATIENCE_S, TimeUnit.SECONDS);
+            assertTrue(why.startsWith("cannot listen on 127.0.0.1:" + taken.getLocalPort() + " (more)"), why);
+            assertEquals("old POST /visits 1 bytes\n", rig.post("/visits", "x").body());
+            taken.close();
+            assertNull(rig.node.change(SidecarRig.config(wanted)).get(PATIENCE_S, TimeUnit.SECONDS));
+            assertEquals("next POST /visits 1 bytes\n", rig.post("/visits", "x").body());
+            assertNotNull(rig.node.address("more"));
+        }
+    }
+
+    @Test
+    void listenerThatGoesAnswersWhatItHasAndTakesNoMore() throws Exception {
+        try (StandInServer app = new StandInServer("app", 0); SidecarRig rig = new SidecarRig(SidecarRig.simple("", app));
+                Client open = new Client(rig.node.address("in"))) {
+            assertEquals("200 app GET /slots 0 bytes\n", open.say("GET /slots HTTP/1.1\r\nHost: a\r\n\r\n").hear());
+            int port = rig.node.address("in").getPort();
+            String moved = SidecarRig.simple("", app).replace("  in: {", "  new: {").replace("listener: in", "listener: new");
+            assertNull(rig.node.change(SidecarRig.config(moved)).get(PATIENCE_S, TimeUnit.SECONDS));
+            // An open connection has one more answer, which says that it is the last.
+            open.say("GET /slots HTTP/1.1\r\nHost: a\r\n\r\n");
+            String head = Loopback.head(open.socket.getInputStream());
+            assertTrue(head.startsWith("HTTP/1.1 200") && head.toLowerCase().contains("connection: close"), head);
+            open.socket.close();
+            await(() -> rig.node.leaving() == 0);
+            try (ServerSocket free = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                assertEquals(port, free.getLocalPort());
+            }
+        }
+    }
+
+    @Test
+    void faultyFileChangesNothing(@TempDir Path folder) throws Exception {
+        try (StandInServer app = new StandInServer("app", 0); SidecarRig rig = new SidecarRig(SidecarRig.simple("", app))) {
+            Path file = Files.writeString(folder.resolve("node.yaml"), SidecarRig.simple("attemps: 2", app));
+            rig.node.reload(file);
+            rig.node.reload(folder.resolve("none.yaml"));
+            assertEquals("app POST /visits 1 bytes\n", rig.post("/visits", "x").body());
+            assertEquals(0, rig.node.leaving());
+        }
+    }
+
+    /** Changes every 50 ms for two seconds, none of them waited for. */
+    @Test
+    void changeEveryFiftyMillisecondsUnderLoad() throws Exception {
+        try (StandInServer one = new StandInServer("one", 0).delay(5, 5); StandInServer two = new StandInServer("two", 0);
+                SidecarRig rig = new SidecarRig(config(0, one, two))) {
+            List<CompletableFuture<String>> changes = new ArrayList<>();
+            for (int i = 1; i <= 40; i++) {
+                changes.add(rig.node.change(SidecarRig.config(config(i, one, two))));
+                long next = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(50);
+                while (System.nanoTime() < next) {
+                    assertEquals(200, rig.post("/visits", "x").statusCode());
+                }
+            }
+            for (CompletableFuture<String> change : changes) {
+                assertNull(change.get(PATIENCE_S, TimeUnit.SECONDS));
+            }
+            await(() -> rig.node.leaving() == 0);
+        }
+    }
+
+    @Test
+    void listFileIsFollowedAndHalfAListIsNot(@TempDir Path folder) throws Exception {
+        try (StandInServer one = new StandInServer("one", 0); StandInServer two = new StandInServer("two", 0)) {
+            Path list = Files.writeString(folder.resolve("boxes.yaml"), "servers: [\"" + one.hostPort() + "\"]\n");
+            try (SidecarRig rig = new SidecarRig(SidecarRig.simple("", one)
+                    .replace("servers: [" + one.hostPort() + "]", "file: " + list))) {
+                await(() -> rig.get("/slots").statusCode() == 200);
+                // Cut off in the middle of its second server, whose port would be another's.
+                Files.writeString(list, "servers:\n  - \"" + two.hostPort() + "\"\n  - \"127.0.0.1:1");
+                Thread.sleep(900);
+                assertTrue(rig.get("/slots").body().startsWith("one "));
+                Files.writeString(list, "servers: []\n");
+                Thread.sleep(900);
+                assertTrue(rig.get("/slots").body().startsWith("one "));
+                Files.writeString(list, "servers: [\"" + two.hostPort() + "\"]\ncount: 1\n");
+                await(() -> rig.get("/slots").body().startsWith("two "));
+                Files.delete(list);
+                Thread.sleep(900);
+                assertTrue(rig.get("/slots").body().startsWith("two "));
+            }
+        }
+    }
+}
