The tool `sidecar`: writes, checks, explains and tries a node's configuration

Need: nobody should write a node's configuration by hand, and during a rush nobody finds a typo by eye.

Change: an application's description in YAML; `sidecar write | check | explain | schema | try`, all from one statement of the keys. All faults come in one run, each with file, line, column, path, what is wrong and what would be right; applications of one machine are checked together. `try` runs the real node between stand-ins that this repository brings. A sidecar keeps up to 256 idle connections to a server in place of 16.

--- a/src/main/java/onyxpaddle/config/NodeConfigReader.java
+++ b/src/main/java/onyxpaddle/config/NodeConfigReader.java
@@ -139,7 +139,7 @@
         Path file = listFile(view, folder, faults);
         List<Server> known = servers;
         if (file != null) {
-            List<Server> listed = ServerLists.file(file, faults);
+            List<Server> listed = ServerLists.named(view, file, faults);
             known = listed == null ? List.of() : listed;
         }
         for (Server server : known) {
@@ -253,9 +253,13 @@
 
     private String known(View view, String key, String among) {
         String name = view.text(key, Shape.Kind.NAME, null);
+        if (root.named(among).isEmpty()) {
+            // Told where they should stand, and not once more for each route.
+            return null;
+        }
         if (name != null && !root.named(among).containsKey(name)) {
             List<String> names = new ArrayList<>(root.named(among).keySet());
-            String near = ShapeCheck.nearestOf(name, names);
+            String near = Words.nearest(name, names);
             faults.add(view.place(key), view.path(key), "there is nothing called `" + name + "` in " + among,
                 near != null ? "did you mean `" + near + "`?" : "one of " + String.join(", ", names));
             return null;
--- a/src/main/java/onyxpaddle/config/NodeShape.java
+++ b/src/main/java/onyxpaddle/config/NodeShape.java
@@ -17,10 +17,10 @@
 
 /** The keys of a node's configuration and of a list file, and those that descriptions share with them. */
 public final class NodeShape {
-    static final double MS = 1e6;
-    static final double S = 1e9;
-    static final double KIB = 1024;
-    static final double MIB = 1024 * KIB;
+    public static final double MS = 1e6;
+    public static final double S = 1e9;
+    private static final double KIB = 1024;
+    private static final double MIB = 1024 * KIB;
 
     public static final Key BODY = optional("body", within(Kind.SIZE, 1, 64 * MIB), "1 MiB",
         "the most that the body of a request or of an answer may have; it is held whole, within `memory`");
@@ -81,6 +81,9 @@
         optional("cold", within(Kind.SPAN, 0, 3600 * S), "0 ms", "how long a server that has just started is cold"),
         optional("start-capacity", within(Kind.NUMBER, 0.01, 1), "1", "the part of its capacity it starts with"));
 
+    /** What a class says, in a description as in a configuration. */
+    public static final Section CLASS_KEYS = CLASS;
+
     private static final Section LISTENER = section(
         required("address", plain(Kind.ADDRESS), "where callers connect"),
         optional("idle", within(Kind.SPAN, 100 * MS, 3600 * S), "60 s",
--- a/src/main/java/onyxpaddle/config/ServerLists.java
+++ b/src/main/java/onyxpaddle/config/ServerLists.java
@@ -53,6 +53,16 @@
         return servers;
     }
 
+    /** As {@link #file}, for the section that names it, which is told of if the list is at fault. */
+    public static List<Server> named(View at, Path file, Faults faults) {
+        List<Server> servers = file(file, faults);
+        if (servers == null) {
+            faults.add(at.place("file"), at.path("file"), "the list file " + file.getFileName() + " can't be taken",
+                "see the faults of that file");
+        }
+        return servers;
+    }
+
     /** As {@link #file}, of a text that was read already. */
     public static List<Server> text(String name, String text, Faults faults) {
         Faults own = new Faults();
--- a/src/main/java/onyxpaddle/config/Shape.java
+++ b/src/main/java/onyxpaddle/config/Shape.java
@@ -10,8 +10,10 @@
     /** The kinds of plain values. */
     enum Kind {
         TEXT("text"),
-        /** Lower-case letters, digits and hyphens, 40 characters at most, as in host names (RFC 1123, 2.1). */
+        /** Lower-case letters, digits and hyphens, 63 characters at most, as in host names (RFC 1123, 2.1). */
         NAME("a name of lower-case letters, digits and hyphens"),
+        /** A name of 30 characters at most, with no two hyphens in a row, from which longer ones are made. */
+        LABEL("a name of at most 30 lower-case letters, digits and hyphens"),
         WORD("a word"),
         PORT("a port from 1 to 65535"),
         /** IP and port, in digits: names are not looked up. */
--- a/src/main/java/onyxpaddle/config/ShapeCheck.java
+++ b/src/main/java/onyxpaddle/config/ShapeCheck.java
@@ -1,6 +1,5 @@
 package onyxpaddle.config;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
@@ -17,7 +16,7 @@
 
 /** Holds a tree against a shape. All that does not fit is a fault; what fits is usable whatever else is wrong. */
 public final class ShapeCheck {
-    private static final Pattern NAME = Pattern.compile("[a-z0-9](?:[a-z0-9-]{0,38}[a-z0-9])?");
+    private static final Pattern NAME = Pattern.compile("[a-z0-9](?:[a-z0-9-]{0,61}[a-z0-9])?");
     private static final Pattern PATH = Pattern.compile("/[!-~&&[^?#%]]{0,255}");
     private static final Pattern TOKEN = Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]{1,64}");
     private static final Pattern HOST = Pattern.compile("[A-Za-z0-9](?:[A-Za-z0-9.-]{0,251}[A-Za-z0-9])?");
@@ -62,7 +61,7 @@
             return;
         }
         if (sequence.items().isEmpty() && !list.mayBeEmpty()) {
-            fault(value, "the list is empty", "name at least one, or leave the key out");
+            fault(value, "the list is empty", "name at least one");
         }
         if (sequence.items().size() > MOST_ITEMS) {
             fault(value, "holds " + sequence.items().size() + " items", "at most " + MOST_ITEMS);
@@ -77,7 +76,7 @@
             return;
         }
         if (mapping.keys().isEmpty() && !map.mayBeEmpty()) {
-            fault(value, "names nothing", "name at least one, or leave the key out");
+            fault(value, "names nothing", "name at least one");
         }
         mapping.keys().forEach((name, place) -> {
             String wrong = wrong(name, Shape.plain(map.name()));
@@ -149,6 +148,7 @@
         return switch (plain.kind()) {
             case TEXT -> text.isEmpty() || text.chars().anyMatch(c -> c < ' ') ? "is empty or holds control characters" : null;
             case NAME -> NAME.matcher(text).matches() ? null : "is no name: " + shown;
+            case LABEL -> NAME.matcher(text).matches() && text.length() <= 30 && !text.contains("--") ? null : "is no name: " + shown;
             case WORD -> plain.words().contains(text) ? null : "unknown word " + shown;
             case PORT -> bounded(text, WHOLE, 1, 65535, shown, "port");
             case COUNT -> bounded(text, WHOLE, plain.least(), plain.most(), shown, "whole number");
@@ -196,7 +196,7 @@
             return "did you mean `" + text.toUpperCase(Locale.ROOT) + "`?";
         }
         if (plain.kind() == Shape.Kind.WORD) {
-            String near = nearestOf(text, plain.words());
+            String near = Words.nearest(text, plain.words());
             return (near == null ? "" : "did you mean `" + near + "`? ") + told(plain);
         }
         return told(plain);
@@ -233,39 +233,6 @@
     // ---- the nearest word ----
 
     private static String nearest(String name, Section section) {
-        return nearestOf(name, section.keys().stream().map(Key::name).toList());
-    }
-
-    /** The word that is the fewest slips away, if it is near enough to have been meant; null otherwise. */
-    static String nearestOf(String text, List<String> words) {
-        String best = null;
-        int least = Math.max(1, Math.min(3, text.length() / 2)) + 1;
-        for (String word : new ArrayList<>(words)) {
-            int distance = text.length() > 60 ? 99 : slips(text.toLowerCase(Locale.ROOT).replace('_', '-'), word);
-            if (distance < least) {
-                least = distance;
-                best = word;
-            }
-        }
-        return best;
-    }
-
-    /** Letters that are missing, too many, wrong or swapped (optimal string alignment distance). */
-    private static int slips(String a, String b) {
-        int[][] d = new int[a.length() + 1][b.length() + 1];
-        for (int i = 0; i <= a.length(); i++) {
-            for (int j = 0; j <= b.length(); j++) {
-                if (i == 0 || j == 0) {
-                    d[i][j] = i + j;
-                    continue;
-                }
-                int change = a.charAt(i - 1) == b.charAt(j - 1) ? 0 : 1;
-                d[i][j] = Math.min(Math.min(d[i - 1][j] + 1, d[i][j - 1] + 1), d[i - 1][j - 1] + change);
-                if (i > 1 && j > 1 && a.charAt(i - 1) == b.charAt(j - 2) && a.charAt(i - 2) == b.charAt(j - 1)) {
-                    d[i][j] = Math.min(d[i][j], d[i - 2][j - 2] + 1);
-                }
-            }
-        }
-        return d[a.length()][b.length()];
+        return Words.nearest(name, section.keys().stream().map(Key::name).toList());
     }
 }
--- a/src/main/java/onyxpaddle/http/HttpUpstream.java
+++ b/src/main/java/onyxpaddle/http/HttpUpstream.java
@@ -36,7 +36,6 @@
      * comes right behind the answer, and must not meet the next request. Where all rest, a new one is dialled.
      */
     private static final long REST = 20_000_000L;
-    private static final int MOST_IDLE = 16;
     /** As long as kept connections are in doubt, new ones are dialled often, and few are worth keeping. */
     private static final int MOST_IDLE_IN_DOUBT = 2;
     private static final long SWEEP_MS = 250;
@@ -48,6 +47,7 @@
     final ReuseDoubt doubt = new ReuseDoubt();
     private final Bootstrap bootstrap;
     private final long mostIdle;
+    private final int mostIdleCount;
     private final Future<?> sweeping;
     private final Map<String, Peer> peers = new HashMap<>();
     private final Set<ServerConnection> open = new HashSet<>();
@@ -60,14 +60,19 @@
         final ArrayDeque<ServerConnection> idle = new ArrayDeque<>();
     }
 
-    /** {@code mostIdle}: how long an idle connection is kept; {@code dialTimeout}: both in nanoseconds. */
+    /**
+     * {@code mostIdle}: how long an idle connection is kept; {@code dialTimeout}: both in nanoseconds; {@code
+     * mostIdleCount}: how many are kept to each server. At a rate r, some r times {@link #REST} are needed to dial none.
+     */
     public HttpUpstream(EventLoop loop, ByteBufAllocator allocator, Clock clock, PoolShare budget,
-            Dispatcher dispatcher, AnswerDialect dialect, long mostIdle, long dialTimeout) {
+            Dispatcher dispatcher, AnswerDialect dialect, long mostIdle, long dialTimeout,
+            int mostIdleCount) {
         this.clock = clock;
         this.budget = budget;
         this.dispatcher = dispatcher;
         this.dialect = dialect;
         this.mostIdle = mostIdle;
+        this.mostIdleCount = mostIdleCount;
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
             .option(ChannelOption.ALLOCATOR, allocator)
             .option(ChannelOption.TCP_NODELAY, true)
@@ -203,7 +208,7 @@
         }
         c.idleSince = clock.now();
         peer.idle.addFirst(c);
-        if (peer.idle.size() > (doubt.holds() ? MOST_IDLE_IN_DOUBT : MOST_IDLE)) {
+        if (peer.idle.size() > (doubt.holds() ? MOST_IDLE_IN_DOUBT : mostIdleCount)) {
             peer.idle.pollLast().close();
         }
     }
--- a/src/main/java/onyxpaddle/serve/Node.java
+++ b/src/main/java/onyxpaddle/serve/Node.java
@@ -32,6 +32,8 @@
     private static final long LONGEST_DRAIN_S = 10;
     /** Part of the servers' idle limit after which an idle connection is not used any more. */
     private static final double IDLE_SHARE = 0.7;
+    /** Connections to a server that are kept; each costs the server some of its capacity. */
+    private static final int MOST_IDLE = 16;
     private static final int EXIT_CONFIG = 78;
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -93,7 +95,7 @@
         dispatcher = new Dispatcher(clock, loop, module, config.settings().limits());
         PoolShare share = budget.pool();
         servers = new HttpUpstream(loop, allocator, clock, share, dispatcher, new PlatformAnswers(),
-            (long) (IDLE_SHARE * config.keepalive()), config.settings().limits().connectTimeout());
+            (long) (IDLE_SHARE * config.keepalive()), config.settings().limits().connectTimeout(), MOST_IDLE);
         discovery = discovery(loop);
         dispatcher.connect(servers, () -> discovery.subscribe());
         clients = new HttpFront(loop, allocator, clock, budget,
--- a/src/main/java/onyxpaddle/serve/PoolUnit.java
+++ b/src/main/java/onyxpaddle/serve/PoolUnit.java
@@ -33,6 +33,12 @@
 
 /** A running pool: its servers, the module that decides about them, and where they are learnt from. */
 final class PoolUnit {
+    /**
+     * Connections to a server that are kept. Guards against dialling for each request, which leaves the machine without
+     * local ports within seconds: a node on one machine may send all its traffic to one server. Does harm where a server
+     * takes fewer connections than that; the pool's part of the descriptors bounds them, too.
+     */
+    private static final int MOST_IDLE = 256;
     private static final long LOOK_MS = 250;
 
     /** What a pool shares with the rest of the node; {@code files}: the thread that reads list files. */
@@ -62,7 +68,7 @@
         dispatcher = new Dispatcher(around.clock(), around.loop(), new RatioBalancer(settings, seed), settings.limits(),
             limit);
         upstream = new HttpUpstream(around.loop(), around.allocator(), around.clock(), share, dispatcher,
-            new PlainAnswers(around.node()), pool.idle(), pool.connectTimeout());
+            new PlainAnswers(around.node()), pool.idle(), pool.connectTimeout(), MOST_IDLE);
         dispatcher.connect(upstream, () -> { });
     }
 
--- /dev/null
+++ b/src/main/java/onyxpaddle/sidecar/Derivation.java
@@ -0,0 +1,165 @@
+package onyxpaddle.sidecar;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeSet;
+import onyxpaddle.config.HostPort;
+import onyxpaddle.config.NodeConfig.Pool;
+import onyxpaddle.config.NodeConfig.RequestClass;
+import onyxpaddle.config.NodeConfig.Server;
+import onyxpaddle.config.Units;
+import onyxpaddle.sidecar.Description.Call;
+import onyxpaddle.sidecar.Description.Served;
+
+/**
+ * Makes the node's configuration from a sound description, as text. The same descriptions give the same text, byte for
+ * byte. Everything the reader would take as usual is written out all the same: a configuration is read by people who
+ * want to know what holds.
+ */
+final class Derivation {
+    private final StringBuilder out = new StringBuilder();
+    private final Description of;
+    private final Map<String, HostPort> inbounds = new HashMap<>();
+    private final Path folder;
+
+    private Derivation(Description of, List<Description> all, Path folder) {
+        this.of = of;
+        this.folder = folder;
+        all.forEach(d -> inbounds.put(d.name(), d.inbound()));
+    }
+
+    /** {@code all}: the applications of this machine; {@code folder}: where the text will stand, for names of files. */
+    static String text(Description of, List<Description> all, Path folder) {
+        return new Derivation(of, all, folder).all();
+    }
+
+    private String all() {
+        line("version: 1");
+        line("name: " + of.name());
+        if (of.tenant() != null) {
+            line("tenant: " + of.tenant());
+        }
+        line("limits:");
+        line("  memory: " + Units.sizeText(of.limits().memory()));
+        line("  descriptors: " + of.limits().descriptors());
+        line("listeners:");
+        line("  inbound: {address: " + quoted(of.inbound().toString()) + "}");
+        for (Call call : of.calls().values()) {
+            line("  call-" + call.name() + ": {address: \"127.0.0.1:" + call.port() + "\"}");
+        }
+        line("classes:");
+        classes("in", of.serves(), of.others());
+        for (Call call : of.calls().values()) {
+            classes("to-" + call.name(), call.classes(), call.others());
+        }
+        line("pools:");
+        pool("application", of.own(), of.own().servers());
+        for (Call call : of.calls().values()) {
+            pool("to-" + call.name(), call.pool(), call.application() ? neighbour(call) : call.pool().servers());
+        }
+        line("routes:");
+        routes("in", "inbound", "application", of.serves(), of.others());
+        for (Call call : of.calls().values()) {
+            routes("to-" + call.name(), "call-" + call.name(), "to-" + call.name(), call.classes(), call.others());
+        }
+        return out.toString();
+    }
+
+    // Names are made unique by `--`, which labels may not hold: a class is `in--look` or `to-records--look`, and the
+    // class of all other paths `in` or `to-records`.
+
+    /** An application on this machine is reached through its own node, at its inbound side. */
+    private List<Server> neighbour(Call call) {
+        HostPort inbound = inbounds.get(call.name());
+        HostPort here = inbound.any() ? new HostPort("127.0.0.1", inbound.port()) : inbound;
+        return List.of(new Server(call.name(), here, 1, "", false));
+    }
+
+    private void line(String text) {
+        out.append(text).append('\n');
+    }
+
+    private static String quoted(String text) {
+        return "\"" + text.replace("\\", "\\\\").replace("\"", "\\\"") + "\"";
+    }
+
+    private void classes(String prefix, Map<String, Served> served, RequestClass others) {
+        served.forEach((name, s) -> requestClass(prefix + "--" + name, s.requestClass()));
+        if (others != null) {
+            requestClass(prefix, others);
+        }
+    }
+
+    private void requestClass(String name, RequestClass c) {
+        line("  " + name + ":");
+        line("    effect: " + c.effect().name().toLowerCase(Locale.ROOT));
+        line("    aim: " + Units.spanText(c.aim()));
+        line("    deadline: " + Units.spanText(c.deadline()));
+        line("    worth: " + number(c.worth()));
+        line("    late-worth: " + number(c.lateWorth()));
+        if (c.memory() > 0) {
+            line("    memory: " + Units.spanText(c.memory()));
+        }
+        line("    retry: " + c.retry());
+    }
+
+    private static String number(double number) {
+        return number == Math.rint(number) ? Long.toString((long) number)
+            : new java.math.BigDecimal(number).setScale(6, java.math.RoundingMode.HALF_UP).stripTrailingZeros()
+                .toPlainString();
+    }
+
+    private void pool(String name, Pool pool, List<Server> servers) {
+        line("  " + name + ":");
+        if (pool.file() != null) {
+            line("    file: " + quoted(relative(pool.file())));
+        } else if (pool.discovery() != null) {
+            line("    discovery: " + quoted(pool.discovery().toString()));
+        } else {
+            line("    servers:");
+            for (Server s : servers) {
+                line("      - {id: " + quoted(s.id()) + ", address: " + quoted(s.address().toString()) + ", weight: "
+                    + number(s.weight()) + (s.zone().isEmpty() ? "" : ", zone: " + s.zone())
+                    + (s.draining() ? ", state: draining" : "") + "}");
+            }
+        }
+        line("    connect-timeout: " + Units.spanText(pool.connectTimeout()));
+        line("    keep-alive: " + Units.spanText(pool.keepAlive()));
+        line("    idle: " + Units.spanText(pool.idle()));
+        line("    attempts: " + pool.attempts());
+        line("    in-flight: " + pool.inFlight());
+        line("    body: " + Units.sizeText(pool.body()));
+    }
+
+    private String relative(Path file) {
+        Path to = file.toAbsolutePath().normalize();
+        try {
+            return folder.toAbsolutePath().normalize().relativize(to).toString();
+        } catch (IllegalArgumentException e) {
+            return to.toString();
+        }
+    }
+
+    private void routes(String prefix, String listener, String pool, Map<String, Served> served, RequestClass others) {
+        served.forEach((name, s) -> {
+            List<String> paths = new ArrayList<>(s.paths());
+            for (int i = 0; i < paths.size(); i++) {
+                route(prefix + "--" + name + (i == 0 ? "" : "--" + (i + 1)), listener, paths.get(i),
+                    s.methods().isEmpty() ? "" : ", methods: [" + String.join(", ", new TreeSet<>(s.methods())) + "]",
+                    pool, prefix + "--" + name);
+            }
+        });
+        if (others != null) {
+            route(prefix, listener, "/", "", pool, prefix);
+        }
+    }
+
+    private void route(String name, String listener, String path, String methods, String pool, String requestClass) {
+        line("  - {name: " + name + ", listener: " + listener + ", path: " + quoted(path) + methods + ", pool: " + pool
+            + ", class: " + requestClass + "}");
+    }
+}
--- /dev/null
+++ b/src/test/java/onyxpaddle/sidecar/GoodFilesTest.java
@@ -0,0 +1,119 @@
+package onyxpaddle.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import onyxpaddle.config.NodeConfig;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Each good description is written, the written one checked and started, and it serves over loopback. */
+class GoodFilesTest {
+    @TempDir
+    Path folder;
+    private final StringWriter out = new StringWriter();
+    private final StringWriter err = new StringWriter();
+
+    static Stream<Case> good() {
+        return Case.all("good-descriptions.txt").stream();
+    }
+
+    private int run(String... args) {
+        return SidecarCommand.run(args, new PrintWriter(out), new PrintWriter(err), BrokenFilesTest.MACHINE);
+    }
+
+    private Path description(Case good) throws IOException {
+        return Files.writeString(folder.resolve("d.yaml"), good.applied(Case.resource("description.yaml")));
+    }
+
+    @ParameterizedTest
+    @MethodSource("good")
+    void isWrittenCheckedStartedAndServes(Case good) throws Exception {
+        Path file = description(good);
+        Path nodes = folder.resolve("nodes");
+        assertEquals(0, run("write", file.toString(), "--out", nodes.toString()), err::toString);
+        assertEquals(0, run("check", nodes.toString()), err::toString);
+        Checked checked = Checked.of(List.of(file), BrokenFilesTest.MACHINE);
+        try (Trial trial = new Trial(checked.descriptions.get(0))) {
+            List<Trial.Asked> asked = trial.ask();
+            assertTrue(asked.size() >= 4 && Trial.sound(asked), asked::toString);
+        }
+    }
+
+    @Test
+    void thereAreAsManyAsIsSaid() {
+        assertTrue(good().count() >= 12);
+    }
+
+    @Test
+    void theExamplesAreSoundAndServe() throws Exception {
+        Path examples = Path.of("deploy/examples");
+        assertEquals(0, run("check", examples.toString()), err::toString);
+        assertEquals(0, run("try", examples.resolve("booking.yaml").toString(), "--once"), () -> out + "" + err);
+        assertTrue(out.toString().contains("all as it should be"), out::toString);
+    }
+
+    @Test
+    void writingIsTheSameEachTimeAndLeavesWhatAPersonChanged() throws Exception {
+        Path file = description(good().findFirst().orElseThrow());
+        Path node = folder.resolve("nodes/booking.node.yaml");
+        String[] write = {"write", file.toString(), "--out", folder.resolve("nodes").toString()};
+        assertEquals(0, run(write));
+        String first = Files.readString(node);
+        assertEquals(0, run(write));
+        assertTrue(out.toString().endsWith("as it should be\n"), out::toString);
+        assertEquals(first, Files.readString(node));
+
+        Files.writeString(file, Files.readString(file).replace("worth: 3", "worth: 4"));
+        assertEquals(0, run("write", file.toString(), "--out", folder.resolve("nodes").toString(), "--diff"));
+        assertEquals(first, Files.readString(node));
+        assertTrue(out.toString().contains("\n-    worth: 3\n") && out.toString().contains("\n+    worth: 4\n"));
+        assertEquals(0, run(write));
+        assertTrue(Files.readString(node).contains("worth: 4"));
+
+        String changed = Files.readString(node).replace("attempts: 3", "attempts: 2");
+        Files.writeString(node, changed);
+        assertEquals(78, run(write));
+        assertEquals(changed, Files.readString(node));
+        assertTrue(out.toString().contains("changed by hand since it was written: left alone"), out::toString);
+        assertEquals(0, run("write", file.toString(), "--out", folder.resolve("nodes").toString(), "--force"));
+        assertTrue(Files.readString(node).contains("attempts: 3"));
+    }
+
+    @Test
+    void explanationNamesTheRouteAndWhyTheOthersLost() throws Exception {
+        Path file = Files.writeString(folder.resolve("c.yaml"), Case.resource("configuration.yaml"));
+        NodeConfig config = Checked.of(List.of(file), BrokenFilesTest.MACHINE).configs.get(file);
+        Map<String, String> lines = Explanation.of(config, "GET", URI.create("http://h:8080/slots/4?x=1"), Map.of());
+        assertEquals("look (path /slots, method GET)", lines.get("route"));
+        assertEquals("/slots/4?x=1", lines.get("goes on as"));
+        assertEquals("1500 ms", lines.get("deadline"));
+        assertEquals("path is not /visits or below", lines.get("not book"));
+        assertEquals("404 at once: no route holds",
+            Explanation.of(config, "POST", URI.create("http://h:8080/slots"), Map.of()).get("answer"));
+        assertEquals("out (path /)",
+            Explanation.of(config, "POST", URI.create("http://h:9101/slots"), Map.of()).get("route"));
+        assertEquals(0, run("explain", file.toString(), "POST", "http://clinic/visits", "X-Beta: 1"), err::toString);
+        assertTrue(out.toString().contains("attempts: at most 3, a further one only if all before never ran\n"));
+    }
+
+    @Test
+    void schemaNamesEveryKey() {
+        assertEquals(0, run("schema"));
+        assertEquals(0, run("schema", "configuration"));
+        assertEquals(0, run("schema", "list"));
+        assertTrue(out.toString().contains("\"late-worth\"") && out.toString().contains("\"connect-timeout\""));
+        assertEquals(64, run("schema", "colour"));
+    }
+}
--- /dev/null
+++ b/src/test/java/onyxpaddle/sidecar/MutatedKeysTest.java
@@ -0,0 +1,160 @@
+package onyxpaddle.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import onyxpaddle.config.Fault;
+import onyxpaddle.config.Faults;
+import onyxpaddle.config.NodeShape;
+import onyxpaddle.config.Shape;
+import onyxpaddle.config.Shape.Key;
+import onyxpaddle.config.Shape.ListOf;
+import onyxpaddle.config.Shape.MapOf;
+import onyxpaddle.config.Shape.Section;
+import onyxpaddle.config.Shape.ShortOr;
+import onyxpaddle.config.SourceFile;
+import onyxpaddle.config.Value;
+import onyxpaddle.config.Value.Mapping;
+import onyxpaddle.config.Value.Scalar;
+import onyxpaddle.config.Value.Sequence;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Every key of every example is misspelt, doubled, given another type and removed, one at a time: each is refused at
+ * its line, but for a removal of what the shape calls optional.
+ */
+class MutatedKeysTest {
+    private enum Slip { NONE, MISSPELT, DOUBLED, OTHER_TYPE, REMOVED }
+
+    /** An example and its shape. */
+    record Example(String name, String text, Section shape) {
+        @Override
+        public String toString() {
+            return name;
+        }
+    }
+
+    @TempDir
+    Path folder;
+
+    static Stream<Example> examples() throws IOException {
+        List<Example> all = new ArrayList<>();
+        String base = Case.resource("description.yaml");
+        Case.all("good-descriptions.txt").forEach(c -> all.add(new Example(c.name(), c.applied(base), DescriptionShape.ALL)));
+        all.add(new Example("booking", Files.readString(Path.of("deploy/examples/booking.yaml")), DescriptionShape.ALL));
+        all.add(new Example("configuration", Case.resource("configuration.yaml"), NodeShape.NODE));
+        return all.stream();
+    }
+
+    /** Writes a tree out with each key on a line of its own, and one slip at one path. */
+    private static final class Writer {
+        private final StringBuilder out = new StringBuilder();
+        private final String at;
+        private final Slip slip;
+        private int line = 1;
+        private int slipLine;
+
+        Writer(String at, Slip slip) {
+            this.at = at;
+            this.slip = slip;
+        }
+
+        private void value(Value value) {
+            if (value instanceof Scalar scalar) {
+                out.append(scalar.quoted() ? "\"" + scalar.text() + "\"" : scalar.text());
+            } else if (value instanceof Sequence sequence) {
+                out.append('[');
+                sequence.items().forEach(item -> {
+                    value(item);
+                    out.append(", ");
+                });
+                out.append(']');
+            } else if (value instanceof Mapping mapping) {
+                out.append('{');
+                mapping.values().forEach((name, below) -> key(mapping, name, below));
+                out.append('}');
+            }
+        }
+
+        private void key(Mapping mapping, String name, Value value) {
+            boolean here = (mapping.path().isEmpty() ? name : mapping.path() + "." + name).equals(at);
+            if (here && slip == Slip.REMOVED) {
+                return;
+            }
+            out.append('\n');
+            line++;
+            slipLine = here ? line : slipLine;
+            out.append('"').append(here && slip == Slip.MISSPELT ? name + "qx" : name).append("\": ");
+            if (here && slip == Slip.OTHER_TYPE) {
+                out.append(value instanceof Scalar ? "{other: type}" : "type");
+            } else {
+                value(value);
+            }
+            out.append(',');
+            if (here && slip == Slip.DOUBLED) {
+                out.append('\n');
+                line++;
+                slipLine = line;
+                out.append('"').append(name).append("\": ");
+                value(value);
+                out.append(',');
+            }
+        }
+    }
+
+    /** The keys of a tree with what the shape says of each; names that people choose are left out. */
+    private static void keys(Value value, Shape shape, Map<String, Key> into) {
+        if (shape instanceof ShortOr either) {
+            keys(value, value instanceof Mapping ? either.full() : either.brief(), into);
+        } else if (value instanceof Sequence sequence && shape instanceof ListOf list) {
+            sequence.items().forEach(item -> keys(item, list.item(), into));
+        } else if (value instanceof Mapping mapping && shape instanceof MapOf map) {
+            mapping.values().values().forEach(below -> keys(below, map.item(), into));
+        } else if (value instanceof Mapping mapping && shape instanceof Section section) {
+            mapping.values().forEach((name, below) -> {
+                Key key = section.keys().stream().filter(k -> k.name().equals(name)).findFirst().orElseThrow();
+                into.put(below.path(), key);
+                keys(below, key.shape(), into);
+            });
+        }
+    }
+
+    private List<Fault> faults(String text) throws IOException {
+        Path file = Files.writeString(folder.resolve("m.yaml"), text);
+        return Checked.of(List.of(file), BrokenFilesTest.MACHINE).faults.list();
+    }
+
+    @ParameterizedTest
+    @MethodSource("examples")
+    void noSlipGoesUnseen(Example example) throws IOException {
+        Value tree = SourceFile.parse(example.name(), example.text(), new Faults());
+        Map<String, Key> keys = new java.util.LinkedHashMap<>();
+        keys(tree, example.shape(), keys);
+        assertTrue(keys.size() >= 15, "too few keys to mean anything: " + keys.size());
+        Writer sound = new Writer("", Slip.NONE);
+        sound.value(tree);
+        assertEquals(List.of(), faults(sound.out + "\n"));
+        for (Map.Entry<String, Key> key : keys.entrySet()) {
+            for (Slip slip : List.of(Slip.MISSPELT, Slip.DOUBLED, Slip.OTHER_TYPE, Slip.REMOVED)) {
+                Writer writer = new Writer(key.getKey(), slip);
+                writer.value(tree);
+                List<Fault> faults = faults(writer.out + "\n");
+                String what = example.name() + ", " + key.getKey() + " " + slip + ": " + faults;
+                if (slip == Slip.REMOVED) {
+                    assertTrue(!faults.isEmpty() || !key.getValue().required(), what);
+                } else {
+                    assertTrue(faults.stream().anyMatch(f -> f.place().line() == writer.slipLine), what);
+                }
+            }
+        }
+    }
+}
