A sidecar drains its inbound side first: the application's own calls go on until then

Cause: at SIGTERM all listeners drained at once. After 0.5 to 1.5 s the application could open no connection to what it calls, while the requests that it had taken still needed that.

Change: a listener has a side; the tool writes `side: outbound` for calls, and these drain once the inbound ones have. A front counts its own unanswered requests in place of the node's, so that calls do not hold up the inbound side.

--- a/src/main/java/onyxpaddle/config/NodeConfig.java
+++ b/src/main/java/onyxpaddle/config/NodeConfig.java
@@ -15,8 +15,13 @@
     public record Limits(long memory, int descriptors) {
     }
 
-    /** {@code idle}: how long a connection may stay open between requests. */
-    public record Listener(String name, HostPort address, long idle) {
+    /**
+     * A listener.
+     *
+     * @param idle how long a connection may stay open between requests
+     * @param outbound for what the application itself calls: it serves on until the inbound ones have drained
+     */
+    public record Listener(String name, HostPort address, long idle, boolean outbound) {
     }
 
     /**
--- a/src/main/java/onyxpaddle/config/NodeConfigReader.java
+++ b/src/main/java/onyxpaddle/config/NodeConfigReader.java
@@ -93,7 +93,8 @@
                         + other.name() + "` too (" + other.address() + ")", "a port of its own for each listener");
                 }
             }
-            listeners.put(name, new Listener(name, address, view.span("idle", USUAL_CLIENT_IDLE)));
+            listeners.put(name, new Listener(name, address, view.span("idle", USUAL_CLIENT_IDLE),
+                view.word("side", "inbound", "inbound", "outbound").equals("outbound")));
         });
         return listeners;
     }
--- a/src/main/java/onyxpaddle/config/NodeShape.java
+++ b/src/main/java/onyxpaddle/config/NodeShape.java
@@ -86,6 +86,8 @@
 
     private static final Section LISTENER = section(
         required("address", plain(Kind.ADDRESS), "where callers connect"),
+        optional("side", word("inbound", "outbound"), "inbound",
+            "`outbound`: for what the application itself calls; it serves on until the inbound ones have drained"),
         optional("idle", within(Kind.SPAN, 100 * MS, 3600 * S), "60 s",
             "how long a caller's connection may stay open between requests"));
 
--- a/src/main/java/onyxpaddle/http/ClientConnection.java
+++ b/src/main/java/onyxpaddle/http/ClientConnection.java
@@ -333,6 +333,11 @@
         return exchange == null ? 0 : Math.max(0, taken.largest() - Body.USUAL_LARGEST) * FOR_EACH_BYTE;
     }
 
+    /** Whether a request that was taken has no answer yet. */
+    boolean waits() {
+        return state == State.WAITING;
+    }
+
     /** Whether a request that is not yet answered is, or will be, this pool's. */
     boolean uses(Dispatcher pool) {
         return exchange != null && taken.pool() == pool;
--- a/src/main/java/onyxpaddle/http/HttpFront.java
+++ b/src/main/java/onyxpaddle/http/HttpFront.java
@@ -21,7 +21,6 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import java.util.function.IntSupplier;
 import onyxpaddle.node.Budget;
 import onyxpaddle.node.Clock;
 import onyxpaddle.node.Dispatcher;
@@ -49,7 +48,6 @@
     RequestDialect dialect;
     private final Budget budget;
     private final SharedLimit.Share connections;
-    private final IntSupplier unanswered;
     private final EventLoop loop;
     private final ByteBufAllocator allocator;
     private final BooleanSupplier ready;
@@ -66,16 +64,15 @@
     private long drainingSince;
     private long acceptedAt;
 
-    /** {@code unanswered}: how many requests the node has taken and not answered yet. */
+    /** {@code dialect}: null where {@link #use} gives it before {@link #open}. */
     public HttpFront(EventLoop loop, ByteBufAllocator allocator, Clock clock, Budget budget, RequestDialect dialect,
-            IntSupplier unanswered, BooleanSupplier ready) {
+            BooleanSupplier ready) {
         this.loop = loop;
         this.allocator = allocator;
         this.clock = clock;
         this.budget = budget;
         this.connections = budget.front();
         this.dialect = dialect;
-        this.unanswered = unanswered;
         this.ready = ready;
     }
 
@@ -256,6 +253,15 @@
         loop.scheduleWithFixedDelay(() -> drainStep(done), 50, 50, TimeUnit.MILLISECONDS);
     }
 
+    private boolean noneWaits() {
+        for (ClientConnection c : open) {
+            if (c.waits()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private void drainStep(Runnable done) {
         long now = clock.now();
         long passed = now - drainingSince;
@@ -268,7 +274,7 @@
                 c.close();
             }
         }
-        if (unanswered.getAsInt() == 0 && (open.isEmpty() || now >= endsAt())) {
+        if (noneWaits() && (open.isEmpty() || now >= endsAt())) {
             done.run();
         }
     }
--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -52,11 +52,6 @@
         onSubscribe = subscribe;
     }
 
-    /** Requests that still wait for their final answer. */
-    public int unanswered() {
-        return unanswered;
-    }
-
     /** Whether nothing is out any more, answered or not. */
     public boolean idle() {
         return exchanges.isEmpty();
--- a/src/main/java/onyxpaddle/node/SharedLimit.java
+++ b/src/main/java/onyxpaddle/node/SharedLimit.java
@@ -5,8 +5,8 @@
 
 /**
  * One limit that several hold together, such as bytes or descriptors, of which none can use up what the others need.
- * Half of it is shared out evenly as guaranteed parts, the other half goes to whoever asks first. The invariant: all
- * hold no more than the total, and a member that holds less than its guarantee may always take up to it. Used by one
+ * Half of it is shared out evenly as guaranteed parts, the other half goes to whoever asks first. The invariant: but
+ * for what {@link Share#takeAnyway} adds, all hold no more than the total, and a member that holds less than its guarantee may always take up to it. Used by one
  * thread alone.
  *
  * <p>Guards against a pool whose servers are silent, whose bodies and connections then pile up; it should cover any
--- a/src/main/java/onyxpaddle/serve/Node.java
+++ b/src/main/java/onyxpaddle/serve/Node.java
@@ -99,8 +99,7 @@
         discovery = discovery(loop);
         dispatcher.connect(servers, () -> discovery.subscribe());
         clients = new HttpFront(loop, allocator, clock, budget,
-            new PlatformRequests(config.settings().classes(), dispatcher, share.bytes()), dispatcher::unanswered,
-            this::ready);
+            new PlatformRequests(config.settings().classes(), dispatcher, share.bytes()), this::ready);
         apply(config.known(), ListKind.REMEMBERED);
         discovery.start();
     }
--- a/src/main/java/onyxpaddle/serve/Sidecar.java
+++ b/src/main/java/onyxpaddle/serve/Sidecar.java
@@ -156,7 +156,7 @@
         List<ChannelFuture> binding = new ArrayList<>();
         for (Listener listener : current.config().listeners().values()) {
             if (standing(listener) == null) {
-                HttpFront front = new HttpFront(loop, allocator, clock, budget, null, this::unanswered, this::ready);
+                HttpFront front = new HttpFront(loop, allocator, clock, budget, null, this::ready);
                 binding.add(front.listen(Addresses.of(listener.address().host(), listener.address().port()), true));
                 fresh.add(new Door(listener, front, null));
             }
@@ -275,17 +275,6 @@
 
     // ---- what is asked of it ----
 
-    private int unanswered() {
-        int sum = 0;
-        for (PoolUnit pool : pools.values()) {
-            sum += pool.dispatcher.unanswered();
-        }
-        for (PoolUnit pool : leavingPools) {
-            sum += pool.dispatcher.unanswered();
-        }
-        return sum;
-    }
-
     private boolean ready() {
         return pools.values().stream().allMatch(PoolUnit::ready);
     }
@@ -306,20 +295,14 @@
 
     // ---- end ----
 
-    /** Ends as planned: returns when all that was taken is answered. */
+    /**
+     * Ends as planned: returns when all that was taken is answered. The outbound side drains after the inbound one, as
+     * the application needs what it calls to answer what it has taken.
+     */
     public void drain() {
         Log.line("draining");
         CountDownLatch left = new CountDownLatch(1);
-        loop.execute(() -> {
-            Set<HttpFront> open = new HashSet<>();
-            doors.values().forEach(door -> open.add(door.front()));
-            doors.values().forEach(door -> door.front().drain(() -> {
-                open.remove(door.front());
-                if (open.isEmpty()) {
-                    left.countDown();
-                }
-            }));
-        });
+        loop.execute(() -> drain(false, () -> drain(true, left::countDown)));
         try {
             left.await(LONGEST_DRAIN_S, TimeUnit.SECONDS);
         } catch (InterruptedException e) {
@@ -327,6 +310,27 @@
         }
     }
 
+    /** Drains the listeners of one side, then goes on, once. */
+    private void drain(boolean outbound, Runnable then) {
+        Set<HttpFront> open = new HashSet<>();
+        for (Door door : doors.values()) {
+            if (door.listener().outbound() == outbound) {
+                open.add(door.front());
+            }
+        }
+        if (open.isEmpty()) {
+            then.run();
+            return;
+        }
+        for (HttpFront front : List.copyOf(open)) {
+            front.drain(() -> {
+                if (open.remove(front) && open.isEmpty()) {
+                    then.run();
+                }
+            });
+        }
+    }
+
     /** Ends at once. */
     public void stop() {
         files.shutdownNow();
--- a/src/main/java/onyxpaddle/sidecar/Derivation.java
+++ b/src/main/java/onyxpaddle/sidecar/Derivation.java
@@ -49,7 +49,7 @@
         line("listeners:");
         line("  inbound: {address: " + quoted(of.inbound().toString()) + "}");
         for (Call call : of.calls().values()) {
-            line("  call-" + call.name() + ": {address: \"127.0.0.1:" + call.port() + "\"}");
+            line("  call-" + call.name() + ": {address: \"127.0.0.1:" + call.port() + "\", side: outbound}");
         }
         line("classes:");
         classes("in", of.serves(), of.others());
--- a/src/test/java/onyxpaddle/PackageRulesTest.java
+++ b/src/test/java/onyxpaddle/PackageRulesTest.java
@@ -19,7 +19,7 @@
         .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("onyxpaddle");
     /** Modules that decide, besides the root package. */
     private static final Set<String> DECIDERS = Set.of("onyxpaddle.RatioBalancer", "onyxpaddle.Balancing",
-        "onyxpaddle.FlatSettings", "onyxpaddle.node.SharedLimit", "onyxpaddle.node.Budget");
+        "onyxpaddle.FlatSettings", "onyxpaddle.node.SharedLimit", "onyxpaddle.node.Budget", "onyxpaddle.node.InFlightLimit");
 
     private static final DescribedPredicate<JavaClass> DECIDES = DescribedPredicate.describe("decide",
         c -> DECIDERS.stream().anyMatch(name -> c.getName().equals(name) || c.getName().startsWith(name + "$"))
--- /dev/null
+++ b/src/test/java/onyxpaddle/serve/SidecarDrainTest.java
@@ -0,0 +1,56 @@
+package onyxpaddle.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import onyxpaddle.serve.Loopback.Client;
+import onyxpaddle.serve.Loopback.FakeServer;
+import onyxpaddle.standin.StandInServer;
+import org.junit.jupiter.api.Test;
+
+/** The planned end of a sidecar: the application can still call out while it answers what it has taken. */
+class SidecarDrainTest {
+    private static final String GET = "GET /slots HTTP/1.1\r\nHost: a\r\n";
+
+    @Test
+    void outboundSideServesUntilTheInboundOneHasDrained() throws Exception {
+        try (FakeServer app = new FakeServer("app"); StandInServer box = new StandInServer("box", 0);
+                SidecarRig rig = new SidecarRig(SidecarRig.simple("", box)
+                    .replace("  in: {address: \"127.0.0.1:0\"}",
+                        "  in: {address: \"127.0.0.1:0\"}\n  out: {address: \"127.0.0.1:0\", side: outbound}")
+                    .replace("  app:\n", "  own: {servers: [\"" + app.address() + "\"]}\n  app:\n")
+                    .replace("pool: app", "pool: own")
+                    + "  - {name: out, listener: out, path: /, pool: app, class: look}\n");
+                Client caller = new Client(rig.node.address("in"))) {
+            caller.say("POST /visits HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+            assertTrue(app.heard().startsWith("POST /visits"));
+            Thread drain = new Thread(rig.node::drain);
+            drain.start();
+            // The inbound side is closed for new connections in time; the application, still at work, calls out.
+            long end = System.nanoTime() + 10_000_000_000L;
+            while (takes(rig, "in")) {
+                assertTrue(System.nanoTime() < end, "the inbound side goes on listening");
+                Thread.sleep(20);
+            }
+            try (Client outbound = new Client(rig.node.address("out"))) {
+                assertEquals("200 box GET /slots 0 bytes\n", outbound.say(GET + "Connection: close\r\n\r\n").hear());
+            }
+            assertTrue(drain.isAlive());
+            app.answers.add(Loopback.ok("done"));
+            assertEquals("200 done", caller.hear());
+            caller.socket.close();
+            drain.join(Loopback.PATIENCE_MS);
+            assertFalse(drain.isAlive());
+            assertFalse(takes(rig, "out"));
+        }
+    }
+
+    private static boolean takes(SidecarRig rig, String listener) throws Exception {
+        try (Client client = new Client(rig.node.address(listener))) {
+            return client.socket.isConnected();
+        } catch (java.net.ConnectException e) {
+            return false;
+        }
+    }
+}
