--- a/src/main/java/onyxpaddle/measure/Load.java
+++ b/src/main/java/onyxpaddle/measure/Load.java
@@ -10,6 +10,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
 /** A closed loop of connections that ask the same again and again for a while, each with one request open. */
 final class Load {
@@ -35,21 +36,24 @@
     private static final class Worker extends Thread {
         private final InetSocketAddress to;
         private final byte[] request;
+        private final long from;
         private final long until;
         private long[] trips = new long[1 << 12];
         private int count;
         private long others;
         private long broken;
 
-        Worker(InetSocketAddress to, byte[] request, long until) {
+        Worker(InetSocketAddress to, byte[] request, long from, long until) {
             this.to = to;
             this.request = request;
+            this.from = from;
             this.until = until;
             setDaemon(true);
         }
 
         @Override
         public void run() {
+            LockSupport.parkNanos(from - System.nanoTime());
             while (System.nanoTime() < until) {
                 try (Socket socket = new Socket()) {
                     socket.setTcpNoDelay(true);
@@ -114,10 +118,17 @@
 
     /** Asks over so many connections for so long. */
     static Result run(InetSocketAddress to, byte[] request, int connections, double seconds) throws InterruptedException {
+        return run(to, request, connections, seconds, 0);
+    }
+
+    /** As the other; the connections start one after the other, over the first {@code spread} seconds. */
+    static Result run(InetSocketAddress to, byte[] request, int connections, double seconds, double spread)
+            throws InterruptedException {
         long start = System.nanoTime();
         List<Worker> workers = new ArrayList<>();
         for (int i = 0; i < connections; i++) {
-            workers.add(new Worker(to, request, start + (long) (seconds * 1e9)));
+            long from = start + (long) (spread * 1e9 * i / connections);
+            workers.add(new Worker(to, request, from, start + (long) (seconds * 1e9)));
         }
         workers.forEach(Thread::start);
         for (Worker worker : workers) {
