--- a/src/main/java/onyxpaddle/config/NodeConfig.java
+++ b/src/main/java/onyxpaddle/config/NodeConfig.java
@@ -1,13 +1,17 @@
 package onyxpaddle.config;
 
 import java.nio.file.Path;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
+import onyxpaddle.route.Procedure;
 import onyxpaddle.route.Route;
 
 /** A node's configuration, sound: what {@code serve --config} runs by. Spans in nanoseconds, sizes in bytes. */
 public record NodeConfig(String name, String tenant, Limits limits, Map<String, Listener> listeners,
-        Map<String, RequestClass> classes, Map<String, Pool> pools, List<Route> routes) {
+        Map<String, RequestClass> classes, Map<String, Pool> pools, List<Route> routes,
+        List<Procedure> procedures) {
     /** What effect a repeat of a request may have. */
     public enum Effect { SAFE, KEYED, UNSAFE }
 
@@ -19,9 +23,14 @@
      * A listener.
      *
      * @param idle how long a connection may stay open between requests
+     * @param rpc callers speak MessagePack-RPC, {@code openCalls} at once on a connection at most; else HTTP
      * @param outbound for what the application itself calls: it serves on until the inbound ones have drained
      */
-    public record Listener(String name, HostPort address, long idle, boolean outbound) {
+    public record Listener(String name, HostPort address, long idle, boolean outbound, boolean rpc, int openCalls) {
+        /** Whether a listener that stands may go on as this one. */
+        public boolean sameDoor(Listener other) {
+            return address.equals(other.address) && rpc == other.rpc;
+        }
     }
 
     /**
@@ -34,8 +43,33 @@
             long memory, boolean retry) {
     }
 
-    /** One server of a list. */
-    public record Server(String id, HostPort address, double weight, String zone, boolean draining) {
+    /** One server of a list: {@code address} for HTTP and {@code rpc} for MessagePack-RPC, one of which may be null. */
+    public record Server(String id, HostPort address, double weight, String zone, boolean draining, HostPort rpc) {
+        /** One that speaks HTTP alone. */
+        public Server(String id, HostPort address, double weight, String zone, boolean draining) {
+            this(id, address, weight, zone, draining, null);
+        }
+
+        /** Where it is reached, by either protocol. */
+        public List<HostPort> addresses() {
+            return address == null ? List.of(rpc) : rpc == null ? List.of(address) : List.of(address, rpc);
+        }
+
+        /** Its addresses, for people. */
+        public String told() {
+            return address == null ? rpc + " (rpc)" : rpc == null ? address.toString() : address + " and " + rpc + " (rpc)";
+        }
+    }
+
+    /**
+     * How a pool's servers are called by MessagePack-RPC.
+     *
+     * @param connections the most to one server
+     * @param calls the most at once on a connection
+     * @param envelope whether servers are told of key, tenant and time left
+     */
+    public record Rpc(int connections, int calls, boolean envelope) {
+        public static final Rpc USUAL = new Rpc(4, 64, false);
     }
 
     /**
@@ -49,21 +83,33 @@
      * @param startCapacity the part of its capacity that a cold server starts with
      */
     public record Pool(String name, List<Server> servers, Path file, HostPort discovery, long connectTimeout,
-            long keepAlive, long idle, int attempts, int inFlight, long body, long cold, double startCapacity) {
+            long keepAlive, long idle, int attempts, int inFlight, long body, long cold, double startCapacity, Rpc rpc) {
         /** The same but for its servers. */
         public boolean differsInServersOnly(Pool other) {
             return withoutServers().equals(other.withoutServers());
         }
 
+        /** The same with a fixed list of servers. */
+        public Pool at(List<Server> fixed) {
+            return new Pool(name, fixed, null, null, connectTimeout, keepAlive, idle, attempts, inFlight, body, cold,
+                startCapacity, rpc);
+        }
+
         private Pool withoutServers() {
             return new Pool(name, List.of(), file, discovery, connectTimeout, keepAlive, idle, attempts, inFlight, body,
-                cold, startCapacity);
+                cold, startCapacity, rpc);
         }
     }
 
-    /** The classes that a pool's routes name. */
+    /** The classes that a pool's routes and procedures name. */
     public List<RequestClass> classesOf(String pool) {
-        return routes.stream().filter(r -> r.pool().equals(pool)).map(r -> classes.get(r.requestClass())).distinct()
-            .sorted(java.util.Comparator.comparing(RequestClass::name)).toList();
+        return Stream.concat(routes.stream().filter(r -> r.pool().equals(pool)).map(Route::requestClass),
+            procedures.stream().filter(p -> p.pool().equals(pool)).map(Procedure::requestClass)).map(classes::get).distinct()
+            .sorted(Comparator.comparing(RequestClass::name)).toList();
+    }
+
+    /** Whether any procedure leads to the pool. */
+    public boolean called(String pool) {
+        return procedures.stream().anyMatch(p -> p.pool().equals(pool));
     }
 }
--- a/src/main/java/onyxpaddle/config/NodeConfigReader.java
+++ b/src/main/java/onyxpaddle/config/NodeConfigReader.java
@@ -15,7 +15,9 @@
 import onyxpaddle.config.NodeConfig.Listener;
 import onyxpaddle.config.NodeConfig.Pool;
 import onyxpaddle.config.NodeConfig.RequestClass;
+import onyxpaddle.config.NodeConfig.Rpc;
 import onyxpaddle.config.NodeConfig.Server;
+import onyxpaddle.route.Procedure;
 import onyxpaddle.route.Route;
 import onyxpaddle.route.RouteFaults;
 import onyxpaddle.route.RouteFaults.Conflict;
@@ -30,12 +32,15 @@
     public static final long USUAL_MEMORY = 64L << 20;
     public static final int USUAL_DESCRIPTORS = 1024;
     private static final long USUAL_CLIENT_IDLE = 60 * S;
+    public static final int USUAL_OPEN_CALLS = 256;
     /** Part of the servers' idle limit after which an idle connection is not used any more. */
     public static final double IDLE_PART = 0.7;
 
     private final View root;
     private final Path folder;
     private final Faults faults;
+    /** By pool, the servers that are known already. */
+    private final Map<String, List<Server>> known = new HashMap<>();
 
     private NodeConfigReader(View root, Path folder, Faults faults) {
         this.root = root;
@@ -71,9 +76,20 @@
         });
         Map<String, Pool> pools = new LinkedHashMap<>();
         root.named("pools").forEach((name, view) -> pools.put(name, pool(name, view, limits, listeners.values())));
-        List<Route> routes = routes();
-        return new NodeConfig(root.text("name", Shape.Kind.NAME, ""), root.text("tenant", Shape.Kind.NAME, null), limits,
-            listeners, classes, pools, routes);
+        Map<String, Set<String>> used = new HashMap<>();
+        List<Route> routes = routes(used, listeners);
+        List<Procedure> procedures = new ProcedureReader(root, faults).all(listeners, used);
+        if (!root.has("routes") && !root.has("procedures")) {
+            faults.add(root.place(), "", "nothing is routed", "`routes:` for HTTP, `procedures:` for MessagePack-RPC, or both");
+        } else {
+            unused("listeners", used, "no route belongs to this listener: it answers nothing but errors");
+            unused("pools", used, "no route leads to this pool");
+            unused("classes", used, "no route gives its requests this class");
+        }
+        NodeConfig config = new NodeConfig(root.text("name", Shape.Kind.NAME, ""), root.text("tenant", Shape.Kind.NAME, null),
+            limits, listeners, classes, pools, routes, procedures);
+        pools.forEach((name, pool) -> ProtocolCheck.check(config, pool, root.named("pools").get(name), known.get(name), faults));
+        return config;
     }
 
     public static Limits limits(View view) {
@@ -94,7 +110,9 @@
                 }
             }
             listeners.put(name, new Listener(name, address, view.span("idle", USUAL_CLIENT_IDLE),
-                view.word("side", "inbound", "inbound", "outbound").equals("outbound")));
+                view.word("side", "inbound", "inbound", "outbound").equals("outbound"),
+                view.word("protocol", "http", "http", "messagepack-rpc").equals("messagepack-rpc"),
+                view.count("open-calls", USUAL_OPEN_CALLS)));
         });
         return listeners;
     }
@@ -143,11 +161,12 @@
             List<Server> listed = ServerLists.named(view, file, faults);
             known = listed == null ? List.of() : listed;
         }
+        this.known.put(name, known);
         for (Server server : known) {
             for (Listener listener : listeners) {
-                if (server.address().reaches(listener.address())) {
+                if (server.addresses().stream().anyMatch(a -> a.reaches(listener.address()))) {
                     String key = file != null ? "file" : "servers";
-                    faults.add(view.place(key), view.path(key), "the server " + server.address()
+                    faults.add(view.place(key), view.path(key), "the server " + server.told()
                         + " is this node's own listener `" + listener.name() + "`: requests would go round in a circle",
                         "the address of the servers themselves");
                 }
@@ -187,25 +206,28 @@
         }
         return new Pool(name, servers, file, discovery, view.span("connect-timeout", USUAL_DIAL), keepAlive, idle,
             view.count("attempts", 3), view.count("in-flight", 0), body, view.span("cold", 0),
-            view.number("start-capacity", 1));
+            view.number("start-capacity", 1), rpc(view.section("rpc")));
+    }
+
+    private static Rpc rpc(View view) {
+        return new Rpc(view.count("connections", Rpc.USUAL.connections()), view.count("calls", Rpc.USUAL.calls()),
+            view.flag("envelope", Rpc.USUAL.envelope()));
     }
 
-    private List<Route> routes() {
+    private List<Route> routes(Map<String, Set<String>> used, Map<String, Listener> doors) {
         List<Route> routes = new ArrayList<>();
         Map<Route, View> places = new HashMap<>();
         Map<String, Place> names = new HashMap<>();
-        Set<String> listeners = new HashSet<>();
-        Set<String> pools = new HashSet<>();
-        Set<String> classes = new HashSet<>();
         for (View view : root.items("routes")) {
             String name = view.text("name", Shape.Kind.NAME, null);
-            String listener = known(view, "listener", "listeners");
-            String pool = known(view, "pool", "pools");
-            String requestClass = known(view, "class", "classes");
+            String listener = known(root, view, "listener", "listeners", used, faults);
+            String pool = known(root, view, "pool", "pools", used, faults);
+            String requestClass = known(root, view, "class", "classes", used, faults);
             String path = view.text("path", Shape.Kind.PATH, null);
-            listeners.add(String.valueOf(listener));
-            pools.add(String.valueOf(pool));
-            classes.add(String.valueOf(requestClass));
+            if (doors.containsKey(listener) && doors.get(listener).rpc()) {
+                faults.add(view.place("listener"), view.path("listener"), "callers of `" + listener
+                    + "` speak MessagePack-RPC, and this is a route for HTTP", "an HTTP listener, or an entry of `procedures`");
+            }
             Place first = name == null ? null : names.putIfAbsent(name, view.place());
             if (first != null) {
                 faults.add(view.place("name"), view.path("name"), "two routes are called `" + name
@@ -223,18 +245,24 @@
             });
             Route route = new Route(name, listener, view.text("host", Shape.Kind.HOST, null), path,
                 new HashSet<>(view.texts("methods", Shape.Kind.METHOD)), headers, pool, requestClass,
-                view.text("rewrite", Shape.Kind.PATH, null));
+                view.text("rewrite", Shape.Kind.PATH, null), procedure(view));
             if (places.put(route, view) == null) {
                 routes.add(route);
             }
         }
         conflicts(routes, places, faults);
-        unused("listeners", listeners, "no route belongs to this listener: it answers 404 to everything");
-        unused("pools", pools, "no route leads to this pool");
-        unused("classes", classes, "no route gives its requests this class");
         return routes;
     }
 
+    private String procedure(View view) {
+        String procedure = view.text("procedure", Shape.Kind.PROCEDURE, null);
+        if (procedure != null && procedure.endsWith("*")) {
+            faults.add(view.place("procedure"), view.path("procedure"), "a route stands for one procedure",
+                "its name in full, without `*`");
+        }
+        return procedure;
+    }
+
     /** Adds a fault for each two routes that conflict, at the place of the later one. */
     public static void conflicts(List<Route> routes, Map<Route, View> places, Faults faults) {
         for (Conflict conflict : RouteFaults.find(routes)) {
@@ -252,7 +280,8 @@
         }
     }
 
-    private String known(View view, String key, String among) {
+    /** The name under a key, if it is one of those in that part of the whole; a fault, and null, where it is not. */
+    static String known(View root, View view, String key, String among, Map<String, Set<String>> used, Faults faults) {
         String name = view.text(key, Shape.Kind.NAME, null);
         if (root.named(among).isEmpty()) {
             // Told where they should stand, and not once more for each route.
@@ -265,12 +294,13 @@
                 near != null ? "did you mean `" + near + "`?" : "one of " + String.join(", ", names));
             return null;
         }
+        used.computeIfAbsent(among, a -> new HashSet<>()).add(String.valueOf(name));
         return name;
     }
 
-    private void unused(String key, Set<String> used, String wrong) {
+    private void unused(String key, Map<String, Set<String>> used, String wrong) {
         root.named(key).keySet().forEach(name -> {
-            if (!used.contains(name) && root.has("routes")) {
+            if (!used.getOrDefault(key, Set.of()).contains(name)) {
                 faults.add(root.namePlace(key, name), ShapeCheck.join(key, name), wrong, "remove it, or add a route");
             }
         });
--- a/src/main/java/onyxpaddle/config/NodeShape.java
+++ b/src/main/java/onyxpaddle/config/NodeShape.java
@@ -57,7 +57,8 @@
 
     private static final Section SERVER = section(
         optional("id", plain(Kind.TEXT), "the address", "the same for as long as it is the same server"),
-        required("address", plain(Kind.ADDRESS), "where it listens"),
+        optional("address", plain(Kind.ADDRESS), "none", "where it listens for HTTP"),
+        optional("rpc", plain(Kind.ADDRESS), "none", "where it listens for MessagePack-RPC"),
         optional("weight", within(Kind.NUMBER, 0.001, 1e6), "1", "its size against the other servers"),
         optional("zone", plain(Kind.NAME), "none", "where it stands"),
         optional("state", word("ready", "draining"), "ready", "`draining`: finishes what it has, gets nothing new"));
@@ -76,8 +77,16 @@
         optional("count", within(Kind.COUNT, 1, 10_000), "not checked",
             "how many servers the list names: a file cut short is then found out"));
 
+    /** How a pool's servers are called by MessagePack-RPC. */
+    public static final Key RPC = optional("rpc", section(
+        optional("connections", within(Kind.COUNT, 1, 64), "4", "the most connections to one server"),
+        optional("calls", within(Kind.COUNT, 1, 10_000), "64", "the most calls at once on a connection"),
+        optional("envelope", plain(Kind.FLAG), "false",
+            "whether servers are told of key, tenant and time left in an envelope as callers use it")),
+        "see its keys", "how its servers are called by MessagePack-RPC");
+
     private static final Section POOL = section(SERVER_LIST, FILE, DISCOVERY, CONNECT_TIMEOUT, KEEP_ALIVE, IDLE,
-        ATTEMPTS, IN_FLIGHT, BODY,
+        ATTEMPTS, IN_FLIGHT, BODY, RPC,
         optional("cold", within(Kind.SPAN, 0, 3600 * S), "0 ms", "how long a server that has just started is cold"),
         optional("start-capacity", within(Kind.NUMBER, 0.01, 1), "1", "the part of its capacity it starts with"));
 
@@ -86,6 +95,9 @@
 
     private static final Section LISTENER = section(
         required("address", plain(Kind.ADDRESS), "where callers connect"),
+        optional("protocol", word("http", "messagepack-rpc"), "http", "what callers speak"),
+        optional("open-calls", within(Kind.COUNT, 1, 10_000), "256",
+            "for `messagepack-rpc`: the most calls at once on one connection; beyond, it is not read"),
         optional("side", word("inbound", "outbound"), "inbound",
             "`outbound`: for what the application itself calls; it serves on until the inbound ones have drained"),
         optional("idle", within(Kind.SPAN, 100 * MS, 3600 * S), "60 s",
@@ -101,7 +113,18 @@
             "headers and the value each must have"),
         required("pool", plain(Kind.NAME), "where its requests go"),
         required("class", plain(Kind.NAME), "what they are"),
-        optional("rewrite", plain(Kind.PATH), "none", "what stands in place of `path` as a request goes on"));
+        optional("rewrite", plain(Kind.PATH), "none", "what stands in place of `path` as a request goes on"),
+        optional("procedure", plain(Kind.PROCEDURE), "none",
+            "what its requests are called where a server speaks MessagePack-RPC only"));
+
+    private static final Section PROCEDURE = section(
+        required("name", plain(Kind.NAME), "what people call it"),
+        required("listener", plain(Kind.NAME), "the listener it belongs to"),
+        required("procedure", plain(Kind.PROCEDURE), "the procedure, or the start of several and `*`"),
+        required("pool", plain(Kind.NAME), "where its calls go"),
+        required("class", plain(Kind.NAME), "what they are"),
+        optional("path", plain(Kind.PATH), "none",
+            "where servers that speak HTTP only are asked (POST); below it, what stands for the `*`"));
 
     /** A node's configuration. */
     public static final Section NODE = section(
@@ -112,7 +135,8 @@
         required("listeners", new MapOf(Kind.NAME, LISTENER, false), "where callers connect"),
         required("classes", new MapOf(Kind.NAME, CLASS, false), "the classes of requests"),
         required("pools", new MapOf(Kind.NAME, POOL, false), "sets of servers"),
-        required("routes", some(ROUTE), "which requests go to which pool"));
+        optional("routes", some(ROUTE), "none", "which HTTP requests go to which pool"),
+        optional("procedures", some(PROCEDURE), "none", "which MessagePack-RPC calls go to which pool"));
 
     private NodeShape() {
     }
--- a/src/main/java/onyxpaddle/config/ServerLists.java
+++ b/src/main/java/onyxpaddle/config/ServerLists.java
@@ -18,30 +18,53 @@
         Map<String, Place> ids = new HashMap<>();
         Map<HostPort, Place> addresses = new HashMap<>();
         for (View item : at.items(key)) {
-            String text = item.isSection() ? item.text("address", Shape.Kind.ADDRESS, null)
-                : item.self(Shape.Kind.ADDRESS);
-            HostPort address = text == null ? null : HostPort.parse(text);
-            if (address == null) {
+            String text = item.self(Shape.Kind.ADDRESS);
+            HostPort address = item.isSection() ? item.address("address") : text == null ? null : HostPort.parse(text);
+            HostPort rpc = item.address("rpc");
+            if (address == null && rpc == null) {
+                if (item.isSection() && !item.has("address") && !item.has("rpc")) {
+                    faults.add(item.place(), item.path(), "a server without an address",
+                        "`address:` for HTTP, `rpc:` for MessagePack-RPC, or both");
+                }
                 continue;
             }
+            Server server = new Server(item.text("id", Shape.Kind.TEXT, (address != null ? address : rpc).toString()),
+                address, item.number("weight", 1), item.text("zone", Shape.Kind.NAME, ""),
+                item.word("state", "ready", "ready", "draining").equals("draining"), rpc);
+            if (reachable(server, item, faults) && !twice(server, item, ids, addresses, faults)) {
+                servers.add(server);
+            }
+        }
+        return servers;
+    }
+
+    private static boolean reachable(Server server, View item, Faults faults) {
+        for (HostPort address : server.addresses()) {
             if (address.port() == 0 || address.any()) {
                 faults.add(item.place(), item.path(), "nothing can be reached at " + address,
                     "the address and port that the server listens on");
-                continue;
+                return false;
             }
-            String id = item.text("id", Shape.Kind.TEXT, address.toString());
-            Place sameId = ids.putIfAbsent(id, item.place());
-            Place sameAddress = addresses.putIfAbsent(address, item.place());
-            if (sameId != null || sameAddress != null) {
-                faults.add(item.place(), item.path(), "the server " + (sameAddress != null ? address : id)
-                    + " stands twice, first at line " + (sameAddress != null ? sameAddress : sameId).line(),
-                    "each server once, with an id and an address of its own");
-                continue;
+        }
+        return true;
+    }
+
+    private static boolean twice(Server server, View item, Map<String, Place> ids, Map<HostPort, Place> addresses,
+            Faults faults) {
+        Place first = ids.putIfAbsent(server.id(), item.place());
+        String what = server.id();
+        for (HostPort address : server.addresses()) {
+            Place same = addresses.putIfAbsent(address, item.place());
+            if (same != null) {
+                first = same;
+                what = address.toString();
             }
-            servers.add(new Server(id, address, item.number("weight", 1), item.text("zone", Shape.Kind.NAME, ""),
-                item.word("state", "ready", "ready", "draining").equals("draining")));
         }
-        return servers;
+        if (first != null) {
+            faults.add(item.place(), item.path(), "the server " + what + " stands twice, first at line " + first.line(),
+                "each server once, with an id and an address of its own");
+        }
+        return first != null;
     }
 
     /** The servers of a list file; null where it is at fault in any way, as half a list is worse than the last one. */
--- a/src/main/java/onyxpaddle/config/Shape.java
+++ b/src/main/java/onyxpaddle/config/Shape.java
@@ -27,6 +27,8 @@
         PATH("a path from its first slash on, such as `/slots`"),
         METHOD("an HTTP method in capitals, such as `GET`"),
         HEADER("a header's name, such as `X-Clinic`"),
+        /** A remote procedure's name, or the start of several and an asterisk. */
+        PROCEDURE("a procedure's name, or the start of several and `*`, such as `patient.*`"),
         /** A host as in the Host header, without a port. */
         HOST("a host name, such as `records.svc`");
 
--- a/src/main/java/onyxpaddle/config/ShapeCheck.java
+++ b/src/main/java/onyxpaddle/config/ShapeCheck.java
@@ -20,6 +20,7 @@
     private static final Pattern PATH = Pattern.compile("/[!-~&&[^?#%]]{0,255}");
     private static final Pattern TOKEN = Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]{1,64}");
     private static final Pattern HOST = Pattern.compile("[A-Za-z0-9](?:[A-Za-z0-9.-]{0,251}[A-Za-z0-9])?");
+    private static final Pattern PROCEDURE = Pattern.compile("[!-~&&[^*]]{1,200}|[!-~&&[^*]]{0,199}\\*");
     private static final Pattern WHOLE = Pattern.compile("-?[0-9]{1,12}");
     private static final Pattern NUMBER = Pattern.compile("-?[0-9]{1,12}(\\.[0-9]{1,9})?");
     private static final Set<String> METHODS = Set.of("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS");
@@ -160,6 +161,7 @@
             case PATH -> PATH.matcher(text).matches() && !dotted(text) ? null : "is no path: " + shown;
             case METHOD -> METHODS.contains(text) ? null : "is no method: " + shown;
             case HEADER -> TOKEN.matcher(text).matches() ? null : "is no header name: " + shown;
+            case PROCEDURE -> PROCEDURE.matcher(text).matches() ? null : "is no procedure: " + shown;
             case HOST -> HOST.matcher(text.startsWith("*.") ? text.substring(2) : text).matches() ? null
                 : "is no host name: " + shown;
         };
--- a/src/main/java/onyxpaddle/http/ClientConnection.java
+++ b/src/main/java/onyxpaddle/http/ClientConnection.java
@@ -224,7 +224,7 @@
         } else if (!exchange.body.add(content.content())) {
             // Nothing of it was sent on, so the client may try again when there is room.
             reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
-        } else if (last && taken.pool().holds(exchange.id)) {
+        } else if (last && (taken.pool().holds(exchange.id) || !taken.sound().test(exchange.body))) {
             reject(HttpResponseStatus.BAD_REQUEST);
         } else if (last) {
             anyRequest = true;
--- a/src/main/java/onyxpaddle/http/HttpFront.java
+++ b/src/main/java/onyxpaddle/http/HttpFront.java
@@ -24,11 +24,12 @@
 import onyxpaddle.node.Budget;
 import onyxpaddle.node.Clock;
 import onyxpaddle.node.Dispatcher;
+import onyxpaddle.node.Front;
 import onyxpaddle.node.SharedLimit;
 import onyxpaddle.node.Sockets;
 
 /** The listener and its client connections: how many are open, which of them are idle, and the planned end. */
-public final class HttpFront {
+public final class HttpFront implements Front {
     private static final int LONGEST_LINE = 8 * 1024;
     private static final int LONGEST_HEAD = 16 * 1024;
     private static final long SWEEP_MS = 250;
@@ -76,6 +77,16 @@
         this.ready = ready;
     }
 
+    @Override
+    public ChannelFuture listen(InetSocketAddress address) {
+        return listen(address, true);
+    }
+
+    @Override
+    public InetSocketAddress address() {
+        return (InetSocketAddress) listener.localAddress();
+    }
+
     /** {@code wait}: connections are left in the backlog until {@link #open}. */
     public ChannelFuture listen(InetSocketAddress address, boolean wait) {
         sweeping = loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
@@ -124,6 +135,7 @@
     }
 
     /** Takes connections from now on, where {@link #listen} was told to wait. */
+    @Override
     public void open() {
         opened = true;
         listener.config().setAutoRead(true);
@@ -133,6 +145,7 @@
      * Takes no further connection, and ends each open one with its next answer or when it has been idle for as long as
      * any may. None is closed between requests: one that is just written to it would be lost.
      */
+    @Override
     public void retire() {
         retired = true;
         listener.close();
@@ -149,6 +162,7 @@
     }
 
     /** Closes it for good, with all its connections. */
+    @Override
     public void close() {
         retire();
         sweeping.cancel(false);
@@ -158,11 +172,13 @@
         connections.leave();
     }
 
+    @Override
     public boolean empty() {
         return open.isEmpty();
     }
 
     /** Whether a request that is not yet answered is, or will be, this pool's. */
+    @Override
     public boolean uses(Dispatcher pool) {
         for (ClientConnection c : open) {
             if (c.uses(pool)) {
@@ -244,6 +260,7 @@
      * none comes any more; open ones are kept to the last, as their clients may have no other node to turn to just
      * then. Should SIGKILL come sooner than it is said to, more is lost this way than by closing at once.
      */
+    @Override
     public void drain(Runnable done) {
         if (draining) {
             return;
--- a/src/main/java/onyxpaddle/http/HttpHead.java
+++ b/src/main/java/onyxpaddle/http/HttpHead.java
@@ -8,7 +8,13 @@
  * A request's head as it goes to a server.
  *
  * @param largestAnswer the most bytes its answer's body may have
+ * @param mapped the procedure it stands for where a server speaks MessagePack-RPC; null for none
  * @param caller whom it came from, in digits, for the servers to know; null where they aren't told
  */
-public record HttpHead(HttpMethod method, String uri, HttpHeaders headers, long largestAnswer, String caller) implements Metadata {
+public record HttpHead(HttpMethod method, String uri, HttpHeaders headers, long largestAnswer, String caller, String mapped)
+        implements Metadata {
+    /** One that goes to servers of HTTP alone. */
+    public HttpHead(HttpMethod method, String uri, HttpHeaders headers, long largestAnswer, String caller) {
+        this(method, uri, headers, largestAnswer, caller, null);
+    }
 }
--- a/src/main/java/onyxpaddle/http/HttpUpstream.java
+++ b/src/main/java/onyxpaddle/http/HttpUpstream.java
@@ -44,6 +44,7 @@
     final PoolShare budget;
     final AnswerDialect dialect;
     final Dispatcher dispatcher;
+    final HttpBridge bridge;
     final ReuseDoubt doubt = new ReuseDoubt();
     private final Bootstrap bootstrap;
     private final long mostIdle;
@@ -67,6 +68,14 @@
     public HttpUpstream(EventLoop loop, ByteBufAllocator allocator, Clock clock, PoolShare budget,
             Dispatcher dispatcher, AnswerDialect dialect, long mostIdle, long dialTimeout,
             int mostIdleCount) {
+        this(loop, allocator, clock, budget, dispatcher, dialect, mostIdle, dialTimeout, mostIdleCount, HttpBridge.NONE);
+    }
+
+    /** As the other, with a bridge for requests of other protocols. */
+    public HttpUpstream(EventLoop loop, ByteBufAllocator allocator, Clock clock, PoolShare budget,
+            Dispatcher dispatcher, AnswerDialect dialect, long mostIdle, long dialTimeout,
+            int mostIdleCount, HttpBridge bridge) {
+        this.bridge = bridge;
         this.clock = clock;
         this.budget = budget;
         this.dispatcher = dispatcher;
@@ -98,7 +107,7 @@
         }
         for (Roster.Host host : roster.hosts()) {
             String server = host.entry().server();
-            if (host.entry().state() == ServerState.GONE) {
+            if (host.entry().state() == ServerState.GONE || host.address() == null) {
                 remove(server);
                 continue;
             }
@@ -119,6 +128,11 @@
         }
     }
 
+    /** Whether the server can be asked by this protocol. */
+    public boolean reaches(String server) {
+        return peers.containsKey(server);
+    }
+
     private static void closeIdle(Peer peer) {
         for (ServerConnection c = peer.idle.poll(); c != null; c = peer.idle.poll()) {
             c.close();
--- a/src/main/java/onyxpaddle/http/PlainRequests.java
+++ b/src/main/java/onyxpaddle/http/PlainRequests.java
@@ -10,9 +10,11 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.regex.Pattern;
 import onyxpaddle.Balancing.RequestClass;
+import onyxpaddle.node.Body;
 import onyxpaddle.node.Dispatcher;
 import onyxpaddle.node.Exchange.Terms;
 import onyxpaddle.node.SharedLimit;
@@ -47,11 +49,16 @@
     private final String tenant;
     private final long longestIdle;
     private final Supplier<String> ids;
+    private final Predicate<Body> mapped;
     private long longestPatience;
 
-    /** {@code tenant} may be null; {@code ids}: a new one for each request, among all of the node. */
+    /**
+     * {@code tenant} may be null; {@code ids}: a new one for each request, among all of the node; {@code mapped}:
+     * whether a body can go on where its route names a procedure.
+     */
     public PlainRequests(RouteTable routes, Map<String, Target> pools, Map<String, Classes> classes, String tenant,
-            long longestIdle, Supplier<String> ids) {
+            long longestIdle, Supplier<String> ids, Predicate<Body> mapped) {
+        this.mapped = mapped;
         this.routes = routes;
         this.pools = Map.copyOf(pools);
         this.classes = Map.copyOf(classes);
@@ -140,9 +147,9 @@
             requestClass.deadline());
         String onward = uri == path ? route.rewritten(path) : route.rewritten(path) + uri.substring(path.length());
         Terms terms = new Terms(ids.get(), requestClass, patience, tenant, 0, "1".equals(headers.get("X-Second-Try")));
-        return new Taken(target.pool(), target.bytes(), terms,
-            new HttpHead(method, onward, headers, target.body(), caller.getAddress().getHostAddress()), length,
-            target.body());
+        return new Taken(target.pool(), target.bytes(), terms, new HttpHead(method, onward, headers, target.body(),
+            caller.getAddress().getHostAddress(), route.procedure()), length, target.body(),
+            route.procedure() == null ? body -> true : mapped);
     }
 
     private static String withoutPort(String host) {
--- a/src/main/java/onyxpaddle/http/ServerConnection.java
+++ b/src/main/java/onyxpaddle/http/ServerConnection.java
@@ -55,6 +55,7 @@
     private Answer answer;
     private Outcome outcome;
     private long largest;
+    private HttpMethod method;
     private long startedAt;
     private boolean kept;
     /** The connection was reset: what still comes of the decoder looks like an end and is none. */
@@ -89,7 +90,8 @@
         startedAt = all.clock.now();
         kept = idleSince > 0;
         Exchange x = next.exchange;
-        HttpHead head = (HttpHead) x.head;
+        HttpHead head = all.bridge.head(x);
+        method = head.method();
         largest = head.largestAnswer();
         decoder.expect(head.method().equals(HttpMethod.HEAD));
         HttpHeaders headers = all.dialect.forServer(head, x.body, channel.remoteAddress(), next.until - startedAt);
@@ -143,7 +145,6 @@
         if (kept) {
             all.doubt.used(false);
         }
-        HttpMethod method = ((HttpHead) attempt.exchange.head).method();
         Verdict verdict = all.dialect.judge(method, response);
         outcome = verdict.outcome();
         if (verdict.pass() == null) {
@@ -204,7 +205,8 @@
         attempt = null;
         answer = null;
         if (whole != null) {
-            all.dispatcher.ended(current, outcome, whole);
+            Answer passed = all.bridge.answer(current.exchange, whole);
+            all.dispatcher.ended(current, passed == null ? Outcome.ERROR : outcome, passed);
         }
     }
 
--- a/src/main/java/onyxpaddle/http/Taken.java
+++ b/src/main/java/onyxpaddle/http/Taken.java
@@ -1,5 +1,7 @@
 package onyxpaddle.http;
 
+import java.util.function.Predicate;
+import onyxpaddle.node.Body;
 import onyxpaddle.node.Dispatcher;
 import onyxpaddle.node.Exchange.Terms;
 import onyxpaddle.node.SharedLimit;
@@ -10,7 +12,13 @@
  * @param pool whose it is
  * @param bytes the pool's part of the node's memory for bodies
  * @param length the body's length, or -1 where it comes in chunks
+ * @param sound whether a body that has come whole is one that can be sent on
  * @param largest the most bytes that its body may have
  */
-public record Taken(Dispatcher pool, SharedLimit.Share bytes, Terms terms, HttpHead head, long length, long largest) {
+public record Taken(Dispatcher pool, SharedLimit.Share bytes, Terms terms, HttpHead head, long length, long largest,
+        Predicate<Body> sound) {
+    /** One whose body may be anything. */
+    public Taken(Dispatcher pool, SharedLimit.Share bytes, Terms terms, HttpHead head, long length, long largest) {
+        this(pool, bytes, terms, head, length, largest, body -> true);
+    }
 }
--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -214,7 +214,7 @@
         Attempt attempt = new Attempt(x, x.attempts.size(), send.server(), now, until);
         x.attempts.add(attempt);
         x.out++;
-        if (x.over || now >= until || attempt.number >= limits.maxAttempts()) {
+        if (x.over || now >= until || attempt.number >= Math.min(limits.maxAttempts(), x.mostAttempts)) {
             ended(attempt, Outcome.NOT_SENT, null);
             return;
         }
--- a/src/main/java/onyxpaddle/node/Exchange.java
+++ b/src/main/java/onyxpaddle/node/Exchange.java
@@ -21,6 +21,7 @@
     public final Body body;
     final Caller caller;
     final List<Attempt> attempts = new ArrayList<>(2);
+    final int mostAttempts;
     long deadline;
     int out;
     /** The final answer is given or has begun, or nobody waits for it. */
@@ -30,6 +31,12 @@
     Answer failure;
 
     public Exchange(Terms terms, Metadata head, Body body, Caller caller) {
+        this(terms, head, body, caller, Integer.MAX_VALUE);
+    }
+
+    /** {@code mostAttempts}: how often it may be sent, whatever the class and the limits allow. */
+    public Exchange(Terms terms, Metadata head, Body body, Caller caller, int mostAttempts) {
+        this.mostAttempts = mostAttempts;
         this.id = terms.id();
         this.terms = terms;
         this.repeatable = terms.requestClass().effect() == Effect.SAFE;
--- a/src/main/java/onyxpaddle/node/Roster.java
+++ b/src/main/java/onyxpaddle/node/Roster.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
 import onyxpaddle.Balancing.ServerEntry;
 
 /**
@@ -9,8 +10,20 @@
  * where it has none.
  */
 public record Roster(long seq, boolean whole, List<Host> hosts) {
-    /** An entry for the module, and where this node reaches the server; the address of one that is gone may be null. */
-    public record Host(ServerEntry entry, InetSocketAddress address) {
+    /**
+     * An entry for the module, and where this node reaches the server: {@code address} by HTTP, null where it doesn't
+     * speak that or is gone; {@code more} by other protocols.
+     */
+    public record Host(ServerEntry entry, InetSocketAddress address, Map<String, InetSocketAddress> more) {
+        /** One that is reached by the node's first protocol alone. */
+        public Host(ServerEntry entry, InetSocketAddress address) {
+            this(entry, address, Map.of());
+        }
+
+        /** Where it is reached by a further protocol; null where it doesn't speak that. */
+        public InetSocketAddress address(String protocol) {
+            return more.get(protocol);
+        }
     }
 
     public Roster {
--- a/src/main/java/onyxpaddle/route/Route.java
+++ b/src/main/java/onyxpaddle/route/Route.java
@@ -16,13 +16,20 @@
  *     {@code /ab}
  * @param methods empty for any
  * @param headers names (in any case) and the one value that each must have
+ * @param procedure what it is called where a server speaks MessagePack-RPC; null for none
  * @param rewrite what stands in place of {@code path} as the request goes on; null to leave it
  */
 public record Route(String name, String listener, String host, String path, Set<String> methods,
-        Map<String, String> headers, String pool, String requestClass, String rewrite) {
+        Map<String, String> headers, String pool, String requestClass, String rewrite, String procedure) {
     /** The methods that are routed. */
     public static final Set<String> METHODS = Set.of("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS");
 
+    /** One that goes to servers of HTTP alone. */
+    public Route(String name, String listener, String host, String path, Set<String> methods,
+            Map<String, String> headers, String pool, String requestClass, String rewrite) {
+        this(name, listener, host, path, methods, headers, pool, requestClass, rewrite, null);
+    }
+
     public Route {
         host = host == null ? null : host.toLowerCase(Locale.ROOT);
         path = path.length() > 1 && path.endsWith("/") ? path.substring(0, path.length() - 1) : path;
--- a/src/main/java/onyxpaddle/serve/PoolSettings.java
+++ b/src/main/java/onyxpaddle/serve/PoolSettings.java
@@ -1,5 +1,6 @@
 package onyxpaddle.serve;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -14,6 +15,7 @@
 import onyxpaddle.Balancing.Settings;
 import onyxpaddle.Balancing.Tenant;
 import onyxpaddle.Balancing.Weights;
+import onyxpaddle.config.HostPort;
 import onyxpaddle.config.NodeConfig;
 import onyxpaddle.config.NodeConfig.Pool;
 import onyxpaddle.config.NodeConfig.RequestClass;
@@ -21,6 +23,8 @@
 import onyxpaddle.http.PlainRequests.Classes;
 import onyxpaddle.node.Addresses;
 import onyxpaddle.node.Roster;
+import onyxpaddle.rpc.RpcCalls;
+import onyxpaddle.rpc.RpcUpstream;
 
 /** What a configuration says, in the terms of the module that decides. */
 final class PoolSettings {
@@ -41,6 +45,11 @@
         List<Balancing.RequestClass> classes = new ArrayList<>();
         for (RequestClass c : config.classesOf(pool.name())) {
             Classes both = classes(c);
+            if (config.called(pool.name())) {
+                // What calls add to the kinds; a pool of HTTP alone has no need of them.
+                classes.addAll(callClasses(c).all());
+                continue;
+            }
             classes.add(both.keyed());
             if (both.unkeyed() != both.keyed()) {
                 classes.add(both.unkeyed());
@@ -74,13 +83,30 @@
         return classes;
     }
 
+    /** The same, as calls by MessagePack-RPC see it. */
+    static RpcCalls.Classes callClasses(RequestClass c) {
+        Classes both = classes(c);
+        return new RpcCalls.Classes(both.keyed(), both.unkeyed());
+    }
+
+    static Map<String, RpcCalls.Classes> callClasses(NodeConfig config) {
+        Map<String, RpcCalls.Classes> classes = new HashMap<>();
+        config.classes().forEach((name, c) -> classes.put(name, callClasses(c)));
+        return classes;
+    }
+
     static Roster roster(List<Server> servers) {
         List<Roster.Host> hosts = new ArrayList<>();
         for (Server server : servers) {
             ServerState state = server.draining() ? ServerState.DRAINING : ServerState.READY;
             hosts.add(new Roster.Host(new ServerEntry(server.id(), server.zone(), 0, state, server.weight(), 0),
-                Addresses.of(server.address().host(), server.address().port())));
+                address(server.address()), server.rpc() == null ? Map.of()
+                    : Map.of(RpcUpstream.PROTOCOL, address(server.rpc()))));
         }
         return new Roster(0, true, hosts);
     }
+
+    private static InetSocketAddress address(HostPort of) {
+        return of == null ? null : Addresses.of(of.host(), of.port());
+    }
 }
--- a/src/main/java/onyxpaddle/serve/PoolUnit.java
+++ b/src/main/java/onyxpaddle/serve/PoolUnit.java
@@ -11,25 +11,31 @@
 import onyxpaddle.Balancing.ListKind;
 import onyxpaddle.Balancing.Settings;
 import onyxpaddle.RatioBalancer;
+import onyxpaddle.bridge.HttpOverRpc;
+import onyxpaddle.bridge.RpcOverHttp;
 import onyxpaddle.config.Faults;
-import onyxpaddle.config.NodeConfig;
 import onyxpaddle.config.NodeConfig.Pool;
 import onyxpaddle.config.NodeConfig.RequestClass;
 import onyxpaddle.config.NodeConfig.Server;
+import onyxpaddle.config.NodeConfig;
 import onyxpaddle.config.ServerLists;
+import onyxpaddle.http.HttpBridge;
 import onyxpaddle.http.HttpUpstream;
 import onyxpaddle.http.PlainAnswers;
 import onyxpaddle.http.PlainRequests.Target;
 import onyxpaddle.membership.Discovery;
 import onyxpaddle.membership.ListFile;
 import onyxpaddle.node.Addresses;
-import onyxpaddle.node.Budget;
 import onyxpaddle.node.Budget.PoolShare;
+import onyxpaddle.node.Budget;
 import onyxpaddle.node.Clock;
 import onyxpaddle.node.Dispatcher;
 import onyxpaddle.node.InFlightLimit;
 import onyxpaddle.node.Log;
 import onyxpaddle.node.Roster;
+import onyxpaddle.rpc.RpcCalls;
+import onyxpaddle.rpc.RpcCounts;
+import onyxpaddle.rpc.RpcUpstream;
 
 /** A running pool: its servers, the module that decides about them, and where they are learnt from. */
 final class PoolUnit {
@@ -50,7 +56,8 @@
     private Pool config;
     private final List<RequestClass> classes;
     private final PoolShare share;
-    private final HttpUpstream upstream;
+    private final Upstreams upstream;
+    private final boolean called;
     private final Surroundings around;
     private Discovery discovery;
     private Future<?> watch;
@@ -67,11 +74,19 @@
         InFlightLimit limit = pool.inFlight() == 0 ? null : new InFlightLimit(pool.inFlight(), highest);
         dispatcher = new Dispatcher(around.clock(), around.loop(), new RatioBalancer(settings, seed), settings.limits(),
             limit);
-        upstream = new HttpUpstream(around.loop(), around.allocator(), around.clock(), share, dispatcher,
-            new PlainAnswers(around.node()), pool.idle(), pool.connectTimeout(), MOST_IDLE);
+        called = node.called(pool.name());
+        upstream = new Upstreams(dispatcher, new HttpUpstream(around.loop(), around.allocator(), around.clock(), share,
+            dispatcher, new PlainAnswers(around.node()), pool.idle(), pool.connectTimeout(), MOST_IDLE,
+            called ? new RpcOverHttp(share.bytes(), pool.body()) : HttpBridge.NONE), () -> rpc(pool));
         dispatcher.connect(upstream, () -> { });
     }
 
+    private RpcUpstream rpc(Pool pool) {
+        return new RpcUpstream(around.loop(), around.allocator(), around.clock(), share, dispatcher,
+            new RpcUpstream.Terms(pool.rpc().connections(), pool.rpc().calls(), pool.rpc().envelope(), pool.body(),
+                pool.idle(), pool.connectTimeout()), new HttpOverRpc(share.bytes()), new RpcCounts("pool " + pool.name()));
+    }
+
     /** Learns its servers from now on. */
     void start() {
         if (config.file() != null) {
@@ -120,7 +135,7 @@
 
     /** Whether it can go on as it is, with at the most other servers, under a new configuration. */
     boolean serves(Pool next, NodeConfig node) {
-        return config.differsInServersOnly(next) && classes.equals(node.classesOf(next.name()));
+        return config.differsInServersOnly(next) && called == node.called(next.name()) && classes.equals(node.classesOf(next.name()));
     }
 
     /** Takes another fixed list, where there is one. */
@@ -139,6 +154,10 @@
         return new Target(dispatcher, share.bytes(), config.body());
     }
 
+    RpcCalls.Target callTarget() {
+        return new RpcCalls.Target(dispatcher, share.bytes(), config.body());
+    }
+
     /** Ends it, once nothing is out any more. */
     void stop() {
         stopped = true;
--- a/src/main/java/onyxpaddle/serve/Sidecar.java
+++ b/src/main/java/onyxpaddle/serve/Sidecar.java
@@ -1,7 +1,6 @@
 package onyxpaddle.serve;
 
 import io.netty.buffer.ByteBufAllocator;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -28,6 +27,7 @@
 import onyxpaddle.config.NodeConfig;
 import onyxpaddle.config.NodeConfig.Listener;
 import onyxpaddle.config.NodeConfigReader;
+import onyxpaddle.bridge.HttpOverRpc;
 import onyxpaddle.http.HttpFront;
 import onyxpaddle.http.PlainRequests;
 import onyxpaddle.http.PlainRequests.Target;
@@ -35,9 +35,14 @@
 import onyxpaddle.node.Addresses;
 import onyxpaddle.node.Budget;
 import onyxpaddle.node.Clock;
+import onyxpaddle.node.Front;
 import onyxpaddle.node.Log;
 import onyxpaddle.node.Sockets;
+import onyxpaddle.route.ProcedureTable;
 import onyxpaddle.route.RouteTable;
+import onyxpaddle.rpc.RpcCalls;
+import onyxpaddle.rpc.RpcCounts;
+import onyxpaddle.rpc.RpcFront;
 
 /**
  * A node by a configuration of its own: listeners, routes and pools, which come and go as the file changes. A change is
@@ -65,7 +70,7 @@
     private final Map<String, PoolUnit> pools = new LinkedHashMap<>();
     private final Map<String, Door> doors = new LinkedHashMap<>();
     private final List<PoolUnit> leavingPools = new ArrayList<>();
-    private final List<HttpFront> leavingFronts = new ArrayList<>();
+    private final List<Front> leavingFronts = new ArrayList<>();
     private NodeConfig config;
     private Future<?> reaping;
     private long requests;
@@ -74,7 +79,7 @@
     private Change next;
 
     /** A listener as it runs. */
-    private record Door(Listener listener, HttpFront front, InetSocketAddress bound) {
+    private record Door(Listener listener, Front front, InetSocketAddress bound) {
     }
 
     private record Change(NodeConfig config, CompletableFuture<String> done) {
@@ -153,11 +158,12 @@
         current = next;
         next = null;
         List<Door> fresh = new ArrayList<>();
-        List<ChannelFuture> binding = new ArrayList<>();
+        List<io.netty.util.concurrent.Future<?>> binding = new ArrayList<>();
         for (Listener listener : current.config().listeners().values()) {
             if (standing(listener) == null) {
-                HttpFront front = new HttpFront(loop, allocator, clock, budget, null, this::ready);
-                binding.add(front.listen(Addresses.of(listener.address().host(), listener.address().port()), true));
+                Front front = listener.rpc() ? new RpcFront(loop, allocator, clock, budget,
+                    new RpcCounts("listener " + listener.name())) : new HttpFront(loop, allocator, clock, budget, null, this::ready);
+                binding.add(front.listen(Addresses.of(listener.address().host(), listener.address().port())));
                 fresh.add(new Door(listener, front, null));
             }
         }
@@ -165,7 +171,7 @@
     }
 
     /** Waits for one bind after the other, then goes on, or takes back those that went well. */
-    private void bound(List<Door> fresh, List<ChannelFuture> binding, int index, String failure) {
+    private void bound(List<Door> fresh, List<io.netty.util.concurrent.Future<?>> binding, int index, String failure) {
         if (index < binding.size()) {
             binding.get(index).addListener(f -> {
                 String wrong = f.isSuccess() ? failure : "cannot listen on " + fresh.get(index).listener().address() + " ("
@@ -178,8 +184,7 @@
         if (failure == null) {
             List<Door> ready = new ArrayList<>();
             for (int i = 0; i < fresh.size(); i++) {
-                ready.add(new Door(fresh.get(i).listener(), fresh.get(i).front(),
-                    (InetSocketAddress) binding.get(i).channel().localAddress()));
+                ready.add(new Door(fresh.get(i).listener(), fresh.get(i).front(), fresh.get(i).front().address()));
             }
             commit(change.config(), ready);
         } else {
@@ -192,7 +197,7 @@
 
     private Door standing(Listener listener) {
         Door door = doors.get(listener.name());
-        return door != null && door.listener().address().equals(listener.address()) ? door : null;
+        return door != null && door.listener().sameDoor(listener) ? door : null;
     }
 
     private void commit(NodeConfig to, List<Door> fresh) {
@@ -206,11 +211,14 @@
         Map<String, Door> before = new HashMap<>(doors);
         doors.clear();
         for (Listener listener : to.listeners().values()) {
-            RequestDialect dialect = dialect(to, listener, targets);
             Door old = before.get(listener.name());
-            Door door = old != null && old.listener().address().equals(listener.address()) ? old
+            Door door = old != null && old.listener().sameDoor(listener) ? old
                 : fresh.stream().filter(d -> d.listener().equals(listener)).findFirst().orElseThrow();
-            door.front().use(dialect);
+            if (door.front() instanceof HttpFront front) {
+                front.use(dialect(to, listener, targets));
+            } else {
+                ((RpcFront) door.front()).use(calls(to, listener));
+            }
             if (door == old) {
                 before.remove(listener.name());
             } else {
@@ -251,6 +259,15 @@
     private RequestDialect dialect(NodeConfig to, Listener listener, Map<String, Target> targets) {
         RouteTable table = new RouteTable(to.routes().stream().filter(r -> r.listener().equals(listener.name())).toList());
         return new PlainRequests(table, targets, PoolSettings.classes(to), to.tenant(), listener.idle(),
+            () -> idPrefix + Long.toHexString(requests++), HttpOverRpc::sound);
+    }
+
+    private RpcCalls calls(NodeConfig to, Listener listener) {
+        Map<String, RpcCalls.Target> targets = new HashMap<>();
+        pools.forEach((name, pool) -> targets.put(name, pool.callTarget()));
+        ProcedureTable table = new ProcedureTable(to.procedures().stream()
+            .filter(p -> p.listener().equals(listener.name())).toList());
+        return new RpcCalls(table, targets, PoolSettings.callClasses(to), to.tenant(), listener.idle(), listener.openCalls(),
             () -> idPrefix + Long.toHexString(requests++));
     }
 
@@ -312,7 +329,7 @@
 
     /** Drains the listeners of one side, then goes on, once. */
     private void drain(boolean outbound, Runnable then) {
-        Set<HttpFront> open = new HashSet<>();
+        Set<Front> open = new HashSet<>();
         for (Door door : doors.values()) {
             if (door.listener().outbound() == outbound) {
                 open.add(door.front());
@@ -322,7 +339,7 @@
             then.run();
             return;
         }
-        for (HttpFront front : List.copyOf(open)) {
+        for (Front front : List.copyOf(open)) {
             front.drain(() -> {
                 if (open.remove(front) && open.isEmpty()) {
                     then.run();
--- a/src/main/java/onyxpaddle/sidecar/Derivation.java
+++ b/src/main/java/onyxpaddle/sidecar/Derivation.java
@@ -122,7 +122,8 @@
         } else {
             line("    servers:");
             for (Server s : servers) {
-                line("      - {id: " + quoted(s.id()) + ", address: " + quoted(s.address().toString()) + ", weight: "
+                line("      - {id: " + quoted(s.id()) + (s.address() == null ? "" : ", address: " + quoted(s.address().toString()))
+                    + (s.rpc() == null ? "" : ", rpc: " + quoted(s.rpc().toString())) + ", weight: "
                     + number(s.weight()) + (s.zone().isEmpty() ? "" : ", zone: " + s.zone())
                     + (s.draining() ? ", state: draining" : "") + "}");
             }
--- a/src/main/java/onyxpaddle/sidecar/DescriptionReader.java
+++ b/src/main/java/onyxpaddle/sidecar/DescriptionReader.java
@@ -137,14 +137,18 @@
             served(view, "classes", view.section("default"), view.has("default")), others(view));
     }
 
+    private static boolean reaches(Server server, int port) {
+        return server.addresses().stream().anyMatch(a -> a.reaches(new HostPort("127.0.0.1", port)));
+    }
+
     private void circles(View view, String key, List<Server> servers, HostPort inbound) {
         for (Server server : servers) {
-            boolean own = inbound != null && server.address().reaches(inbound);
+            boolean own = inbound != null && server.addresses().stream().anyMatch(a -> a.reaches(inbound));
             for (View call : root.named("calls").values()) {
-                own |= call.port("port") != 0 && server.address().reaches(new HostPort("127.0.0.1", call.port("port")));
+                own |= call.port("port") != 0 && reaches(server, call.port("port"));
             }
             if (own) {
-                faults.add(view.place(key), view.path(key), "the server " + server.address()
+                faults.add(view.place(key), view.path(key), "the server " + server.told()
                     + " is this application's own node: calls would go round in a circle",
                     "the address of the servers themselves");
             }
--- a/src/main/java/onyxpaddle/sidecar/Explanation.java
+++ b/src/main/java/onyxpaddle/sidecar/Explanation.java
@@ -86,6 +86,6 @@
     private static String servers(Pool pool) {
         return pool.file() != null ? "the servers in " + pool.file()
             : pool.discovery() != null ? "what discovery at " + pool.discovery() + " names"
-            : String.join(", ", pool.servers().stream().map(s -> s.address().toString()).toList());
+            : String.join(", ", pool.servers().stream().map(s -> s.told()).toList());
     }
 }
--- a/src/main/java/onyxpaddle/sidecar/Trial.java
+++ b/src/main/java/onyxpaddle/sidecar/Trial.java
@@ -100,8 +100,7 @@
     }
 
     private static Pool at(Pool p, List<Server> servers) {
-        return new Pool(p.name(), servers, null, null, p.connectTimeout(), p.keepAlive(), p.idle(), p.attempts(),
-            p.inFlight(), p.body(), p.cold(), p.startCapacity());
+        return p.at(servers);
     }
 
     private static int freePort(Set<Integer> taken) throws IOException {
--- a/src/test/java/onyxpaddle/PackageRulesTest.java
+++ b/src/test/java/onyxpaddle/PackageRulesTest.java
@@ -19,7 +19,8 @@
         .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("onyxpaddle");
     /** Modules that decide, besides the root package. */
     private static final Set<String> DECIDERS = Set.of("onyxpaddle.RatioBalancer", "onyxpaddle.Balancing",
-        "onyxpaddle.FlatSettings", "onyxpaddle.node.SharedLimit", "onyxpaddle.node.Budget", "onyxpaddle.node.InFlightLimit");
+        "onyxpaddle.FlatSettings", "onyxpaddle.node.SharedLimit", "onyxpaddle.node.Budget", "onyxpaddle.node.InFlightLimit",
+        "onyxpaddle.rpc.CallTable", "onyxpaddle.rpc.ConnectionChoice");
 
     private static final DescribedPredicate<JavaClass> DECIDES = DescribedPredicate.describe("decide",
         c -> DECIDERS.stream().anyMatch(name -> c.getName().equals(name) || c.getName().startsWith(name + "$"))
@@ -41,6 +42,11 @@
             .resideInAnyPackage("onyxpaddle.membership..", "onyxpaddle.serve..", "onyxpaddle.sidecar..").check(ALL);
         noClasses().that().resideInAPackage("onyxpaddle.membership").should().dependOnClassesThat()
             .resideInAnyPackage("onyxpaddle.http..", "onyxpaddle.serve..", "onyxpaddle.sidecar..").check(ALL);
+        noClasses().that().resideInAPackage("onyxpaddle.rpc").should().dependOnClassesThat()
+            .resideInAnyPackage("onyxpaddle.http..", "onyxpaddle.membership..", "onyxpaddle.serve..", "onyxpaddle.sidecar..")
+            .check(ALL);
+        noClasses().that().resideInAPackage("onyxpaddle.http").should().dependOnClassesThat()
+            .resideInAPackage("onyxpaddle.rpc..").check(ALL);
     }
 
     @Test
--- /dev/null
+++ b/src/test/java/onyxpaddle/rpc/ValueScannerTest.java
@@ -0,0 +1,86 @@
+package onyxpaddle.rpc;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.Tuple;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.value.Value;
+import org.msgpack.value.ValueFactory;
+
+/** Held against msgpack-core, which writes the values: the scanner ends where they end, and nowhere before. */
+class ValueScannerTest {
+    @Provide
+    Arbitrary<Value> values() {
+        Arbitrary<Value> plain = Arbitraries.oneOf(
+            Arbitraries.longs().map(ValueFactory::newInteger),
+            Arbitraries.doubles().map(ValueFactory::newFloat),
+            Arbitraries.of(true, false).map(ValueFactory::newBoolean),
+            Arbitraries.strings().ofMaxLength(400).map(ValueFactory::newString),
+            Arbitraries.bytes().array(byte[].class).ofMaxSize(400).map(ValueFactory::newBinary),
+            Arbitraries.bytes().array(byte[].class).ofMaxSize(40).map(b -> ValueFactory.newExtension((byte) 5, b)),
+            Arbitraries.just(ValueFactory.newNil()));
+        return Arbitraries.recursive(() -> plain, inner -> Arbitraries.oneOf(
+            inner.list().ofMaxSize(20).map(ValueFactory::newArray),
+            Arbitraries.maps(plain, inner).ofMaxSize(20).map(ValueFactory::newMap)), 0, 3);
+    }
+
+    @Property(tries = 500, seed = "42")
+    void endsWhereTheValueEnds(@ForAll("values") Value value, @ForAll("splits") int split) throws Exception {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packValue(value);
+            byte[] bytes = packer.toByteArray();
+            ByteBuf in = Unpooled.wrappedBuffer(bytes, new byte[] {(byte) 0xc0, (byte) 0xc0});
+            ValueScanner scanner = new ValueScanner(64);
+            scanner.begin(bytes.length);
+            int at = 0;
+            while (at < bytes.length) {
+                assertFalse(scanner.ended());
+                int end = Math.min(in.writerIndex(), at + split);
+                int next = scanner.scan(in, at, end);
+                assertTrue(next == end || scanner.ended());
+                at = next;
+            }
+            assertTrue(scanner.ended());
+            assertEquals(bytes.length, at);
+            assertEquals(0, scanner.room());
+        }
+    }
+
+    @Provide
+    Arbitrary<Integer> splits() {
+        return Arbitraries.of(1, 2, 3, 7, 64, 100_000);
+    }
+
+    @Property(tries = 300, seed = "43")
+    void writesTheShortestFormats(@ForAll("wholes") Tuple.Tuple2<Long, String> of) throws Exception {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packLong(of.get1()).packString(of.get2()).packArrayHeader((int) (of.get1() & 0xfffff))
+                .packBinaryHeader((int) (of.get1() & 0xfffff)).packNil().packBoolean(true);
+            ByteBuf out = Unpooled.buffer();
+            MsgPack.whole(out, of.get1());
+            MsgPack.text(out, of.get2());
+            MsgPack.array(out, (int) (of.get1() & 0xfffff));
+            MsgPack.binaryHead(out, (int) (of.get1() & 0xfffff));
+            MsgPack.nil(out);
+            MsgPack.flag(out, true);
+            assertEquals(Unpooled.wrappedBuffer(packer.toByteArray()), out);
+        }
+    }
+
+    @Provide
+    Arbitrary<Tuple.Tuple2<Long, String>> wholes() {
+        Arbitrary<Long> numbers = Arbitraries.integers().between(0, 62).flatMap(bits -> Arbitraries.longs()
+            .between(0, (1L << bits)));
+        return numbers.flatMap(n -> Arbitraries.strings().ofMaxLength(400).map(s -> Tuple.of(n, s)));
+    }
+}
