The sidecar tool knows MessagePack-RPC; `rpc call`; measurements rpc and rpc-mixed

Need: nobody writes a node's configuration by hand, and the users asked to see both protocols over the same boxes while one box stalls and one loses replies.

Change: descriptions name `rpc-port`, `inbound-rpc`, `procedures` and `rpc`, are written, checked, explained and tried with stand-ins of both protocols; an example; `rpc call ADDRESS METHOD [JSON]`.

--- a/src/main/java/onyxpaddle/Main.java
+++ b/src/main/java/onyxpaddle/Main.java
@@ -14,6 +14,9 @@
         if (command.equals("sidecar")) {
             System.exit(onyxpaddle.sidecar.SidecarCommand.run(Arrays.copyOfRange(args, 1, args.length),
                 new PrintWriter(System.out, true), new PrintWriter(System.err, true)));
+        } else if (command.equals("rpc")) {
+            System.exit(onyxpaddle.sidecar.RpcCommand.run(Arrays.copyOfRange(args, 1, args.length),
+                new PrintWriter(System.out, true), new PrintWriter(System.err, true)));
         } else if (command.equals("measure")) {
             System.exit(onyxpaddle.measure.Measure.run(Arrays.copyOfRange(args, 1, args.length)));
         } else if (args.length == 3 && command.equals("serve") && args[1].equals("--config")) {
@@ -24,7 +27,7 @@
                 case "rehearse" -> onyxpaddle.serve.Rehearsal.main();
                 case "adapter" -> onyxpaddle.wire.Main.main(args);
                 default -> {
-                    System.err.println("usage: serve [--config FILE] | sidecar COMMAND | measure [NAME] | adapter | rehearse");
+                    System.err.println("usage: serve [--config FILE] | sidecar COMMAND | rpc call ... | measure [NAME] | adapter | rehearse");
                     System.exit(64);
                 }
             }
--- a/src/main/java/onyxpaddle/measure/Load.java
+++ b/src/main/java/onyxpaddle/measure/Load.java
@@ -83,28 +83,30 @@
             }
             return !head.toLowerCase(java.util.Locale.ROOT).contains("connection: close");
         }
+    }
 
-        private static String head(InputStream in) throws IOException {
-            StringBuilder head = new StringBuilder(256);
-            int state = 0;
-            while (state < 4) {
-                int next = in.read();
-                if (next < 0) {
-                    throw new IOException("closed before an answer");
-                }
-                state = next == (state % 2 == 0 ? '\r' : '\n') ? state + 1 : next == '\r' ? 1 : 0;
-                head.append((char) next);
-            }
-            return head.toString();
-        }
+    private Load() {
+    }
 
-        private static int length(String head) {
-            int at = head.toLowerCase(java.util.Locale.ROOT).indexOf("content-length:");
-            return at < 0 ? 0 : Integer.parseInt(head.substring(at + 15, head.indexOf('\r', at)).trim());
+    /** The head of an answer, read to its end. */
+    static String head(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder(256);
+        int state = 0;
+        while (state < 4) {
+            int next = in.read();
+            if (next < 0) {
+                throw new IOException("closed before an answer");
+            }
+            state = next == (state % 2 == 0 ? '\r' : '\n') ? state + 1 : next == '\r' ? 1 : 0;
+            head.append((char) next);
         }
+        return head.toString();
     }
 
-    private Load() {
+    /** The length that a head states; 0 where it states none. */
+    static int length(String head) {
+        int at = head.toLowerCase(java.util.Locale.ROOT).indexOf("content-length:");
+        return at < 0 ? 0 : Integer.parseInt(head.substring(at + 15, head.indexOf('\r', at)).trim());
     }
 
     /** The text of a request as it is asked again and again. */
--- a/src/main/java/onyxpaddle/measure/Measure.java
+++ b/src/main/java/onyxpaddle/measure/Measure.java
@@ -12,7 +12,8 @@
     }
 
     private static final Map<String, Measurement> ALL = new TreeMap<>(Map.of(
-        "pools", new PoolsMeasurement(), "sidecar", new SidecarMeasurement()));
+        "pools", new PoolsMeasurement(), "rpc", new RpcMeasurement(), "rpc-mixed", new RpcMixedMeasurement(),
+        "sidecar", new SidecarMeasurement()));
     private static final int USAGE = 64;
 
     private Measure() {
--- a/src/main/java/onyxpaddle/measure/NodeProcess.java
+++ b/src/main/java/onyxpaddle/measure/NodeProcess.java
@@ -108,6 +108,17 @@
         return Double.NaN;
     }
 
+    /** Bytes that it has read and written by system calls so far, of sockets and files. */
+    long transferred() throws IOException {
+        long sum = 0;
+        for (String line : Files.readAllLines(Path.of("/proc/" + process.pid() + "/io"))) {
+            if (line.startsWith("rchar:") || line.startsWith("wchar:")) {
+                sum += Long.parseLong(line.replaceAll("[^0-9]", ""));
+            }
+        }
+        return sum;
+    }
+
     @Override
     public void close() throws IOException {
         process.destroy();
--- a/src/main/java/onyxpaddle/sidecar/Derivation.java
+++ b/src/main/java/onyxpaddle/sidecar/Derivation.java
@@ -10,6 +10,7 @@
 import onyxpaddle.config.HostPort;
 import onyxpaddle.config.NodeConfig.Pool;
 import onyxpaddle.config.NodeConfig.RequestClass;
+import onyxpaddle.config.NodeConfig.Rpc;
 import onyxpaddle.config.NodeConfig.Server;
 import onyxpaddle.config.Units;
 import onyxpaddle.sidecar.Description.Call;
@@ -21,15 +22,17 @@
  * want to know what holds.
  */
 final class Derivation {
+    private static final String RPC = ", protocol: messagepack-rpc";
+
     private final StringBuilder out = new StringBuilder();
     private final Description of;
-    private final Map<String, HostPort> inbounds = new HashMap<>();
+    private final Map<String, Description> neighbours = new HashMap<>();
     private final Path folder;
 
     private Derivation(Description of, List<Description> all, Path folder) {
         this.of = of;
         this.folder = folder;
-        all.forEach(d -> inbounds.put(d.name(), d.inbound()));
+        all.forEach(d -> neighbours.put(d.name(), d));
     }
 
     /** {@code all}: the applications of this machine; {@code folder}: where the text will stand, for names of files. */
@@ -47,9 +50,11 @@
         line("  memory: " + Units.sizeText(of.limits().memory()));
         line("  descriptors: " + of.limits().descriptors());
         line("listeners:");
-        line("  inbound: {address: " + quoted(of.inbound().toString()) + "}");
+        listener("inbound", of.inbound(), "");
+        listener("inbound--rpc", of.inboundRpc(), RPC);
         for (Call call : of.calls().values()) {
-            line("  call-" + call.name() + ": {address: \"127.0.0.1:" + call.port() + "\", side: outbound}");
+            listener("call-" + call.name(), here(call.ports().http()), ", side: outbound");
+            listener("call-" + call.name() + "--rpc", here(call.ports().rpc()), RPC + ", side: outbound");
         }
         line("classes:");
         classes("in", of.serves(), of.others());
@@ -61,11 +66,20 @@
         for (Call call : of.calls().values()) {
             pool("to-" + call.name(), call.pool(), call.application() ? neighbour(call) : call.pool().servers());
         }
-        line("routes:");
+        if (of.inbound() != null || of.calls().values().stream().anyMatch(c -> c.ports().http() != 0)) {
+            line("routes:");
+        }
         routes("in", "inbound", "application", of.serves(), of.others());
         for (Call call : of.calls().values()) {
             routes("to-" + call.name(), "call-" + call.name(), "to-" + call.name(), call.classes(), call.others());
         }
+        if (of.inboundRpc() != null || of.calls().values().stream().anyMatch(c -> c.ports().rpc() != 0)) {
+            line("procedures:");
+        }
+        procedures("in", "inbound--rpc", "application", of.serves());
+        for (Call call : of.calls().values()) {
+            procedures("to-" + call.name(), "call-" + call.name() + "--rpc", "to-" + call.name(), call.classes());
+        }
         return out.toString();
     }
 
@@ -74,9 +88,32 @@
 
     /** An application on this machine is reached through its own node, at its inbound side. */
     private List<Server> neighbour(Call call) {
-        HostPort inbound = inbounds.get(call.name());
-        HostPort here = inbound.any() ? new HostPort("127.0.0.1", inbound.port()) : inbound;
-        return List.of(new Server(call.name(), here, 1, "", false));
+        Description other = neighbours.get(call.name());
+        return List.of(new Server(call.name(), reached(other.inbound()), 1, "", false, reached(other.inboundRpc())));
+    }
+
+    private static HostPort reached(HostPort inbound) {
+        return inbound != null && inbound.any() ? here(inbound.port()) : inbound;
+    }
+
+    private static HostPort here(int port) {
+        return port == 0 ? null : new HostPort("127.0.0.1", port);
+    }
+
+    private void listener(String name, HostPort address, String more) {
+        if (address != null) {
+            line("  " + name + ": {address: " + quoted(address.toString()) + more + "}");
+        }
+    }
+
+    private void procedures(String prefix, String listener, String pool, Map<String, Served> served) {
+        served.forEach((name, s) -> {
+            for (int i = 0; i < s.procedures().size(); i++) {
+                line("  - {name: " + prefix + "--" + name + (i == 0 ? "" : "--" + (i + 1)) + ", listener: " + listener
+                    + ", procedure: " + quoted(s.procedures().get(i)) + ", pool: " + pool + ", class: " + prefix + "--" + name
+                    + "}");
+            }
+        });
     }
 
     private void line(String text) {
@@ -134,6 +171,10 @@
         line("    attempts: " + pool.attempts());
         line("    in-flight: " + pool.inFlight());
         line("    body: " + Units.sizeText(pool.body()));
+        if (servers.stream().anyMatch(s -> s.rpc() != null) || !pool.rpc().equals(Rpc.USUAL)) {
+            line("    rpc: {connections: " + pool.rpc().connections() + ", calls: " + pool.rpc().calls() + ", envelope: "
+                + pool.rpc().envelope() + "}");
+        }
     }
 
     private String relative(Path file) {
--- a/src/main/java/onyxpaddle/sidecar/Description.java
+++ b/src/main/java/onyxpaddle/sidecar/Description.java
@@ -13,13 +13,18 @@
 /**
  * An application as its people describe it. What stands in no file is derived.
  *
+ * @param inbound where callers connect by HTTP, {@code inboundRpc} by MessagePack-RPC; one of the two may be null
  * @param own the pool that is the application itself
  * @param others the class of requests for all other paths; null where they are turned away
  */
-record Description(Path file, View at, String name, String tenant, int port, HostPort inbound, Limits limits, Pool own,
-        Map<String, Served> serves, RequestClass others, Map<String, Call> calls) {
+record Description(Path file, View at, String name, String tenant, Ports ports, HostPort inbound, HostPort inboundRpc,
+        Limits limits, Pool own, Map<String, Served> serves, RequestClass others, Map<String, Call> calls) {
+    /** Ports on 127.0.0.1, one for each protocol; 0 for none. */
+    record Ports(int http, int rpc) {
+    }
+
     /** A class and which requests it is. */
-    record Served(RequestClass requestClass, List<String> paths, Set<String> methods) {
+    record Served(RequestClass requestClass, List<String> paths, Set<String> methods, List<String> procedures) {
     }
 
     /**
@@ -27,7 +32,7 @@
      *
      * @param application whether it is an application on this machine, by its name
      */
-    record Call(String name, View at, int port, Pool pool, boolean application, Map<String, Served> classes,
+    record Call(String name, View at, Ports ports, Pool pool, boolean application, Map<String, Served> classes,
             RequestClass others) {
     }
 }
--- a/src/main/java/onyxpaddle/sidecar/DescriptionReader.java
+++ b/src/main/java/onyxpaddle/sidecar/DescriptionReader.java
@@ -7,7 +7,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
+import java.util.stream.Stream;
 import onyxpaddle.config.Faults;
 import onyxpaddle.config.HostPort;
 import onyxpaddle.config.MachineLimits;
@@ -17,6 +19,7 @@
 import onyxpaddle.config.NodeConfig.RequestClass;
 import onyxpaddle.config.NodeConfig.Server;
 import onyxpaddle.config.NodeConfigReader;
+import onyxpaddle.config.Place;
 import onyxpaddle.config.ServerLists;
 import onyxpaddle.config.Shape.Kind;
 import onyxpaddle.config.ShapeCheck;
@@ -24,6 +27,7 @@
 import onyxpaddle.config.View;
 import onyxpaddle.route.Route;
 import onyxpaddle.sidecar.Description.Call;
+import onyxpaddle.sidecar.Description.Ports;
 import onyxpaddle.sidecar.Description.Served;
 
 /** Reads a description and finds all that is wrong with it by itself; see {@link Together} for the rest. */
@@ -49,22 +53,65 @@
     private Description all(MachineLimits machine) {
         View bounds = root.section("limits");
         machine.check(bounds, limits, faults);
-        int port = root.port("port");
-        HostPort inbound = root.address("inbound");
-        if (inbound != null && inbound.port() == 0) {
-            faults.add(root.place("inbound"), "inbound", "port 0 is none that callers can know", "a port from 1 to 65535");
+        Ports ports = new Ports(root.port("port"), root.port("rpc-port"));
+        HostPort inbound = inbound("inbound", "port", "HTTP");
+        HostPort inboundRpc = inbound("inbound-rpc", "rpc-port", "MessagePack-RPC");
+        if (!root.has("port") && !root.has("rpc-port")) {
+            faults.add(root.place(), "", "the application listens nowhere", "`port:` for HTTP, `rpc-port:` for MessagePack-RPC, or both");
         }
         if (!root.has("serves") && !root.has("default")) {
             faults.add(root.place(), "", "the application serves nothing", "`serves:` with its classes, or `default:`");
         }
-        List<Server> itself = port == 0 ? List.of()
-            : List.of(new Server("application", new HostPort("127.0.0.1", port), 1, "", false));
+        List<Server> itself = ports.http() == 0 && ports.rpc() == 0 ? List.of()
+            : List.of(new Server("application", here(ports.http()), 1, "", false, here(ports.rpc())));
         Pool own = NodeConfigReader.settings("application", bounds, itself, null, null, limits, faults);
         Map<String, Served> serves = served(root, "serves", root.section("default"), root.has("default"));
+        spoken(root, "serves", "port", "rpc-port");
         Map<String, Call> calls = new LinkedHashMap<>();
-        root.named("calls").forEach((name, view) -> calls.put(name, call(name, view, inbound)));
+        root.named("calls").forEach((name, view) -> calls.put(name, call(name, view, inbound, inboundRpc)));
         return new Description(file, root, root.text("application", Kind.LABEL, ""),
-            root.text("tenant", Kind.NAME, null), port, inbound, limits, own, serves, others(root), calls);
+            root.text("tenant", Kind.NAME, null), ports, inbound, inboundRpc, limits, own, serves, others(root), calls);
+    }
+
+    private static HostPort here(int port) {
+        return port == 0 ? null : new HostPort("127.0.0.1", port);
+    }
+
+    /** The address for callers by one protocol, which stands with the port of the application for the same. */
+    private HostPort inbound(String key, String port, String protocol) {
+        HostPort inbound = root.address(key);
+        if (inbound != null && inbound.port() == 0) {
+            faults.add(root.place(key), key, "port 0 is none that callers can know", "a port from 1 to 65535");
+        }
+        if (root.has(key) != root.has(port)) {
+            String there = root.has(key) ? key : port;
+            faults.add(root.place(there), there, "`" + there + "` without `" + (root.has(key) ? port : key) + "`",
+                "both, where callers come by " + protocol + ", or neither");
+        }
+        return inbound;
+    }
+
+    /** That each class is reached by some protocol, and each protocol that a class names has a port. */
+    private void spoken(View at, String key, String http, String rpc) {
+        at.named(key).forEach((name, view) -> {
+            if (view.isSection() && !view.has("paths") && !view.has("procedures")) {
+                faults.add(view.place(), view.path(), "no request can be of this class", "`paths:` for HTTP, `procedures:` for "
+                    + "MessagePack-RPC, or both");
+            }
+            unspoken(at, view, "paths", http);
+            unspoken(at, view, "procedures", rpc);
+        });
+        if (at.has("default") && !at.has(http) && at.has(rpc)) {
+            faults.add(at.place("default"), at.path("default"), "stands for paths of HTTP, and there is no `" + http + "`",
+                "`procedures: [\"*\"]` in a class, or `" + http + ":`");
+        }
+    }
+
+    private void unspoken(View at, View view, String what, String port) {
+        if (view.has(what) && !at.has(port) && (at.has("port") || at.has("rpc-port"))) {
+            faults.add(view.place(what), view.path(what), "`" + what + "` where there is no `" + port + "`",
+                "`" + port + ":`, or no `" + what + "`");
+        }
     }
 
     /** The classes under a key, and the conflicts between their paths. */
@@ -72,11 +119,12 @@
         Map<String, Served> served = new LinkedHashMap<>();
         List<Route> routes = new ArrayList<>();
         Map<Route, View> places = new HashMap<>();
+        Map<String, Place> taken = new HashMap<>();
         at.named(key).forEach((name, view) -> {
             RequestClass requestClass = NodeConfigReader.requestClass(name, view, faults);
             List<String> paths = view.texts("paths", Kind.PATH);
             Set<String> methods = new HashSet<>(view.texts("methods", Kind.METHOD));
-            served.put(name, new Served(requestClass, paths, methods));
+            served.put(name, new Served(requestClass, paths, methods, procedures(view, taken)));
             for (View path : view.items("paths")) {
                 String text = path.self(Kind.PATH);
                 if (text != null) {
@@ -100,6 +148,21 @@
         return served;
     }
 
+    private List<String> procedures(View view, Map<String, Place> taken) {
+        List<String> procedures = new ArrayList<>();
+        for (View item : view.items("procedures")) {
+            String text = item.self(Kind.PROCEDURE);
+            Place first = text == null ? null : taken.putIfAbsent(text, item.place());
+            if (first != null) {
+                faults.add(item.place(), item.path(), "`" + text + "` stands twice, first at line " + first.line(),
+                    "each procedure once");
+            } else if (text != null) {
+                procedures.add(text);
+            }
+        }
+        return procedures;
+    }
+
     private RequestClass others(View at) {
         View view = at.section("default");
         long deadline = view.span("deadline", -1);
@@ -115,7 +178,7 @@
             view.number("late-worth", 0), 0, false);
     }
 
-    private Call call(String name, View view, HostPort inbound) {
+    private Call call(String name, View view, HostPort inbound, HostPort inboundRpc) {
         int sources = (view.has("servers") ? 1 : 0) + (view.has("file") ? 1 : 0) + (view.has("discovery") ? 1 : 0);
         if (sources > 1) {
             faults.add(view.place(), view.path(), "servers from " + sources + " sources",
@@ -131,21 +194,46 @@
             List<Server> listed = ServerLists.named(view, list, faults);
             known = listed == null ? List.of() : listed;
         }
-        circles(view, list == null ? "servers" : "file", known, inbound);
+        if (!view.has("port") && !view.has("rpc-port")) {
+            faults.add(view.place(), view.path(), "the application reaches it nowhere",
+                "`port:` for HTTP, `rpc-port:` for MessagePack-RPC, or both");
+        }
+        spoken(view, "classes", "port", "rpc-port");
+        String key = list == null ? "servers" : "file";
+        circles(view, key, known, inbound, inboundRpc);
+        reachable(view, key, known);
         Pool pool = NodeConfigReader.settings(name, view, servers, list, view.address("discovery"), limits, faults);
-        return new Call(name, view, view.port("port"), pool, sources == 0,
+        return new Call(name, view, new Ports(view.port("port"), view.port("rpc-port")), pool, sources == 0,
             served(view, "classes", view.section("default"), view.has("default")), others(view));
     }
 
+    /** That servers speak what the classes of a call are asked by. */
+    private void reachable(View view, String key, List<Server> servers) {
+        boolean http = view.has("default") || view.named("classes").values().stream().anyMatch(c -> c.has("paths"));
+        boolean rpc = view.named("classes").values().stream().anyMatch(c -> c.has("procedures"));
+        for (Server server : servers) {
+            if (http && server.address() == null || rpc && server.rpc() == null) {
+                faults.add(view.place(key), view.path(key), "the server " + server.told() + " does not speak "
+                    + (http && server.address() == null ? "HTTP" : "MessagePack-RPC") + ", as a class here does",
+                    http && server.address() == null ? "its `address`" : "its `rpc` address");
+            }
+        }
+        if (rpc && view.has("discovery")) {
+            faults.add(view.place("discovery"), view.path("discovery"), "discovery tells HTTP addresses only, and a class here "
+                + "has `procedures`", "`servers` or `file`, with `rpc` addresses");
+        }
+    }
+
     private static boolean reaches(Server server, int port) {
-        return server.addresses().stream().anyMatch(a -> a.reaches(new HostPort("127.0.0.1", port)));
+        return port != 0 && server.addresses().stream().anyMatch(a -> a.reaches(new HostPort("127.0.0.1", port)));
     }
 
-    private void circles(View view, String key, List<Server> servers, HostPort inbound) {
+    private void circles(View view, String key, List<Server> servers, HostPort... inbound) {
         for (Server server : servers) {
-            boolean own = inbound != null && server.addresses().stream().anyMatch(a -> a.reaches(inbound));
+            boolean own = server.addresses().stream().anyMatch(a -> Stream.of(inbound).filter(Objects::nonNull)
+                .anyMatch(a::reaches));
             for (View call : root.named("calls").values()) {
-                own |= call.port("port") != 0 && reaches(server, call.port("port"));
+                own |= reaches(server, call.port("port")) || reaches(server, call.port("rpc-port"));
             }
             if (own) {
                 faults.add(view.place(key), view.path(key), "the server " + server.told()
--- a/src/main/java/onyxpaddle/sidecar/Explanation.java
+++ b/src/main/java/onyxpaddle/sidecar/Explanation.java
@@ -12,6 +12,8 @@
 import onyxpaddle.config.NodeConfig.Pool;
 import onyxpaddle.config.NodeConfig.RequestClass;
 import onyxpaddle.config.Units;
+import onyxpaddle.route.Procedure;
+import onyxpaddle.route.ProcedureTable;
 import onyxpaddle.route.Route;
 import onyxpaddle.route.RouteTable;
 
@@ -33,6 +35,10 @@
             return lines;
         }
         lines.put("listener", listener.name() + " on " + listener.address());
+        if (listener.rpc()) {
+            call(lines, config, listener, method, url);
+            return lines;
+        }
         String host = headers.getOrDefault("host", url.getHost());
         String path = url.getRawPath() == null || url.getRawPath().isEmpty() ? "/" : url.getRawPath();
         UnaryOperator<String> header = headers::get;
@@ -54,6 +60,37 @@
         return lines;
     }
 
+    /** A call by MessagePack-RPC, {@code CALL rpc://HOST:PORT/PROCEDURE}. */
+    private static void call(Map<String, String> lines, NodeConfig config, Listener listener, String method, URI url) {
+        String name = url.getPath() == null ? "" : url.getPath().replaceFirst("^/", "");
+        List<Procedure> all = config.procedures().stream().filter(p -> p.listener().equals(listener.name())).toList();
+        Procedure found = new ProcedureTable(all).find(name);
+        if (!method.equals("CALL") || found == null) {
+            lines.put("answer", !method.equals("CALL") ? "none: callers here speak MessagePack-RPC; ask with CALL rpc://HOST:PORT/NAME"
+                : "the error no-method at once: no procedure holds for `" + name + "`");
+            return;
+        }
+        RequestClass c = config.classes().get(found.requestClass());
+        Pool pool = config.pools().get(found.pool());
+        lines.put("procedure", found.name() + " (" + found.pattern() + ")");
+        lines.put("pool", pool.name() + ": " + servers(pool));
+        lines.put("mapped", found.path() == null ? "to no path: to servers of MessagePack-RPC only"
+            : "to POST " + found.mapped(name) + " at servers of HTTP only");
+        lines.put("class", c.name());
+        lines.put("effect", c.effect().name().toLowerCase(Locale.ROOT)
+            + (c.effect() == Effect.KEYED ? ", unsafe without a key in its envelope" : ""));
+        lines.put("deadline", Units.spanText(c.deadline()) + ", or `expires` of its envelope if that is sooner");
+        lines.put("aim", Units.spanText(c.aim()));
+        lines.put("attempts", "at most " + pool.attempts() + (c.retry() ? "" : ", a further one only if all before never ran"));
+        lines.put("largest parameters", Units.sizeText(pool.body()));
+        for (Procedure other : all) {
+            if (other != found) {
+                lines.put("not " + other.name(), new ProcedureTable(List.of(other)).find(name) == null
+                    ? "is of " + other.pattern() : "holds too, but " + found.pattern() + " is longer");
+            }
+        }
+    }
+
     private static Listener listener(NodeConfig config, URI url) {
         if (url.getPort() >= 0) {
             return config.listeners().values().stream().filter(l -> l.address().port() == url.getPort()).findFirst()
--- a/src/main/java/onyxpaddle/sidecar/Together.java
+++ b/src/main/java/onyxpaddle/sidecar/Together.java
@@ -7,6 +7,7 @@
 import onyxpaddle.config.Faults;
 import onyxpaddle.config.HostPort;
 import onyxpaddle.config.Place;
+import onyxpaddle.config.View;
 import onyxpaddle.config.Words;
 import onyxpaddle.sidecar.Description.Call;
 
@@ -45,23 +46,28 @@
     private void ports() {
         List<Claim> claims = new ArrayList<>();
         for (Description d : all) {
-            if (d.port() != 0) {
-                claim(claims, new Claim(new HostPort("127.0.0.1", d.port()), "the application `" + d.name() + "`",
-                    d.at().place("port"), "port", d));
-            }
-            if (d.inbound() != null && d.inbound().port() != 0) {
-                claim(claims, new Claim(d.inbound(), "the inbound side of `" + d.name() + "`", d.at().place("inbound"),
-                    "inbound", d));
-            }
+            claim(claims, d, d.at(), "port", here(d.ports().http()), "the application `" + d.name() + "`");
+            claim(claims, d, d.at(), "rpc-port", here(d.ports().rpc()), "the application `" + d.name() + "`");
+            claim(claims, d, d.at(), "inbound", d.inbound(), "the inbound side of `" + d.name() + "`");
+            claim(claims, d, d.at(), "inbound-rpc", d.inboundRpc(), "the inbound side of `" + d.name() + "`");
             for (Call call : d.calls().values()) {
-                if (call.port() != 0) {
-                    claim(claims, new Claim(new HostPort("127.0.0.1", call.port()), "the call `" + call.name()
-                        + "` of `" + d.name() + "`", call.at().place("port"), call.at().path("port"), d));
-                }
+                String what = "the call `" + call.name() + "` of `" + d.name() + "`";
+                claim(claims, d, call.at(), "port", here(call.ports().http()), what);
+                claim(claims, d, call.at(), "rpc-port", here(call.ports().rpc()), what);
             }
         }
     }
 
+    private static HostPort here(int port) {
+        return new HostPort("127.0.0.1", port);
+    }
+
+    private void claim(List<Claim> claims, Description by, View at, String key, HostPort address, String what) {
+        if (address != null && address.port() != 0) {
+            claim(claims, new Claim(address, what, at.place(key), at.path(key), by));
+        }
+    }
+
     private void claim(List<Claim> claims, Claim claim) {
         for (Claim other : claims) {
             if (claim.address().clashes(other.address())) {
@@ -74,6 +80,18 @@
         claims.add(claim);
     }
 
+    /** That an application on this machine is called by what it speaks. */
+    private void spoken(Call call, Description other) {
+        if (call.ports().http() != 0 && other.inbound() == null) {
+            faults.add(call.at().place("port"), call.at().path("port"), "`" + other.name() + "` does not speak HTTP",
+                "`rpc-port`, or `inbound` in the description of `" + other.name() + "`");
+        }
+        if (call.ports().rpc() != 0 && other.inboundRpc() == null) {
+            faults.add(call.at().place("rpc-port"), call.at().path("rpc-port"), "`" + other.name()
+                + "` does not speak MessagePack-RPC", "`port`, or `inbound-rpc` in the description of `" + other.name() + "`");
+        }
+    }
+
     private void calls(boolean whole) {
         List<String> names = all.stream().map(Description::name).filter(n -> !n.isEmpty()).toList();
         for (Description d : all) {
@@ -83,12 +101,14 @@
                 }
                 if (call.name().equals(d.name())) {
                     faults.add(call.at().place(), call.at().path(), "the application calls itself through its own node",
-                        "call its own port " + d.port());
+                        "call its own port " + (d.ports().http() != 0 ? d.ports().http() : d.ports().rpc()));
                 } else if (whole && !names.contains(call.name())) {
                     String near = Words.nearest(call.name(), names);
                     faults.add(call.at().place(), call.at().path(), "nobody serves `" + call.name() + "`",
                         (near != null ? "did you mean `" + near + "`? " : "")
                             + "`servers`, `file` or `discovery`, or the description of that application beside this one");
+                } else {
+                    all.stream().filter(o -> o.name().equals(call.name())).findFirst().ifPresent(o -> spoken(call, o));
                 }
             }
         }
--- a/src/main/java/onyxpaddle/standin/StandInServer.java
+++ b/src/main/java/onyxpaddle/standin/StandInServer.java
@@ -55,6 +55,7 @@
     private volatile boolean silent;
     private volatile boolean refuses;
     private volatile boolean frozen;
+    private volatile int status = 200;
     private volatile FaultScript faults = FaultScript.none();
 
     /** {@code port}: 0 for one that the system chooses. */
@@ -107,6 +108,12 @@
         return this;
     }
 
+    /** The status of its answers from now on, where the request does not ask for one. */
+    public StandInServer status(int code) {
+        status = code;
+        return this;
+    }
+
     /** What goes wrong with its answers from now on. */
     public StandInServer faults(FaultScript script) {
         faults = script;
@@ -214,11 +221,11 @@
         }
 
         private DefaultFullHttpResponse response(FullHttpRequest request) {
-            int status = (int) number(request, "X-Answer-Status", 200);
+            int code = (int) number(request, "X-Answer-Status", status);
             long bytes = number(request, "X-Answer-Bytes", -1);
             String text = name + " " + request.method() + " " + request.uri() + " " + request.content().readableBytes()
                 + " bytes\n";
-            DefaultFullHttpResponse response = answer(status, bytes < 0 ? text : "x".repeat((int) Math.min(LARGEST, bytes)));
+            DefaultFullHttpResponse response = answer(code, bytes < 0 ? text : "x".repeat((int) Math.min(LARGEST, bytes)));
             response.headers().set("X-Stand-In", name);
             return response;
         }
--- a/src/test/java/onyxpaddle/sidecar/GoodFilesTest.java
+++ b/src/test/java/onyxpaddle/sidecar/GoodFilesTest.java
@@ -62,6 +62,25 @@
         assertEquals(0, run("check", examples.toString()), err::toString);
         assertEquals(0, run("try", examples.resolve("booking.yaml").toString(), "--once"), () -> out + "" + err);
         assertTrue(out.toString().contains("all as it should be"), out::toString);
+        out.getBuffer().setLength(0);
+        assertEquals(0, run("try", examples.resolve("records.yaml").toString(), "--once"), () -> out + "" + err);
+        assertTrue(out.toString().contains("patient.trial") && out.toString().contains("all as it should be"), out::toString);
+    }
+
+    @Test
+    void aCallIsExplained() throws Exception {
+        Path nodes = folder.resolve("nodes");
+        assertEquals(0, run("write", "deploy/examples/records.yaml", "--out", nodes.toString()), err::toString);
+        Path file = nodes.resolve("partner-records.node.yaml");
+        NodeConfig config = Checked.of(List.of(file), BrokenFilesTest.MACHINE).configs.get(file);
+        Map<String, String> lines = Explanation.of(config, "CALL", URI.create("rpc://h:7300/patient.read"), Map.of());
+        assertEquals("in--look-up (patient.*)", lines.get("procedure"));
+        assertEquals("1 s, or `expires` of its envelope if that is sooner", lines.get("deadline"));
+        assertEquals("holds too, but patient.* is longer", lines.get("not in--other"));
+        assertEquals("is of visit.book", lines.get("not in--enter"));
+        assertEquals("the error no-method at once: no procedure holds for `patient.read`",
+            Explanation.of(config, "CALL", URI.create("rpc://h:9202/patient.read"), Map.of()).get("answer"));
+        assertTrue(Explanation.of(config, "GET", URI.create("http://h:7300/x"), Map.of()).get("answer").startsWith("none"));
     }
 
     @Test
