--- a/src/main/java/onyxpaddle/rpc/RpcConnection.java
+++ b/src/main/java/onyxpaddle/rpc/RpcConnection.java
@@ -107,6 +107,8 @@
 
     void close() {
         over = true;
+        // Its place is free at once: until it has closed it would count, and serve nobody.
+        peer.connections.remove(this);
         channel.close();
     }
 
