--- a/src/main/java/onyxpaddle/config/NodeConfig.java
+++ b/src/main/java/onyxpaddle/config/NodeConfig.java
@@ -69,7 +69,7 @@
      * @param envelope whether servers are told of key, tenant and time left
      */
     public record Rpc(int connections, int calls, boolean envelope) {
-        public static final Rpc USUAL = new Rpc(4, 64, false);
+        public static final Rpc USUAL = new Rpc(4, 256, false);
     }
 
     /**
--- a/src/main/java/onyxpaddle/config/NodeShape.java
+++ b/src/main/java/onyxpaddle/config/NodeShape.java
@@ -80,7 +80,7 @@
     /** How a pool's servers are called by MessagePack-RPC. */
     public static final Key RPC = optional("rpc", section(
         optional("connections", within(Kind.COUNT, 1, 64), "4", "the most connections to one server"),
-        optional("calls", within(Kind.COUNT, 1, 10_000), "64", "the most calls at once on a connection"),
+        optional("calls", within(Kind.COUNT, 1, 10_000), "256", "the most calls at once on a connection"),
         optional("envelope", plain(Kind.FLAG), "false",
             "whether servers are told of key, tenant and time left in an envelope as callers use it")),
         "see its keys", "how its servers are called by MessagePack-RPC");
--- a/src/main/java/onyxpaddle/standin/RpcCaller.java
+++ b/src/main/java/onyxpaddle/standin/RpcCaller.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
 import org.msgpack.value.ArrayValue;
 import org.msgpack.value.Value;
@@ -73,6 +74,8 @@
             }
         } catch (IOException e) {
             why = e;
+        } catch (MessagePackException e) {
+            why = new IOException("what came is no answer, or is cut short", e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
