--- a/src/main/java/onyxpaddle/rpc/RpcConnection.java
+++ b/src/main/java/onyxpaddle/rpc/RpcConnection.java
@@ -115,14 +115,23 @@
     void sweep(long now) {
         if (calls.waiting() > 0) {
             idleSince = now;
-        } else if (connected && (calls.spent() || calls.inFlight() > 0 && (calls.full() || stalls(now)))) {
-            // What it still owes will hardly come, and holds places: the next call gets a new connection.
-            close();
+        } else if (closeIfSpent(now)) {
+            return;
         } else if (now - idleSince >= all.terms.idle()) {
             close();
         }
     }
 
+    /** Closes it if no call waits and what it still owes holds its places, and will hardly come. */
+    boolean closeIfSpent(long now) {
+        boolean spent = connected && calls.waiting() == 0
+            && (calls.spent() || calls.inFlight() > 0 && (calls.full() || stalls(now)));
+        if (spent) {
+            close();
+        }
+        return spent;
+    }
+
     // ---- calls ----
 
     void send(Attempt attempt) {
--- a/src/main/java/onyxpaddle/rpc/RpcUpstream.java
+++ b/src/main/java/onyxpaddle/rpc/RpcUpstream.java
@@ -157,7 +157,11 @@
             return;
         }
         long now = clock.now();
-        int index = peer.choice.choose(peer.connections.stream().map(c -> c.seen(now)).toList());
+        List<ConnectionChoice.Seen> seen = peer.connections.stream().map(c -> c.seen(now)).toList();
+        int index = peer.choice.choose(seen);
+        if (index == ConnectionChoice.NONE && List.copyOf(peer.connections).stream().filter(c -> c.closeIfSpent(now)).count() > 0) {
+            index = peer.choice.choose(peer.connections.stream().map(c -> c.seen(now)).toList());
+        }
         if (index == ConnectionChoice.NONE) {
             // All its connections are full or stall: it has no room for this call, which never ran.
             dispatcher.ended(attempt, Outcome.FULL, null);
--- a/src/test/java/onyxpaddle/serve/RpcFrontTest.java
+++ b/src/test/java/onyxpaddle/serve/RpcFrontTest.java
@@ -235,6 +235,33 @@
         }
     }
 
+    @Test
+    void aCallerWithNoTimeLeftIsAnsweredAndNothingIsSent() throws Exception {
+        try (Box box = new Box("one"); RpcRig rig = new RpcRig(config("", box.rpcOnly("one"))); RpcCaller caller = rig.caller()) {
+            Reply reply = caller.ask("book", RpcCaller.envelope("expires", 0), text("x"));
+            assertTrue(List.of("refused", "late").contains(reply.ownCode()), reply.error().toString());
+            assertEquals(0, box.ledger.served());
+        }
+    }
+
+    /** Its calls are given up with it: the server that refuses them just then is the last that is asked. */
+    @Test
+    void aCallerThatIsGoneIsNotServedOn() throws Exception {
+        try (Box box = new Box("one").delay(100, 0); RpcRig rig = new RpcRig(config("", box.rpcOnly("one")));
+                RpcCaller good = rig.caller()) {
+            RpcCaller caller = rig.caller();
+            for (int i = 0; i < 50; i++) {
+                caller.call("look.x", text("gone" + i));
+            }
+            await(() -> box.ledger.served() == 50);
+            caller.close();
+            for (int i = 0; i < 20; i++) {
+                assertTrue(good.ask("look.y").ok());
+            }
+            assertEquals(70, box.ledger.served());
+        }
+    }
+
     // ---- notifications ----
 
     @Test
