Stand-ins of both protocols share what is not of a protocol: StandIn

Need: listener, delay, faults and standing still stood twice, in the stand-in of HTTP and in that of MessagePack-RPC; a third protocol would have made it three.

Change: an abstract StandIn holds them; behaviour unchanged.

--- a/src/main/java/onyxpaddle/standin/StandInRpcServer.java
+++ b/src/main/java/onyxpaddle/standin/StandInRpcServer.java
@@ -1,27 +1,14 @@
 package onyxpaddle.standin;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.group.ChannelGroup;
-import io.netty.channel.group.DefaultChannelGroup;
-import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.util.concurrent.GlobalEventExecutor;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import onyxpaddle.standin.FaultScript.Fault;
@@ -39,83 +26,28 @@
  * documented word that the call never ran, {@code count} with the number of parameters. It counts how often each call
  * ran by its key: that of an envelope, or the first parameter where it is a text. What goes wrong is scripted.
  */
-public final class StandInRpcServer implements AutoCloseable {
+public final class StandInRpcServer extends StandIn<StandInRpcServer> {
     private static final String ENVELOPE = "lupinmount";
 
-    private final String name;
-    private final Ledger ledger;
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final ChannelGroup open = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
-    private final Channel listener;
     private final AtomicLong notified = new AtomicLong();
     private final AtomicInteger connections = new AtomicInteger();
-    private volatile long delayMillis;
-    private volatile long jitterMillis;
-    private volatile boolean frozen;
-    private volatile boolean refuses;
-    private volatile FaultScript faults = FaultScript.none();
     private volatile Map<Value, Value> lastEnvelope = Map.of();
 
     /** {@code port}: 0 for one that the system chooses; {@code ledger}: where it writes down what ran. */
     public StandInRpcServer(String name, int port, Ledger ledger) throws Exception {
-        this.name = name;
-        this.ledger = ledger;
-        try {
-            listener = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, 4096)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel channel) {
-                        open.add(channel);
-                        connections.incrementAndGet();
-                        channel.config().setAutoRead(!frozen);
-                        channel.pipeline().addLast(new Calls());
-                    }
-                }).bind("127.0.0.1", port).sync().channel();
-        } catch (Exception e) {
-            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
-            throw e;
-        }
-    }
-
-    public InetSocketAddress address() {
-        return (InetSocketAddress) listener.localAddress();
-    }
-
-    public String hostPort() {
-        return "127.0.0.1:" + address().getPort();
-    }
-
-    /** Each answer comes after so many milliseconds, and up to so many more. */
-    public StandInRpcServer delay(long millis, long jitter) {
-        delayMillis = millis;
-        jitterMillis = jitter;
-        return this;
-    }
-
-    /** What goes wrong with its answers from now on. */
-    public StandInRpcServer faults(FaultScript script) {
-        faults = script;
-        return this;
+        super(name, ledger);
+        listen(port);
     }
 
-    /** From now on it reads and answers nothing, as a process that has stopped; or it goes on where it stopped. */
-    public StandInRpcServer frozen(boolean on) {
-        frozen = on;
-        open.forEach(channel -> channel.config().setAutoRead(!on));
-        return this;
-    }
-
-    /** From now on it turns each call away unseen, by the documented error, or serves again. */
-    public StandInRpcServer refuses(boolean on) {
-        refuses = on;
+    @Override
+    StandInRpcServer self() {
         return this;
     }
 
-    public Ledger ledger() {
-        return ledger;
+    @Override
+    ChannelHandler[] handlers() {
+        connections.incrementAndGet();
+        return new ChannelHandler[] {new Calls()};
     }
 
     /** How many notifications have come. */
@@ -143,13 +75,6 @@
         open.close().syncUninterruptibly();
     }
 
-    @Override
-    public void close() {
-        listener.close().syncUninterruptibly();
-        open.close().syncUninterruptibly();
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
-    }
-
     private final class Calls extends ChannelInboundHandlerAdapter {
         private final ByteBuf bytes = Unpooled.buffer();
         /** An answer that waits for the next one to go before it. */
@@ -203,21 +128,10 @@
                 : answer(answered, ValueFactory.newNil(), method.equals("count") ? ValueFactory.newInteger(params.size())
                     : ValueFactory.newMap(text("by"), text(name), text("method"), text(method), text("params"),
                         ValueFactory.newArray(params)));
-            long millis = delayMillis + (jitterMillis > 0 ? ThreadLocalRandom.current().nextLong(jitterMillis + 1) : 0)
-                + (fault == Fault.DELAY ? faults.delayMillis() : 0);
+            long millis = nextDelay() + (fault == Fault.DELAY ? faults.delayMillis() : 0);
             after(context, millis, () -> faulty(context, answer, fault));
         }
 
-        private void after(ChannelHandlerContext context, long millis, Runnable then) {
-            if (frozen) {
-                context.executor().schedule(() -> after(context, 0, then), StandInServer.THAW_MS, TimeUnit.MILLISECONDS);
-            } else if (millis <= 0) {
-                then.run();
-            } else {
-                context.executor().schedule(() -> after(context, 0, then), millis, TimeUnit.MILLISECONDS);
-            }
-        }
-
         private void faulty(ChannelHandlerContext context, byte[] answer, Fault fault) {
             switch (fault) {
                 case LOSE_REPLY -> { }
--- a/src/main/java/onyxpaddle/standin/StandInServer.java
+++ b/src/main/java/onyxpaddle/standin/StandInServer.java
@@ -1,20 +1,11 @@
 package onyxpaddle.standin;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.group.ChannelGroup;
-import io.netty.channel.group.DefaultChannelGroup;
-import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -24,12 +15,8 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.util.concurrent.GlobalEventExecutor;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
-import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import onyxpaddle.standin.FaultScript.Fault;
 
@@ -41,22 +28,11 @@
  * <p>A caller may ask it for something special: {@code X-Answer-Status}, {@code X-Answer-Bytes}, {@code X-Answer-Delay}
  * (milliseconds).
  */
-public final class StandInServer implements AutoCloseable {
+public final class StandInServer extends StandIn<StandInServer> {
     private static final int LARGEST = 64 << 20;
-    static final long THAW_MS = 5;
 
-    private final String name;
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final ChannelGroup open = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
-    private final Channel listener;
-    private final Ledger ledger;
-    private volatile long delayMillis;
-    private volatile long jitterMillis;
     private volatile boolean silent;
-    private volatile boolean refuses;
-    private volatile boolean frozen;
     private volatile int status = 200;
-    private volatile FaultScript faults = FaultScript.none();
 
     /** {@code port}: 0 for one that the system chooses. */
     public StandInServer(String name, int port) throws Exception {
@@ -65,41 +41,18 @@
 
     /** As the other; {@code ledger}: where it writes down what ran, with those that share it. */
     public StandInServer(String name, int port, Ledger ledger) throws Exception {
-        this.ledger = ledger;
-        this.name = name;
-        try {
-            listener = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, 4096)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel channel) {
-                        open.add(channel);
-                        channel.config().setAutoRead(!frozen);
-                        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(LARGEST),
-                            new Requests());
-                    }
-                }).bind("127.0.0.1", port).sync().channel();
-        } catch (Exception e) {
-            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
-            throw e;
-        }
-    }
-
-    public InetSocketAddress address() {
-        return (InetSocketAddress) listener.localAddress();
+        super(name, ledger);
+        listen(port);
     }
 
-    public String hostPort() {
-        return "127.0.0.1:" + address().getPort();
+    @Override
+    StandInServer self() {
+        return this;
     }
 
-    /** Each answer comes after so many milliseconds, and up to so many more. */
-    public StandInServer delay(long millis, long jitter) {
-        delayMillis = millis;
-        jitterMillis = jitter;
-        return this;
+    @Override
+    ChannelHandler[] handlers() {
+        return new ChannelHandler[] {new HttpServerCodec(), new HttpObjectAggregator(LARGEST), new Requests()};
     }
 
     /** From now on it takes requests and says nothing, or answers again. */
@@ -114,25 +67,6 @@
         return this;
     }
 
-    /** What goes wrong with its answers from now on. */
-    public StandInServer faults(FaultScript script) {
-        faults = script;
-        return this;
-    }
-
-    /** From now on it reads and answers nothing, as a process that has stopped; or it goes on where it stopped. */
-    public StandInServer frozen(boolean on) {
-        frozen = on;
-        open.forEach(channel -> channel.config().setAutoRead(!on));
-        return this;
-    }
-
-    /** From now on it turns each request away unseen, or serves again. */
-    public StandInServer refuses(boolean on) {
-        refuses = on;
-        return this;
-    }
-
     /** How often the request with this {@code X-Effect} ran. */
     public int runs(String effect) {
         return ledger.runs(effect);
@@ -148,13 +82,6 @@
         return ledger.served();
     }
 
-    @Override
-    public void close() {
-        listener.close().syncUninterruptibly();
-        open.close().syncUninterruptibly();
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
-    }
-
     private final class Requests extends SimpleChannelInboundHandler<FullHttpRequest> {
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
@@ -175,22 +102,11 @@
                 return;
             }
             DefaultFullHttpResponse response = response(request);
-            long millis = number(request, "X-Answer-Delay", delayMillis
-                + (jitterMillis > 0 ? ThreadLocalRandom.current().nextLong(jitterMillis + 1) : 0));
+            long millis = number(request, "X-Answer-Delay", nextDelay());
             Fault fault = faults.next();
             after(context, millis + (fault == Fault.DELAY ? faults.delayMillis() : 0), () -> faulty(context, response, keep, fault));
         }
 
-        private void after(ChannelHandlerContext context, long millis, Runnable then) {
-            if (frozen) {
-                context.executor().schedule(() -> after(context, 0, then), THAW_MS, TimeUnit.MILLISECONDS);
-            } else if (millis <= 0) {
-                then.run();
-            } else {
-                context.executor().schedule(() -> after(context, 0, then), millis, TimeUnit.MILLISECONDS);
-            }
-        }
-
         private void faulty(ChannelHandlerContext context, DefaultFullHttpResponse response, boolean keep, Fault fault) {
             byte[] head = ("HTTP/1.1 200 OK\r\nContent-Length: " + response.content().readableBytes() + "\r\n\r\n")
                 .getBytes(StandardCharsets.US_ASCII);
