MessagePack-RPC: answers count in the pool's bytes until their caller has read them

Cause: an answer's bytes went back to the budget as it was handed to the socket. Each caller may leave 4 MiB unread for 5 s, so many slow ones together could hold more than the heap has.

Change: a pool's share holds an answer's bytes until they are written; bodies that come meanwhile find less room and are refused.

Many slow callers at once were not measured.

--- a/src/main/java/onyxpaddle/rpc/CallerConnection.java
+++ b/src/main/java/onyxpaddle/rpc/CallerConnection.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
@@ -15,6 +16,7 @@
 import onyxpaddle.node.Dispatcher;
 import onyxpaddle.node.Exchange;
 import onyxpaddle.node.Log;
+import onyxpaddle.node.SharedLimit;
 import onyxpaddle.rpc.OwnError.Code;
 import onyxpaddle.rpc.RpcCalls.Taken;
 import onyxpaddle.rpc.RpcCounts.Dropped;
@@ -279,12 +281,16 @@
 
     private void answered(OpenCall call, ByteBuf body) {
         open.remove(call.msgid);
-        write(call.msgid, body);
+        // The answer goes on taking memory until the caller reads it, which it may do slowly.
+        SharedLimit.Share share = call.taken.target().bytes();
+        long held = body.readableBytes();
+        share.takeAnyway(held);
+        write(call.msgid, body).addListener(f -> share.giveBack(held));
         idleSince = all.clock.now();
         goOn();
     }
 
-    private void write(long msgid, ByteBuf body) {
+    private ChannelFuture write(long msgid, ByteBuf body) {
         ByteBuf head = channel.alloc().buffer(16);
         MsgPack.array(head, 4);
         MsgPack.whole(head, 1);
@@ -294,7 +300,7 @@
             unreadSince = all.clock.now();
         }
         unreadBytes += bytes;
-        channel.writeAndFlush(Unpooled.wrappedBuffer(head, body)).addListener(f -> {
+        ChannelFuture sent = channel.writeAndFlush(Unpooled.wrappedBuffer(head, body)).addListener(f -> {
             unread--;
             unreadBytes -= bytes;
             unreadSince = all.clock.now();
@@ -304,6 +310,7 @@
         } else if (closing) {
             shutWhenDone();
         }
+        return sent;
     }
 
     private void letGo() {
