Discovery: a list that stalls is given up in 0.4 s, and asked for again at once

Need: while servers are replaced, lists break off or stall. A call that had begun to answer was waited for up to 4.5 s, longer than the 2 s after its wait from which its news counts as told.

Change: an answer that has begun may bring nothing for 0.4 s and take 1.5 s in all; one that has not begun is late 0.8 s after its wait. The next call goes out on a new connection at once, then with growing pauses that differ from node to node. What was not read whole does not count: rejected was to take the entries before the break, as a whole list says by leaving out.

Measured: tests that break off, stall, cut, hold back and refuse lists twice in a row; the third is in force, the list held serves meanwhile.

--- a/src/main/java/onyxpaddle/membership/Discovery.java
+++ b/src/main/java/onyxpaddle/membership/Discovery.java
@@ -7,6 +7,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -23,6 +24,7 @@
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import onyxpaddle.node.Log;
@@ -36,12 +38,18 @@
  */
 public final class Discovery {
     private static final int WAIT_MS = 2000;
-    private static final int ANSWER_LATE_MS = 2500;
-    private static final int CONNECT_MS = 1000;
+    /** How long after its wait an answer may begin; what it had to tell counts as told 2 s after the wait. */
+    private static final int ANSWER_LATE_MS = 800;
+    /** How long an answer that has begun may bring nothing, and how long it may take in all. */
+    private static final int STALL_MS = 400;
+    private static final int LONGEST_ANSWER_MS = 1500;
+    private static final int CONNECT_MS = 500;
     private static final int LARGEST_ANSWER = 2 << 20;
     /** Between calls that tell nothing and come back at once; within the 200 ms that a watch goes on. */
     private static final int PAUSE_MS = 100;
     private static final int LONGEST_RETRY_MS = 1000;
+    /** Failed calls in a row up to which the next goes out at once: an answer that broke off is likely whole the next time. */
+    private static final int AT_ONCE = 1;
 
     private final EventLoop loop;
     private final Bootstrap bootstrap;
@@ -55,6 +63,8 @@
     private boolean calling;
     private boolean stopped;
     private long calledAt;
+    /** When the first byte of the answer at hand came; 0 before. */
+    private long beganAt;
     private long seq;
     /** The version held is in doubt: the next call asks for the whole list. */
     private boolean lost;
@@ -77,7 +87,7 @@
             .handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel ch) {
-                    ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(LARGEST_ANSWER),
+                    ch.pipeline().addLast(new Progress(), new HttpClientCodec(), new HttpObjectAggregator(LARGEST_ANSWER),
                         new Answers());
                 }
             });
@@ -149,7 +159,9 @@
             Unpooled.EMPTY_BUFFER);
         request.headers().set(HttpHeaderNames.HOST, host);
         Channel on = channel;
-        timeout = loop.schedule(() -> failed(on, "no answer"), WAIT_MS + ANSWER_LATE_MS, TimeUnit.MILLISECONDS);
+        beganAt = 0;
+        int wait = lost || !heard ? 0 : WAIT_MS;
+        timeout = loop.schedule(() -> failed(on, "no answer"), wait + ANSWER_LATE_MS, TimeUnit.MILLISECONDS);
         on.writeAndFlush(request);
     }
 
@@ -168,7 +180,9 @@
         if (asked) {
             onRefused.run();
         } else {
-            later(Math.min(LONGEST_RETRY_MS, PAUSE_MS << Math.min(4, failures - 1)));
+            // Spread, so that nodes whose calls broke off together do not come back together.
+            int pause = failures <= AT_ONCE ? 0 : Math.min(LONGEST_RETRY_MS, PAUSE_MS << Math.min(4, failures - 2));
+            later(pause / 2 + ThreadLocalRandom.current().nextInt(pause / 2 + 1));
         }
     }
 
@@ -225,6 +239,25 @@
         later(idle ? PAUSE_MS : 0);
     }
 
+    /**
+     * Watches bytes as they come. Guards against an answer that begins and stalls, which would be waited for while what it
+     * tells counts as told; should cover one that trickles, too. It does harm where a sound discovery pauses that long.
+     */
+    private final class Progress extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (timeout != null && context.channel() == channel) {
+                long now = System.nanoTime();
+                beganAt = beganAt == 0 ? now : beganAt;
+                long left = LONGEST_ANSWER_MS - TimeUnit.NANOSECONDS.toMillis(now - beganAt);
+                stopTimeout();
+                timeout = loop.schedule(() -> failed(context.channel(), "the list stalls"), Math.max(0, Math.min(STALL_MS, left)),
+                    TimeUnit.MILLISECONDS);
+            }
+            context.fireChannelRead(message);
+        }
+    }
+
     private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
--- /dev/null
+++ b/src/test/java/onyxpaddle/serve/BrokenListsTest.java
@@ -0,0 +1,107 @@
+package onyxpaddle.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import onyxpaddle.serve.Loopback.Client;
+import onyxpaddle.serve.Loopback.FakeServer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Lists that break off, stall or lie about their length: what was not read whole does not count, and is asked for again. */
+class BrokenListsTest {
+    private static final String CALL = "GET /v1/endpoints?after=1&wait_ms=";
+
+    /** Answers call after call as its script says; {@code -} holds the answer back for good. */
+    private static final class Flaky extends Loopback.Peer {
+        final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
+        final BlockingQueue<String> calls = new LinkedBlockingQueue<>();
+        final CountDownLatch over = new CountDownLatch(1);
+
+        Flaky(List<String> answers) throws java.io.IOException {
+            this.answers.addAll(answers);
+        }
+
+        @Override
+        void serve(Socket socket) throws Exception {
+            for (String head = Loopback.head(socket.getInputStream()); head != null;
+                    head = Loopback.head(socket.getInputStream())) {
+                calls.add(head.split("\r\n")[0]);
+                String answer = answers.take();
+                socket.getOutputStream().write(answer.replaceFirst("[-!]$", "").getBytes(StandardCharsets.UTF_8));
+                if (answer.endsWith("-")) {
+                    over.await();
+                } else if (answer.endsWith("!")) {
+                    return;
+                }
+            }
+        }
+    }
+
+    private static Node node(Flaky discovery, FakeServer known) throws Exception {
+        String config = Loopback.config(new Loopback.FakeDiscovery("{}"), known);
+        return Node.start(PlatformConfig.parse(config.getBytes(StandardCharsets.UTF_8),
+            Map.of("GW_DISCOVERY", discovery.address())));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"break", "stall", "cut", "silence", "error"})
+    void listIsTakenWholeOrNotAtAllAndAskedForAgain(String fault) throws Exception {
+        try (FakeServer before = new FakeServer("s1"); FakeServer after = new FakeServer("s2")) {
+            String whole = Loopback.ok(Loopback.list(2, after));
+            String half = whole.substring(0, whole.length() - 40);
+            String bad = switch (fault) {
+                case "break" -> half + "!";
+                case "stall" -> half + "-";
+                case "silence" -> "-";
+                case "cut" -> Loopback.ok(Loopback.list(2, after).substring(0, 80));
+                default -> "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+            };
+            try (Flaky discovery = new Flaky(List.of(bad, bad, whole))) {
+                Node node = node(discovery, before);
+                try (Client client = new Client(node.address())) {
+                    for (int i = 0; i < 3; i++) {
+                        assertTrue(discovery.calls.poll(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS).startsWith("GET /v1/endpoints"));
+                    }
+                    // The fourth call comes when the list that was whole is in force.
+                    assertTrue(discovery.calls.poll(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS).contains("after=2"));
+                    after.answers.add(Loopback.ok("after"));
+                    assertEquals("200 after", client.say(Loopback.request("r1", "read")).hear());
+                    assertEquals(0, before.heard.size());
+                } finally {
+                    discovery.over.countDown();
+                    node.stop();
+                }
+            }
+        }
+    }
+
+    @Test
+    void whatIsHeldServesOnWhileListsBreakOff() throws Exception {
+        try (FakeServer known = new FakeServer("s1")) {
+            String half = Loopback.ok(Loopback.list(2)).substring(0, 60);
+            try (Flaky discovery = new Flaky(List.of(half + "!", half + "!", half + "!", "-"))) {
+                Node node = node(discovery, known);
+                try (Client client = new Client(node.address())) {
+                    for (int i = 0; i < 4; i++) {
+                        assertTrue(discovery.calls.poll(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS).startsWith(CALL));
+                    }
+                    known.answers.add(Loopback.ok("known"));
+                    assertEquals("200 known", client.say(Loopback.request("r1", "read")).hear());
+                } finally {
+                    discovery.over.countDown();
+                    node.stop();
+                }
+            }
+        }
+    }
+}
