--- a/src/main/java/onyxpaddle/Balancing.java
+++ b/src/main/java/onyxpaddle/Balancing.java
@@ -31,7 +31,9 @@
         OK(false), ERROR(false), FULL(true), TIMED_OUT(false), CONNECT_FAILED(true), RESET(false),
         CANCELLED(false), NOT_SENT(true),
         /** The server finds the request itself at fault, which says nothing of the server. */
-        REJECTED(false);
+        REJECTED(false),
+        /** It never ran, and can't be sent again: a part of its body was passed on and is held no more. */
+        SPENT(true);
 
         /** Whether this outcome proves that the request never ran at the server. */
         public final boolean neverRan;
--- a/src/main/java/onyxpaddle/RatioBalancer.java
+++ b/src/main/java/onyxpaddle/RatioBalancer.java
@@ -303,7 +303,7 @@
     }
 
     private void failed(Server server, Outcome outcome) {
-        if (outcome == Outcome.FULL) {
+        if (outcome == Outcome.FULL || outcome == Outcome.SPENT) {
             server.full.add(now);
             return;
         }
@@ -509,7 +509,9 @@
         r.out--;
         attempt.server.out.remove(attempt);
         observe(r, attempt, ended);
-        adjustLimit(r, ended);
+        if (!attempt.streaming) {
+            adjustLimit(r, ended.outcome(), ended.attempt(), ended.latency());
+        }
         if (ended.outcome().neverRan && r.anchor == attempt) {
             r.anchor = r.firstThatMayHaveRun(attempt);
         } else if (ended.outcome().neverRan) {
@@ -530,7 +532,7 @@
                     served(r, attempt, ended.latency());
                 }
             }
-            case ERROR, FULL -> {
+            case ERROR, FULL, SPENT -> {
                 attempt.server.heardAt = now;
                 failed(attempt.server, ended.outcome());
             }
@@ -547,7 +549,8 @@
     }
 
     private void again(Request r, Outcome outcome) {
-        boolean worthIt = outcome != Outcome.REJECTED && r.out == 0 && mayAttempt(r);
+        boolean worthIt = outcome != Outcome.REJECTED && outcome != Outcome.SPENT && r.out == 0
+            && mayAttempt(r);
         if (worthIt && (outcome.neverRan || spendRetry())) {
             if (r.attempts.size() < 2) {
                 dispatch(r);
@@ -601,6 +604,7 @@
             attempt.server.out.remove(attempt);
             attempt.server.heardAt = now;
             served(r, attempt, first.latency());
+            adjustLimit(r, Outcome.OK, first.attempt(), first.latency());
             close(r);
         }
     }
@@ -644,10 +648,10 @@
     }
 
     /** Moves the limit up by a little for each good outcome and down by much for each late one. */
-    private void adjustLimit(Request r, AttemptEnded ended) {
-        boolean late = switch (ended.outcome()) {
-            case OK -> r.use.about.aim() > 0 && ended.latency() > LATE_AFTER * r.use.about.aim();
-            case FULL -> ended.attempt() > 0;
+    private void adjustLimit(Request r, Outcome outcome, int attempt, long latency) {
+        boolean late = switch (outcome) {
+            case OK -> r.use.about.aim() > 0 && latency > LATE_AFTER * r.use.about.aim();
+            case FULL -> attempt > 0;
             case TIMED_OUT -> true;
             default -> false;
         };
@@ -655,7 +659,7 @@
         if (late) {
             metLate = true;
             admitLimit = Math.max(1, admitLimit - (1 - LATE_SHARE) * worth);
-        } else if (ended.outcome() == Outcome.OK && admitted >= OPEN_TO_ALL * admitLimit - 1) {
+        } else if (outcome == Outcome.OK && admitted >= OPEN_TO_ALL * admitLimit - 1) {
             // Until anything is late the limit is only a guess: it follows what is served.
             admitLimit += metLate ? LATE_SHARE * worth : 1;
         }
--- a/src/main/java/onyxpaddle/http/AnswerDecoder.java
+++ b/src/main/java/onyxpaddle/http/AnswerDecoder.java
@@ -23,6 +23,8 @@
     private boolean surplus;
     private boolean bodiless;
     private boolean untilClose;
+    /** The status line is read, and what follows is headers and a body. */
+    private boolean lineRead;
 
     AnswerDecoder(HttpDecoderConfig config) {
         super(config);
@@ -33,6 +35,7 @@
         expecting = true;
         this.bodiless = bodiless;
         untilClose = false;
+        lineRead = false;
     }
 
     /** Netty asks this once a head is read whole, and then whether to read on until the connection ends. */
@@ -55,7 +58,14 @@
      */
     @Override
     protected boolean isDecodingRequest() {
-        return !untilClose;
+        return lineRead && !untilClose;
+    }
+
+    /** Called with a status line. Up to here an answer may do what a request may not, such as give no reason (RFC 9112, 4). */
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) {
+        lineRead = true;
+        return super.createMessage(initialLine);
     }
 
     @Override
@@ -73,6 +83,7 @@
             }
             if (out.get(i) instanceof LastHttpContent) {
                 expecting = interim;
+                lineRead = false;
             }
         }
     }
--- a/src/main/java/onyxpaddle/http/AnswerDialect.java
+++ b/src/main/java/onyxpaddle/http/AnswerDialect.java
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.net.SocketAddress;
 import onyxpaddle.Balancing.Outcome;
-import onyxpaddle.node.Body;
 
 /** What a pool's servers are told, and what is made of the answers they give. */
 public interface AnswerDialect {
@@ -16,7 +15,8 @@
     record Verdict(Outcome outcome, AnswerHead pass) {
     }
 
-    HttpHeaders forServer(HttpHead head, Body body, SocketAddress server, long nanosLeft);
+    /** {@code length}: of the request's body in bytes, or -1 where it goes in chunks. */
+    HttpHeaders forServer(HttpHead head, long length, SocketAddress server, long nanosLeft);
 
     Verdict judge(HttpMethod method, HttpResponse response);
 
--- a/src/main/java/onyxpaddle/http/ClientConnection.java
+++ b/src/main/java/onyxpaddle/http/ClientConnection.java
@@ -9,10 +9,13 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
@@ -27,13 +30,16 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import onyxpaddle.node.Answer;
+import onyxpaddle.node.AnswerSink;
 import onyxpaddle.node.Body;
 import onyxpaddle.node.Caller;
 import onyxpaddle.node.Dispatcher;
 import onyxpaddle.node.Exchange;
 import onyxpaddle.node.Log;
+import onyxpaddle.node.Metadata;
 import onyxpaddle.node.Sockets;
 import onyxpaddle.node.Tally;
+import onyxpaddle.node.Upload;
 
 /**
  * One client connection. It reads a request whole before it is taken, and gives it one answer. Requests on a
@@ -47,10 +53,11 @@
      * may take 2 s and 64 KiB come at 64 kB/s; nobody is left without a word for 3 s.
      */
     private static final long LONGEST_REQUEST = 2_400_000_000L;
-    /** What a larger body than the usual one may take longer, for each byte: 64 kB/s. */
-    private static final long FOR_EACH_BYTE = SECOND / 64_000;
-    /** How long a client may leave an answer unread. */
+    /** What each byte of a body that has come allows it to take longer: 64 kB/s, and an eighth for the way. */
+    private static final long FOR_EACH_BYTE = SECOND / 56_000;
+    /** How long a client may leave an answer unread; and take nothing of one that is passed on as it comes. */
     private static final long LONGEST_UNREAD = 5 * SECOND;
+    private static final long LONGEST_UNREAD_PASSING = 60 * SECOND;
     /** What is read off after the last answer, so that closing does not reset it away. */
     private static final long LINGER = SECOND;
     private static final int MOST_READ_OFF = 256 * 1024;
@@ -79,7 +86,16 @@
     private boolean readiness;
     /** The request is a HEAD: what answers it has no body, whatever its headers say. */
     private boolean headOnly;
+    /** The body of the request that comes; null before and after, and once it is the exchange's. */
+    private Body body;
+    private long received;
+    /** The request that is taken, or whose body is passed on as it comes. */
     private Exchange exchange;
+    /** The body of {@link #exchange} that has not come whole; null where none is passed on. */
+    private Upload upload;
+    private long pausedAt;
+    /** The answer that is being passed on; null for none. */
+    private Passing passing;
     private Taken taken;
     private boolean keepAlive;
     private HttpVersion version = HttpVersion.HTTP_1_1;
@@ -163,7 +179,13 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
-        if (channel.isWritable()) {
+        if (passing != null) {
+            if (channel.isWritable()) {
+                passing.source.resume();
+            } else {
+                passing.source.pause();
+            }
+        } else if (channel.isWritable()) {
             goOn();
         }
     }
@@ -189,6 +211,7 @@
         if (state == State.IDLE) {
             enter(State.RECEIVING);
         }
+        received = 0;
         version = request.protocolVersion().majorVersion() == 1 ? request.protocolVersion() : HttpVersion.HTTP_1_1;
         keepAlive = HttpUtil.isKeepAlive(request);
         headOnly = request.method().equals(HttpMethod.HEAD);
@@ -204,8 +227,7 @@
                 reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
                 return;
             }
-            exchange = new Exchange(taken.terms(), taken.head(),
-                new Body(taken.bytes(), taken.length(), taken.largest()), this);
+            body = new Body(taken.bytes(), Math.min(taken.length(), taken.held()), taken.largest());
             if (HttpUtil.is100ContinueExpected(request)) {
                 channel.writeAndFlush(new DefaultFullHttpResponse(version, HttpResponseStatus.CONTINUE,
                     Unpooled.EMPTY_BUFFER));
@@ -221,17 +243,82 @@
             if (last) {
                 answer(all.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
             }
-        } else if (exchange.body.size() + content.content().readableBytes() > taken.largest()) {
+            return;
+        }
+        received += content.content().readableBytes();
+        if (received > taken.largest()) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-        } else if (!exchange.body.add(content.content())) {
+        } else if (upload != null) {
+            more(content.content(), last);
+        } else if (!body.add(content.content())) {
             // Nothing of it was sent on, so the client may try again when there is room.
             reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
-        } else if (last && (taken.pool().holds(exchange.id) || !taken.sound().test(exchange.body))) {
+        } else if ((last || received > taken.held())
+                && (taken.pool().holds(taken.terms().id()) || last && !taken.sound().test(body))) {
             reject(HttpResponseStatus.BAD_REQUEST);
         } else if (last) {
-            anyRequest = true;
+            arrived(new Exchange(taken.terms(), taken.head(), body, this));
+        } else if (received > taken.held()) {
+            passOn();
+        }
+    }
+
+    private void arrived(Exchange whole) {
+        exchange = whole;
+        body = null;
+        anyRequest = true;
+        enter(State.WAITING);
+        taken.pool().arrived(exchange);
+    }
+
+    /** More of the body has come than is held: what follows goes to the server that is drawn for it, as it comes. */
+    private void passOn() {
+        Upload rest = new Upload(taken.length(), this::read);
+        upload = rest;
+        exchange = new Exchange(taken.terms(), taken.head(), body, this, rest);
+        body = null;
+        read(false);
+        taken.pool().arrived(exchange);
+    }
+
+    /** Reads on or not, as the server that takes the body has room. What it makes the client wait is not the client's. */
+    private void read(boolean on) {
+        if (upload == null) {
+            return;
+        }
+        if (on && pausedAt > 0) {
+            since += all.clock.now() - pausedAt;
+            pausedAt = 0;
+        } else if (!on && pausedAt == 0) {
+            pausedAt = all.clock.now();
+        }
+        channel.config().setAutoRead(on);
+    }
+
+    private void more(ByteBuf bytes, boolean last) {
+        Upload to = upload;
+        Exchange of = exchange;
+        if (last) {
+            upload = null;
+            pausedAt = 0;
             enter(State.WAITING);
-            taken.pool().arrived(exchange);
+            channel.config().setAutoRead(true);
+        }
+        if (to.flows()) {
+            to.offer(Sockets.kept(bytes, channel.alloc()), last);
+            of.body.release();
+        } else if (!of.body.add(bytes)) {
+            upload = to;
+            reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        } else if (last) {
+            to.endedHeld();
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (upload != null) {
+            upload.flush();
         }
     }
 
@@ -244,10 +331,7 @@
     /** Turns away what was never taken, and lets go of the client. */
     private void reject(HttpResponseStatus status) {
         keepAlive = false;
-        if (exchange != null) {
-            exchange.body.release();
-            exchange = null;
-        }
+        dropRequest();
         if (taken != null) {
             boolean busy = status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
             taken.pool().turnedAway(taken.terms(), busy ? Tally.End.BUSY : Tally.End.FAILURE);
@@ -256,8 +340,86 @@
         answer(status, 0);
     }
 
+    /** Lets go of a request that has not come whole. */
+    private void dropRequest() {
+        if (body != null) {
+            body.release();
+            body = null;
+        }
+        if (upload != null) {
+            Upload rest = upload;
+            upload = null;
+            taken.pool().clientGone(exchange);
+            rest.abort();
+            exchange = null;
+        }
+    }
+
     // ---- answers ----
 
+    @Override
+    public boolean streams() {
+        return true;
+    }
+
+    @Override
+    public AnswerSink begins(Metadata metadata, long length, AnswerSink.Source source) {
+        AnswerHead head = (AnswerHead) metadata;
+        DefaultHttpResponse response = new DefaultHttpResponse(version, head.status(), head.headers());
+        if (length >= 0) {
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+        } else if (version.equals(HttpVersion.HTTP_1_1)) {
+            response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        } else {
+            keepAlive = false;
+        }
+        HttpUtil.setKeepAlive(response, keepsAlive());
+        channel.write(response);
+        unreadSince = all.clock.now();
+        passing = new Passing(source);
+        return passing;
+    }
+
+    /** An answer on its way: what the client does not read is not brought. */
+    private final class Passing implements AnswerSink {
+        private final Source source;
+
+        Passing(Source source) {
+            this.source = source;
+        }
+
+        @Override
+        public void data(ByteBuf bytes) {
+            channel.write(new DefaultHttpContent(bytes)).addListener(f -> unreadSince = all.clock.now());
+            if (!channel.isWritable()) {
+                channel.flush();
+            }
+            if (!channel.isWritable()) {
+                source.pause();
+            }
+        }
+
+        @Override
+        public void flush() {
+            channel.flush();
+        }
+
+        @Override
+        public void end() {
+            passing = null;
+            sent(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+            answered();
+        }
+
+        @Override
+        public void broken() {
+            passing = null;
+            // Reset rather than closed: an answer that ends with its connection would look whole.
+            channel.config().setSoLinger(0);
+            close();
+        }
+    }
+
     @Override
     public void served(Answer answer) {
         ByteBuf body = answer.body().size() > 0 ? answer.body().whole() : Unpooled.EMPTY_BUFFER;
@@ -296,8 +458,19 @@
         if (!bodiless) {
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
         }
+        if (upload != null) {
+            // The rest of its body is of no use to anyone.
+            Upload rest = upload;
+            upload = null;
+            rest.abort();
+            keepAlive = false;
+        }
         HttpUtil.setKeepAlive(response, keepsAlive());
         sent(channel.writeAndFlush(response));
+        answered();
+    }
+
+    private void answered() {
         exchange = null;
         if (!keepAlive) {
             linger();
@@ -336,18 +509,14 @@
 
     // ---- ends ----
 
-    private long longerFor() {
-        return exchange == null ? 0 : Math.max(0, taken.largest() - Body.USUAL_LARGEST) * FOR_EACH_BYTE;
-    }
-
     /** Whether a request that was taken has no answer yet. */
     boolean waits() {
-        return state == State.WAITING;
+        return state == State.WAITING || upload != null;
     }
 
     /** Whether a request that is not yet answered is, or will be, this pool's. */
     boolean uses(Dispatcher pool) {
-        return exchange != null && taken.pool() == pool;
+        return (exchange != null || body != null) && taken.pool() == pool;
     }
 
     void checkProgress(long now) {
@@ -359,7 +528,7 @@
                 }
             }
             case RECEIVING -> {
-                if (spent > LONGEST_REQUEST + longerFor()) {
+                if (pausedAt == 0 && spent > LONGEST_REQUEST + received * FOR_EACH_BYTE) {
                     reject(HttpResponseStatus.REQUEST_TIMEOUT);
                 } else if (all.turnsAway()) {
                     reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
@@ -372,7 +541,8 @@
             }
             case WAITING -> { }
         }
-        if ((unread > 0 || !channel.isWritable()) && now - unreadSince > LONGEST_UNREAD) {
+        long longest = passing == null ? LONGEST_UNREAD : LONGEST_UNREAD_PASSING;
+        if ((unread > 0 || !channel.isWritable()) && now - unreadSince > longest) {
             close();
         }
     }
@@ -384,11 +554,11 @@
         all.closed(this);
         ahead.forEach(ReferenceCountUtil::release);
         ahead.clear();
-        if (before == State.WAITING) {
+        if (before == State.WAITING && exchange != null) {
+            passing = null;
             taken.pool().clientGone(exchange);
-        } else if (exchange != null) {
-            exchange.body.release();
         }
+        dropRequest();
         exchange = null;
     }
 
--- a/src/main/java/onyxpaddle/http/PlainAnswers.java
+++ b/src/main/java/onyxpaddle/http/PlainAnswers.java
@@ -2,15 +2,14 @@
 
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpUtil;
 import java.net.SocketAddress;
 import java.util.Set;
 import onyxpaddle.Balancing.Outcome;
-import onyxpaddle.node.Body;
 
 /**
  * Answers of ordinary HTTP servers: all but hop-by-hop headers pass, and so does every status. 500, 502, 503 and 504
@@ -30,7 +29,7 @@
     }
 
     @Override
-    public HttpHeaders forServer(HttpHead x, Body body, SocketAddress server, long nanosLeft) {
+    public HttpHeaders forServer(HttpHead x, long length, SocketAddress server, long nanosLeft) {
         HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders();
         HopByHop.copy(x.headers(), headers, FOR_SERVER);
         if (!headers.contains(HttpHeaderNames.HOST)) {
@@ -40,8 +39,10 @@
         String before = x.headers().get("X-Forwarded-For");
         headers.set("X-Forwarded-For", before == null ? x.caller() : before + ", " + x.caller());
         headers.set(PlatformRequests.EXPIRES_IN, PlatformAnswers.seconds(Math.max(0, nanosLeft)));
-        if (body.size() > 0 || x.headers().contains(HttpHeaderNames.CONTENT_LENGTH) || takesBody(x.method())) {
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, body.size());
+        if (length < 0) {
+            headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        } else if (length > 0 || x.headers().contains(HttpHeaderNames.CONTENT_LENGTH) || takesBody(x.method())) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, length);
         }
         return headers;
     }
@@ -68,14 +69,9 @@
         return method.equals(HttpMethod.HEAD) || status == 204 || status == 304;
     }
 
-    /**
-     * Where neither a length nor chunks tell the end, the end of the connection does (RFC 9112, 6.3, rule 8): taken
-     * only where the server has said that it closes, and only where it ends without a reset.
-     */
     @Override
     public boolean tellsItsEnd(HttpMethod method, HttpResponse response, long length) {
-        boolean byClose = !response.headers().contains(HttpHeaderNames.TRANSFER_ENCODING) && length < 0
-            && !HttpUtil.isKeepAlive(response);
-        return bodiless(method, response.status().code()) || byClose || PlatformAnswers.framed(response, length);
+        return bodiless(method, response.status().code()) || PlatformAnswers.byClose(response, length)
+            || PlatformAnswers.framed(response, length);
     }
 }
--- a/src/main/java/onyxpaddle/http/PlainRequests.java
+++ b/src/main/java/onyxpaddle/http/PlainRequests.java
@@ -148,7 +148,7 @@
         String onward = uri == path ? route.rewritten(path) : route.rewritten(path) + uri.substring(path.length());
         Terms terms = new Terms(ids.get(), requestClass, patience, tenant, 0, "1".equals(headers.get("X-Second-Try")));
         return new Taken(target.pool(), target.bytes(), terms, new HttpHead(method, onward, headers, target.body(),
-            caller.getAddress().getHostAddress(), route.procedure()), length, target.body(),
+            caller.getAddress().getHostAddress(), route.procedure()), length, target.body(), target.body(),
             route.procedure() == null ? body -> true : mapped);
     }
 
--- a/src/main/java/onyxpaddle/http/PlatformAnswers.java
+++ b/src/main/java/onyxpaddle/http/PlatformAnswers.java
@@ -8,11 +8,11 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import java.net.SocketAddress;
 import java.util.List;
 import java.util.Set;
 import onyxpaddle.Balancing.Outcome;
-import onyxpaddle.node.Body;
 
 /** What passes from a caller to a server of the platform, and back: of an answer, the body of a 200. */
 public final class PlatformAnswers implements AnswerDialect {
@@ -23,13 +23,15 @@
     private static final Set<String> OWN = Set.of("expect", "host", "content-length", "x-expires-in");
 
     @Override
-    public HttpHeaders forServer(HttpHead x, Body body, SocketAddress server, long nanosLeft) {
+    public HttpHeaders forServer(HttpHead x, long length, SocketAddress server, long nanosLeft) {
         HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders();
         headers.set(HttpHeaderNames.HOST, x.headers().get(HttpHeaderNames.HOST, "app.svc"));
         HopByHop.copy(x.headers(), headers, OWN);
         headers.set(PlatformRequests.EXPIRES_IN, seconds(Math.max(0, nanosLeft)));
-        if (body.size() > 0 || x.method().equals(HttpMethod.POST)) {
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, body.size());
+        if (length < 0) {
+            headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        } else if (length > 0 || x.method().equals(HttpMethod.POST)) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, length);
         }
         return headers;
     }
@@ -55,7 +57,16 @@
 
     @Override
     public boolean tellsItsEnd(HttpMethod method, HttpResponse response, long length) {
-        return framed(response, length);
+        return framed(response, length) || byClose(response, length);
+    }
+
+    /**
+     * Where neither a length nor chunks tell the end, the end of the connection does (RFC 9112, 6.3, rule 8): taken
+     * only where the server has said that it closes, and only where it ends without a reset.
+     */
+    static boolean byClose(HttpResponse response, long length) {
+        return !response.headers().contains(HttpHeaderNames.TRANSFER_ENCODING) && length < 0
+            && !HttpUtil.isKeepAlive(response);
     }
 
     /** A length of its own, or chunks and nothing else. */
--- a/src/main/java/onyxpaddle/http/PlatformRequests.java
+++ b/src/main/java/onyxpaddle/http/PlatformRequests.java
@@ -17,7 +17,6 @@
 import java.util.regex.Pattern;
 import onyxpaddle.Balancing.Effect;
 import onyxpaddle.Balancing.RequestClass;
-import onyxpaddle.node.Body;
 import onyxpaddle.node.Dispatcher;
 import onyxpaddle.node.Exchange.Terms;
 import onyxpaddle.node.SharedLimit;
@@ -42,6 +41,11 @@
     /** The patience of callers of a class that has no deadline. */
     private static final long LONGEST_PATIENCE = 60_000_000_000L;
 
+    /** Bodies reach 32 MB, in requests and in answers; this is more by a quarter. */
+    private static final long LARGEST = 40L << 20;
+    /** Of a request's body, so that it can be sent again while no more of it has come. */
+    private static final long HELD = 128 * 1024;
+
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final Dispatcher pool;
     private final SharedLimit.Share bytes;
@@ -107,14 +111,14 @@
 
         long length = length(request);
         require(length == 0 || !method.equals(HttpMethod.GET));
-        if (length > Body.USUAL_LARGEST) {
+        if (length > LARGEST) {
             throw new MalformedException(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
         }
         long patience = patience(single(headers, EXPIRES_IN), requestClass.deadline());
         Terms terms = new Terms(id, requestClass, patience, headers.get("X-Customer"), hintedCost(headers),
             "1".equals(headers.get("X-Second-Try")));
-        return new Taken(pool, bytes, terms, new HttpHead(method, request.uri(), headers, Body.USUAL_LARGEST, null), length,
-            Body.USUAL_LARGEST);
+        return new Taken(pool, bytes, terms, new HttpHead(method, request.uri(), headers, LARGEST, null), length,
+            LARGEST, HELD);
     }
 
     /** The caller's guess at the work, given in microseconds, as seconds; 0 where it gives none that makes sense. */
--- a/src/main/java/onyxpaddle/http/ServerConnection.java
+++ b/src/main/java/onyxpaddle/http/ServerConnection.java
@@ -6,6 +6,9 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -20,14 +23,17 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.concurrent.TimeUnit;
 import onyxpaddle.Balancing.Outcome;
 import onyxpaddle.http.AnswerDialect.Verdict;
 import onyxpaddle.node.Answer;
+import onyxpaddle.node.AnswerSink;
 import onyxpaddle.node.Attempt;
 import onyxpaddle.node.Body;
 import onyxpaddle.node.Exchange;
 import onyxpaddle.node.Log;
 import onyxpaddle.node.Sockets;
+import onyxpaddle.node.Upload;
 
 /**
  * One connection to a server. It carries one attempt at a time, and maps what comes back to the outcomes of the
@@ -38,6 +44,14 @@
     private static final long LONGEST_REST = 5_000_000_000L;
     /** Interim answers before the final one: a server has a use for a few. */
     private static final int MOST_INTERIM = 16;
+    /** An answer that is larger is passed on as it comes, where its caller takes it so; a smaller one is held whole. */
+    private static final long HELD = 64 * 1024;
+    /** How long a server may bring nothing of an answer that is being passed on, or take nothing of a body. */
+    private static final long LONGEST_STALL = 30_000_000_000L;
+    /** Reads of fewer bytes are pieces; after a few of them the connection is read at this pace only. */
+    private static final int PIECE = 2 * 1024;
+    private static final int MANY_PIECES = 4;
+    private static final long PIECES_MS = 4;
 
     final String server;
     final Channel channel;
@@ -50,7 +64,10 @@
     private boolean exchanging;
     private boolean answered;
     private boolean reusable;
+    private boolean sent;
     private int interim;
+    /** The answer's length as its head says it, -1 where it doesn't. */
+    private long announced;
     private long skipped;
     private Answer answer;
     private Outcome outcome;
@@ -60,6 +77,14 @@
     private boolean kept;
     /** The connection was reset: what still comes of the decoder looks like an end and is none. */
     private boolean broke;
+    /** Where the answer goes that is being passed on; null for none. */
+    private AnswerSink sink;
+    /** The body that is being passed on; null for none. */
+    private Uploading uploading;
+    private boolean paused;
+    private long movedAt;
+    private int readNow;
+    private int pieces;
 
     ServerConnection(HttpUpstream all, String server, Channel channel) {
         this.all = all;
@@ -85,6 +110,7 @@
         exchanging = true;
         answered = false;
         reusable = false;
+        sent = false;
         interim = 0;
         skipped = 0;
         startedAt = all.clock.now();
@@ -94,17 +120,80 @@
         method = head.method();
         largest = head.largestAnswer();
         decoder.expect(head.method().equals(HttpMethod.HEAD));
-        HttpHeaders headers = all.dialect.forServer(head, x.body, channel.remoteAddress(), next.until - startedAt);
+        long length = x.upload == null ? x.body.size() : x.upload.length();
+        HttpHeaders headers = all.dialect.forServer(head, length, channel.remoteAddress(),
+            Math.min(x.patience(), next.until - startedAt));
         ByteBuf body = x.body.size() == 0 ? Unpooled.EMPTY_BUFFER : x.body.whole();
-        channel.writeAndFlush(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri(), body, headers,
-            EmptyHttpHeaders.INSTANCE)).addListener(f -> written(next, f.isSuccess()));
+        movedAt = startedAt;
+        pieces = 0;
+        if (x.upload == null) {
+            channel.writeAndFlush(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri(), body, headers,
+                EmptyHttpHeaders.INSTANCE)).addListener(f -> written(next, f.isSuccess()));
+            return;
+        }
+        channel.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri(), headers));
+        uploading = new Uploading(next);
+        if (x.upload.whole()) {
+            uploading.take(body, true);
+        } else {
+            channel.writeAndFlush(new DefaultHttpContent(body));
+            x.upload.attach(uploading);
+        }
+    }
+
+    /** The rest of a body goes on as it comes; reading stops at its source while the server takes nothing. */
+    private final class Uploading implements Upload.Sink {
+        private final Attempt of;
+
+        Uploading(Attempt of) {
+            this.of = of;
+        }
+
+        @Override
+        public void take(ByteBuf more, boolean last) {
+            movedAt = all.clock.now();
+            if (last) {
+                channel.writeAndFlush(new DefaultLastHttpContent(more)).addListener(f -> written(of, f.isSuccess()));
+                return;
+            }
+            channel.write(new DefaultHttpContent(more));
+            if (!channel.isWritable()) {
+                channel.flush();
+                of.exchange.upload.wanted(this, channel.isWritable());
+            }
+        }
+
+        @Override
+        public void flush() {
+            channel.flush();
+        }
+
+        @Override
+        public void aborted() {
+            if (attempt == of) {
+                end(Outcome.CONNECT_FAILED);
+                close();
+            }
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (uploading != null) {
+            movedAt = all.clock.now();
+            uploading.of.exchange.upload.wanted(uploading, channel.isWritable());
+        }
     }
 
     private void written(Attempt of, boolean success) {
         if (!success) {
             channel.close();
         } else if (attempt == of) {
+            sent = true;
             of.markWritten();
+            if (of.exchange.upload != null) {
+                all.dispatcher.uploaded(of);
+            }
         }
     }
 
@@ -113,6 +202,9 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
+            if (message instanceof HttpContent part) {
+                readNow += part.content().readableBytes();
+            }
             if (broke) {
                 return;
             }
@@ -148,7 +240,8 @@
         Verdict verdict = all.dialect.judge(method, response);
         outcome = verdict.outcome();
         if (verdict.pass() == null) {
-            end(outcome);
+            // An error before the request was whole speaks of one that never ran.
+            end(outcome == Outcome.ERROR && !attempt.written() ? Outcome.CONNECT_FAILED : outcome);
             return;
         }
         long length = HttpUtil.getContentLength(response, -1L);
@@ -156,17 +249,78 @@
         if (!attempt.written() || !bodiless && length > largest || !all.dialect.tellsItsEnd(method, response, length)) {
             spoilt();
         } else {
-            answer = new Answer(verdict.pass(), new Body(all.budget.bytes(), bodiless ? 0 : length, largest));
+            announced = bodiless ? 0 : length;
+            answer = new Answer(verdict.pass(), new Body(all.budget.bytes(), Math.min(announced, HELD), largest));
+            if (announced > HELD && passable()) {
+                pass();
+            }
+        }
+    }
+
+    private boolean passable() {
+        return attempt != null && outcome == Outcome.OK && attempt.exchange.streams() && attempt.exchange.head instanceof HttpHead;
+    }
+
+    /** From here on the answer is passed on as it comes, from what is held of it. */
+    private void pass() {
+        Answer held = answer;
+        answer = null;
+        sink = all.dispatcher.begins(attempt, held.head(), announced, source);
+        if (sink == null) {
+            held.body().release();
+            spoilt();
+            return;
         }
+        if (held.body().size() > 0) {
+            sink.data(held.body().whole());
+        }
+        held.body().release();
     }
 
+    private final AnswerSink.Source source = new AnswerSink.Source() {
+        @Override
+        public void pause() {
+            paused = true;
+            channel.config().setAutoRead(false);
+        }
+
+        @Override
+        public void resume() {
+            paused = false;
+            movedAt = all.clock.now();
+            channel.config().setAutoRead(true);
+        }
+
+        @Override
+        public void abandon() {
+            sink = null;
+            letGo();
+            close();
+        }
+    };
+
     private void content(HttpContent content) {
         skipped += content.content().readableBytes();
-        if (skipped > Math.max(Body.USUAL_LARGEST, largest) || answer != null && !answer.body().add(content.content())) {
+        if (skipped > Math.max(Body.USUAL_LARGEST, largest)) {
             spoilt();
-        } else if (content instanceof LastHttpContent) {
-            complete();
+            return;
+        }
+        if (answer != null && (passable() && answer.body().size() + content.content().readableBytes() > HELD
+                || !answer.body().add(content.content()))) {
+            // It is larger than what is held, or there is no room to hold it: what is read goes on at once.
+            if (!passable()) {
+                spoilt();
+                return;
+            }
+            pass();
+        }
+        if (sink != null && content.content().isReadable()) {
+            movedAt = all.clock.now();
+            sink.data(Sockets.kept(content.content(), channel.alloc()));
+        }
+        if (content instanceof LastHttpContent && exchanging) {
             exchanging = false;
+            complete();
         }
     }
 
@@ -186,11 +340,15 @@
     /** All that has been read so far is dealt with: only now is it known whether an answer came alone. */
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
+        if (sink != null) {
+            sink.flush();
+        }
+        paceReads();
         if (decoder.surplus()) {
             close();
         } else if (answered && !exchanging) {
             answered = false;
-            if (reusable && channel.isActive()) {
+            if (reusable && sent && channel.isActive()) {
                 all.release(this);
             } else {
                 close();
@@ -198,13 +356,38 @@
         }
     }
 
+    /**
+     * Guards the loop against a server that writes an answer in small pieces, each of which would cost a wakeup, a read and a
+     * write: after a few, the next are left to gather for a moment. It should cover any stream of small writes. It does harm
+     * where each piece of a stream matters to its reader within milliseconds.
+     */
+    private void paceReads() {
+        pieces = exchanging && answered && readNow < PIECE ? pieces + 1 : 0;
+        readNow = 0;
+        if (pieces >= MANY_PIECES && !paused) {
+            channel.config().setAutoRead(false);
+            channel.eventLoop().schedule(() -> {
+                if (!paused) {
+                    channel.config().setAutoRead(true);
+                }
+            }, PIECES_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     /** Ends the attempt with the whole of its answer. */
     private void complete() {
-        Attempt current = attempt;
         Answer whole = answer;
-        attempt = null;
+        AnswerSink passing = sink;
+        Attempt current = letGo();
         answer = null;
-        if (whole != null) {
+        sink = null;
+        if (paused) {
+            source.resume();
+        }
+        if (passing != null) {
+            all.dispatcher.ended(current, Outcome.OK, null);
+            passing.end();
+        } else if (whole != null) {
             Answer passed = all.bridge.answer(current.exchange, whole);
             all.dispatcher.ended(current, passed == null ? Outcome.ERROR : outcome, passed);
         }
@@ -212,20 +395,36 @@
 
     /** Ends the attempt, if it waits still, and lets go of what was held of the answer. */
     private void end(Outcome how) {
-        Attempt current = attempt;
-        attempt = null;
+        Attempt current = letGo();
         if (answer != null) {
             answer.body().release();
             answer = null;
         }
+        AnswerSink passing = sink;
+        sink = null;
         if (current != null) {
             all.dispatcher.ended(current, how, null);
         }
+        if (passing != null) {
+            passing.broken();
+        }
+    }
+
+    /** The attempt is no longer this connection's; what it was to take of a body is left. */
+    private Attempt letGo() {
+        Attempt current = attempt;
+        Uploading taking = uploading;
+        attempt = null;
+        uploading = null;
+        if (taking != null) {
+            taking.of.exchange.upload.detach(taking);
+        }
+        return current;
     }
 
     /** The attempt is given up by its owner, who says how it ended. */
     void abandon() {
-        attempt = null;
+        letGo();
         end(Outcome.CANCELLED);
         close();
     }
@@ -235,6 +434,10 @@
         if (exchanging && attempt == null && now - startedAt > LONGEST_REST) {
             close();
         }
+        boolean waits = sink != null && !paused || uploading != null && !channel.isWritable();
+        if (waits && now - movedAt > LONGEST_STALL) {
+            close();
+        }
     }
 
     private void broken() {
--- a/src/main/java/onyxpaddle/http/Taken.java
+++ b/src/main/java/onyxpaddle/http/Taken.java
@@ -14,11 +14,12 @@
  * @param length the body's length, or -1 where it comes in chunks
  * @param sound whether a body that has come whole is one that can be sent on
  * @param largest the most bytes that its body may have
+ * @param held the most bytes of it that are held whole; what is larger is passed on as it comes
  */
 public record Taken(Dispatcher pool, SharedLimit.Share bytes, Terms terms, HttpHead head, long length, long largest,
-        Predicate<Body> sound) {
+        long held, Predicate<Body> sound) {
     /** One whose body may be anything. */
-    public Taken(Dispatcher pool, SharedLimit.Share bytes, Terms terms, HttpHead head, long length, long largest) {
-        this(pool, bytes, terms, head, length, largest, body -> true);
+    public Taken(Dispatcher pool, SharedLimit.Share bytes, Terms terms, HttpHead head, long length, long largest, long held) {
+        this(pool, bytes, terms, head, length, largest, held, body -> true);
     }
 }
--- a/src/main/java/onyxpaddle/node/Attempt.java
+++ b/src/main/java/onyxpaddle/node/Attempt.java
@@ -7,9 +7,10 @@
     public final Exchange exchange;
     final int number;
     public final String server;
-    final long sentAt;
+    /** When it was sent; of a body that is passed on as it comes, when its last byte was. */
+    long sentAt;
     /** When it is given up, by the node's clock in nanoseconds. */
-    public final long until;
+    public long until;
     Future<?> timer;
     /** What carries it, such as a dial or a connection: the upstream's own, null before and after. */
     public Object carrier;
--- a/src/main/java/onyxpaddle/node/Caller.java
+++ b/src/main/java/onyxpaddle/node/Caller.java
@@ -5,6 +5,20 @@
     /** Served; the answer is on loan until this returns, the arrays behind its body for longer. */
     void served(Answer answer);
 
+    /** Whether an answer may be passed on to it as it comes. */
+    default boolean streams() {
+        return false;
+    }
+
+    /**
+     * The answer begins, and what it brings goes to the sink that this returns; only where it {@link #streams}.
+     *
+     * @param length of the body in bytes, or -1 where it isn't known
+     */
+    default AnswerSink begins(Metadata head, long length, AnswerSink.Source source) {
+        throw new IllegalStateException("takes whole answers only");
+    }
+
     /**
      * Trying again is harmless.
      *
--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -18,6 +18,8 @@
 public final class Dispatcher {
     /** How long after its deadline a request that the module left unanswered is failed. */
     private static final long GUARD = 8_000_000L;
+    /** How long a body that is passed on as it comes may take; its caller's front is stricter, by its pace. */
+    private static final long LONGEST_UPLOAD = 900_000_000_000L;
 
     private final Clock clock;
     private final ScheduledExecutorService loop;
@@ -101,17 +103,56 @@
             x.caller.refused(limit.retryAfter(), null);
             return;
         }
-        x.deadline = now + terms.patience();
+        x.deadline = now + terms.patience() + (x.upload == null ? 0 : LONGEST_UPLOAD);
         exchanges.put(x.id, x);
         unanswered++;
         // Guards against a request that the module forgot, or lost to a fault of its own.
-        x.guard = loop.schedule(() -> overdue(x), terms.patience() + GUARD, TimeUnit.NANOSECONDS);
+        x.guard = loop.schedule(() -> overdue(x), x.deadline - now + GUARD, TimeUnit.NANOSECONDS);
         tell(new Arrival(x.id, terms.requestClass().name(), x.deadline, terms.tenant(), terms.cost(),
             terms.clientRetry()));
     }
 
+    /** The last byte of a body that was passed on as it came is with the server: the request's time counts from here. */
+    public void uploaded(Attempt attempt) {
+        Exchange x = attempt.exchange;
+        if (x.over || attempt.ended) {
+            return;
+        }
+        long now = clock.now();
+        x.deadline = now + x.terms.patience();
+        x.guard.cancel(false);
+        x.guard = loop.schedule(() -> overdue(x), x.terms.patience() + GUARD, TimeUnit.NANOSECONDS);
+        attempt.sentAt = now;
+        attempt.until = x.deadline;
+        stopTimer(attempt);
+        attempt.timer = loop.schedule(() -> expire(attempt), x.terms.patience(), TimeUnit.NANOSECONDS);
+    }
+
+    /**
+     * An attempt's answer begins and is passed on as it comes: it is the request's final one from here on, and has no
+     * time-out. The attempt still ends by {@link #ended}, without an answer. Null where nobody waits for it.
+     */
+    public AnswerSink begins(Attempt attempt, Metadata head, long length, AnswerSink.Source source) {
+        Exchange x = attempt.exchange;
+        if (attempt.ended || x.over) {
+            return null;
+        }
+        stopTimer(attempt);
+        x.over = true;
+        x.passing = attempt;
+        x.source = source;
+        x.guard.cancel(false);
+        AnswerSink sink = x.caller.begins(head, length, source);
+        tell(new FirstByte(x.id, attempt.number, attempt.server, clock.now() - attempt.sentAt));
+        return sink;
+    }
+
     public void clientGone(Exchange x) {
-        if (finish(x)) {
+        if (x.passing != null) {
+            Attempt attempt = x.passing;
+            x.source.abandon();
+            ended(attempt, Outcome.CANCELLED, null);
+        } else if (finish(x)) {
             tell(new ClientGone(x.id));
             forget(x);
         }
@@ -131,7 +172,11 @@
         stopTimer(attempt);
         Exchange x = attempt.exchange;
         x.out--;
-        if (outcome == Outcome.OK && finish(x)) {
+        if (x.passing == attempt) {
+            x.passing = null;
+            unanswered--;
+            count(x, outcome == Outcome.OK ? Tally.End.SUCCESS : Tally.End.FAILURE);
+        } else if (outcome == Outcome.OK && finish(x)) {
             if (limit != null) {
                 limit.answered(clock.now() - x.deadline + x.terms.patience());
             }
@@ -143,8 +188,10 @@
             answer = null;
         }
         release(answer);
+        // What is held of a body that has gone on in part is not the request any more.
+        Outcome how = outcome.neverRan && x.upload != null && x.upload.begun() ? Outcome.SPENT : outcome;
         // Load reports are not passed on: the module takes no account of them.
-        tell(new AttemptEnded(x.id, attempt.number, attempt.server, outcome, clock.now() - attempt.sentAt, x.over,
+        tell(new AttemptEnded(x.id, attempt.number, attempt.server, how, clock.now() - attempt.sentAt, x.over,
             null));
         forget(x);
     }
--- a/src/main/java/onyxpaddle/node/Exchange.java
+++ b/src/main/java/onyxpaddle/node/Exchange.java
@@ -19,6 +19,8 @@
     public final boolean repeatable;
     public final Metadata head;
     public final Body body;
+    /** The rest of a body that is passed on as it comes; null where {@link #body} is all of it. */
+    public final Upload upload;
     final Caller caller;
     final List<Attempt> attempts = new ArrayList<>(2);
     final int mostAttempts;
@@ -29,6 +31,19 @@
     Future<?> guard;
     /** A server's own word for a failure, for the caller should no other server do better; null for none. */
     Answer failure;
+    /** The attempt whose answer is being passed on; null for none. */
+    Attempt passing;
+    AnswerSink.Source source;
+
+    /** How long its caller waits, in nanoseconds. */
+    public long patience() {
+        return terms.patience();
+    }
+
+    /** Whether its answer may be passed on as it comes. */
+    public boolean streams() {
+        return caller.streams();
+    }
 
     public Exchange(Terms terms, Metadata head, Body body, Caller caller) {
         this(terms, head, body, caller, Integer.MAX_VALUE);
@@ -36,6 +51,16 @@
 
     /** {@code mostAttempts}: how often it may be sent, whatever the class and the limits allow. */
     public Exchange(Terms terms, Metadata head, Body body, Caller caller, int mostAttempts) {
+        this(terms, head, body, caller, mostAttempts, null);
+    }
+
+    /** One whose body is passed on as it comes, but for its first part. */
+    public Exchange(Terms terms, Metadata head, Body body, Caller caller, Upload upload) {
+        this(terms, head, body, caller, Integer.MAX_VALUE, upload);
+    }
+
+    private Exchange(Terms terms, Metadata head, Body body, Caller caller, int mostAttempts, Upload upload) {
+        this.upload = upload;
         this.mostAttempts = mostAttempts;
         this.id = terms.id();
         this.terms = terms;
--- a/src/main/java/onyxpaddle/node/Sockets.java
+++ b/src/main/java/onyxpaddle/node/Sockets.java
@@ -1,5 +1,6 @@
 package onyxpaddle.node;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.PooledByteBufAllocator;
 
@@ -17,6 +18,15 @@
     private Sockets() {
     }
 
+    /**
+     * Some bytes of a read, to be kept until they are written. A few are copied: a slice would pin the whole of the buffer
+     * that they were read into, and a peer that sends small pieces one buffer for each.
+     */
+    public static ByteBuf kept(ByteBuf bytes, ByteBufAllocator allocator) {
+        return bytes.readableBytes() >= READ_SIZE / 2 ? bytes.retain()
+            : allocator.buffer(Math.max(1, bytes.readableBytes())).writeBytes(bytes);
+    }
+
     /** One arena: there is one thread that reads and writes. */
     public static ByteBufAllocator allocator() {
         return new PooledByteBufAllocator(true, 1, 1, PAGE, ORDER, SMALL_CACHED, NORMAL_CACHED, false);
--- /dev/null
+++ b/src/test/java/onyxpaddle/serve/StreamedBodiesTest.java
@@ -0,0 +1,328 @@
+package onyxpaddle.serve;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import onyxpaddle.serve.Loopback.Client;
+import onyxpaddle.serve.Loopback.FakeServer;
+import org.junit.jupiter.api.Test;
+
+/** Bodies larger than what is held: passed on as they come, in a window, and broken off so that it can be told. */
+class StreamedBodiesTest {
+    private static final int MB = 1 << 20;
+
+    /** A server whose answers are programs. */
+    private static final class Scripted extends FakeServer {
+        interface Script {
+            void run(String head, InputStream in, OutputStream out, Socket socket) throws Exception;
+        }
+
+        final Script script;
+
+        Scripted(String name, Script script) throws IOException {
+            super(name);
+            this.script = script;
+        }
+
+        @Override
+        void serve(Socket socket) throws Exception {
+            for (String head = Loopback.head(socket.getInputStream()); head != null;
+                    head = Loopback.head(socket.getInputStream())) {
+                heard.add(head);
+                script.run(head, socket.getInputStream(), socket.getOutputStream(), socket);
+            }
+        }
+    }
+
+    private static byte[] noise(int length) {
+        byte[] bytes = new byte[length];
+        new Random(length).nextBytes(bytes);
+        return bytes;
+    }
+
+    private static byte[] ascii(String text) {
+        return text.getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private static byte[] chunks(InputStream in) throws IOException {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        while (true) {
+            String line = line(in);
+            int size = Integer.parseInt(line.split(";")[0].trim(), 16);
+            if (size == 0) {
+                while (!line(in).isEmpty()) {
+                    // trailers
+                }
+                return all.toByteArray();
+            }
+            byte[] part = in.readNBytes(size);
+            if (part.length < size) {
+                throw new IOException("breaks off");
+            }
+            all.write(part);
+            line(in);
+        }
+    }
+
+    private static String line(InputStream in) throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int next = in.read(); next != '\n'; next = in.read()) {
+            if (next < 0) {
+                throw new IOException("breaks off");
+            }
+            line.append((char) next);
+        }
+        return line.toString().trim();
+    }
+
+    @Test
+    void firstBytesLeaveBeforeTheRestIsThere() throws Exception {
+        byte[] body = noise(4 * MB);
+        BlockingQueue<Integer> goOn = new LinkedBlockingQueue<>();
+        try (Scripted server = new Scripted("s1", (head, in, out, socket) -> {
+            out.write(ascii("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n"));
+            out.write(body, 0, 100);
+            goOn.poll(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS);
+            out.write(body, 100, body.length - 100);
+        }); Loopback on = new Loopback(server); Client client = on.client()) {
+            for (int i = 0; i < 2; i++) {
+                client.say(Loopback.request("r" + i, "read"));
+                InputStream in = client.socket.getInputStream();
+                assertTrue(Loopback.head(in).contains("content-length: " + body.length));
+                assertArrayEquals(Arrays.copyOf(body, 100), in.readNBytes(100));
+                goOn.add(1);
+                assertArrayEquals(Arrays.copyOfRange(body, 100, body.length), in.readNBytes(body.length - 100));
+            }
+        }
+    }
+
+    @Test
+    void chunksAndAnswersThatEndWithTheirConnectionPass() throws Exception {
+        byte[] body = noise(300_000);
+        try (Scripted server = new Scripted("s1", (head, in, out, socket) -> {
+            if (head.contains("r0")) {
+                out.write(ascii("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n"));
+                for (int at = 0; at < body.length; at += 1000) {
+                    out.write(ascii("3e8;name=\"a;b\"\r\n"));
+                    out.write(body, at, 1000);
+                    out.write(ascii("\r\n"));
+                }
+                out.write(ascii("0\r\nX-Sum: 1\r\n\r\n"));
+            } else {
+                int length = head.contains("r1") ? body.length : 100;
+                out.write(ascii("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"));
+                out.write(body, 0, length);
+                socket.close();
+            }
+        }); Loopback on = new Loopback(server); Client client = on.client()) {
+            InputStream in = client.socket.getInputStream();
+            for (int i = 0; i < 2; i++) {
+                client.say(Loopback.request("r" + i, "read"));
+                assertTrue(Loopback.head(in).contains("transfer-encoding: chunked"));
+                assertArrayEquals(body, chunks(in));
+            }
+            client.say(Loopback.request("r2", "read"));
+            assertTrue(Loopback.head(in).contains("content-length: 100"), "a small one is held whole");
+            assertArrayEquals(Arrays.copyOf(body, 100), in.readNBytes(100));
+        }
+    }
+
+    @Test
+    void slowReaderHoldsAWindowAndNoMore() throws Exception {
+        byte[] part = noise(MB);
+        AtomicLong written = new AtomicLong();
+        try (Scripted server = new Scripted("s1", (head, in, out, socket) -> {
+            out.write(ascii("HTTP/1.1 200 OK\r\nContent-Length: " + 32L * MB + "\r\n\r\n"));
+            for (int i = 0; i < 32 * 16; i++) {
+                out.write(part, 0, MB / 16);
+                written.addAndGet(MB / 16);
+            }
+        }); Loopback on = new Loopback(server); Client client = new Client(on.node.address())) {
+            client.socket.setReceiveBufferSize(64 * 1024);
+            client.say(Loopback.request("r1", "read"));
+            InputStream in = client.socket.getInputStream();
+            Loopback.head(in);
+            long before;
+            do {
+                before = written.get();
+                // What the system holds on the way settles; other clients are served meanwhile.
+                try (Client other = on.client()) {
+                    for (int i = 0; i < 200; i++) {
+                        other.say("GET /ready HTTP/1.1\r\n\r\n").hear();
+                    }
+                }
+            } while (written.get() > before);
+            assertTrue(before < 20L * MB, before + " bytes are on their way");
+            byte[] got = new byte[MB / 16];
+            for (int i = 0; i < 32 * 16; i++) {
+                assertEquals(got.length, in.readNBytes(got, 0, got.length));
+                assertEquals(part[0], got[0]);
+            }
+        }
+    }
+
+    @Test
+    void whatBreaksOffIsToldToTheClientAndNotSentAgain() throws Exception {
+        byte[] body = noise(200_000);
+        try (Scripted server = new Scripted("s1", (head, in, out, socket) -> {
+            out.write(ascii("HTTP/1.1 200 OK\r\n" + (head.contains("r0") ? "Content-Length: 300000" : "Transfer-Encoding: chunked")
+                + "\r\n\r\n" + (head.contains("r0") ? "" : "493e0\r\n")));
+            out.write(body);
+            socket.close();
+        }); Loopback on = new Loopback(server)) {
+            for (int i = 0; i < 2; i++) {
+                try (Client client = on.client()) {
+                    client.say(Loopback.request("r" + i, "read"));
+                    InputStream in = client.socket.getInputStream();
+                    Loopback.head(in);
+                    int got = 0;
+                    boolean reset = false;
+                    try {
+                        got = in.readAllBytes().length;
+                    } catch (SocketException e) {
+                        reset = true;
+                    }
+                    assertTrue(reset || got < 300_000 && i == 0, "the client can tell");
+                }
+            }
+            assertEquals(2, server.heard.size());
+        }
+    }
+
+    @Test
+    void bodyGoesOnAsItComesAndIsAnswered() throws Exception {
+        byte[] body = noise(3 * MB);
+        BlockingQueue<byte[]> got = new LinkedBlockingQueue<>();
+        try (Scripted server = new Scripted("s1", (head, in, out, socket) -> {
+            boolean chunked = head.toLowerCase(java.util.Locale.ROOT).contains("transfer-encoding: chunked");
+            got.add(chunked ? chunks(in) : in.readNBytes(body.length));
+            out.write(ascii(Loopback.ok("whole")));
+        }); Loopback on = new Loopback(server); Client client = on.client()) {
+            client.say(Loopback.request("r1", "book", "Content-Length: " + body.length, "Expect: 100-continue"));
+            assertTrue(Loopback.head(client.socket.getInputStream()).startsWith("HTTP/1.1 100"));
+            client.socket.getOutputStream().write(body);
+            assertEquals("200 whole", client.hear());
+            assertArrayEquals(body, got.poll(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS));
+            client.say(Loopback.request("r2", "book", "Transfer-Encoding: chunked"));
+            for (int at = 0; at < body.length; at += MB / 8) {
+                client.say("20000\r\n");
+                client.socket.getOutputStream().write(body, at, MB / 8);
+                client.say("\r\n");
+            }
+            client.say("0\r\n\r\n");
+            assertEquals("200 whole", client.hear());
+            assertArrayEquals(body, got.poll(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        }
+    }
+
+    @Test
+    void bodyThatWentOnInPartIsRefusedAndNeverSentAgain() throws Exception {
+        byte[] body = noise(2 * MB);
+        Scripted.Script full = (head, in, out, socket) -> {
+            in.readNBytes(head.contains("r1") ? body.length : 3);
+            out.write(ascii("HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n"));
+        };
+        try (Scripted one = new Scripted("s1", full); Scripted other = new Scripted("s2", full);
+                Loopback on = new Loopback(one, other); Client client = on.client()) {
+            client.say(Loopback.request("r1", "book", "Content-Length: " + body.length));
+            client.socket.getOutputStream().write(body);
+            assertTrue(client.hear().startsWith("503"));
+            assertEquals(1, one.heard.size() + other.heard.size());
+            client.say(Loopback.request("r2", "book", "Content-Length: 3")).say("abc");
+            assertTrue(client.hear().startsWith("503"), "the connection goes on");
+        }
+    }
+
+    @Test
+    void clientThatLeavesEndsTheAttemptBeforeItIsWhole() throws Exception {
+        BlockingQueue<Integer> got = new LinkedBlockingQueue<>();
+        try (Scripted server = new Scripted("s1", (head, in, out, socket) -> got.add(in.readNBytes(2 * MB).length));
+                Loopback on = new Loopback(server)) {
+            try (Client client = on.client()) {
+                client.say(Loopback.request("r1", "book", "Content-Length: " + 2 * MB));
+                client.socket.getOutputStream().write(noise(MB));
+                server.heard();
+            }
+            assertTrue(got.poll(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS) < 2 * MB);
+        }
+    }
+
+    @Test
+    void chunksBeyondTheLimitNeverBecomeARequest() throws Exception {
+        BlockingQueue<Integer> got = new LinkedBlockingQueue<>();
+        byte[] part = noise(MB);
+        try (Scripted server = new Scripted("s1", (head, in, out, socket) -> {
+            try {
+                got.add(chunks(in).length);
+            } catch (IOException e) {
+                got.add(-1);
+            }
+        }); Loopback on = new Loopback(server); Client client = on.client()) {
+            client.say(Loopback.request("r1", "book", "Transfer-Encoding: chunked"));
+            try {
+                for (int i = 0; i < 42; i++) {
+                    client.say("100000\r\n");
+                    client.socket.getOutputStream().write(part);
+                    client.say("\r\n");
+                }
+                client.say("0\r\n\r\n");
+            } catch (SocketException e) {
+                // It is closed on the client, which may come before the client has sent all of it.
+            }
+            assertEquals(-1, got.poll(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS), "its last byte has never come");
+        }
+    }
+
+    @Test
+    void statusLineWithoutAReasonIsSound() throws Exception {
+        try (FakeServer server = new FakeServer("s1", "HTTP/1.1 200 \r\nContent-Length: 4\r\n\r\nfine",
+                "HTTP/1.1 102 \r\n\r\nHTTP/1.1 200 \r\nContent-Length: 4\r\n\r\nfine"); Loopback on = new Loopback(server);
+                Client client = on.client()) {
+            assertEquals("200 fine", client.say(Loopback.request("r1", "book", "Content-Length: 0")).hear());
+            assertEquals("200 fine", client.say(Loopback.request("r2", "book", "Content-Length: 0")).hear());
+        }
+    }
+
+    @Test
+    void tooLargeIsToldAtOnce() throws Exception {
+        try (FakeServer server = new FakeServer("s1"); Loopback on = new Loopback(server); Client client = on.client()) {
+            assertTrue(client.say(Loopback.request("r1", "book", "Content-Length: 60000000")).hear().startsWith("413"));
+            assertNull(client.hear());
+            assertEquals(0, server.heard.size());
+        }
+    }
+
+    @Test
+    void answerInSmallPiecesComesWhole() throws Exception {
+        byte[] body = noise(100_000);
+        try (Scripted server = new Scripted("s1", (head, in, out, socket) -> {
+            socket.setTcpNoDelay(true);
+            out.write(ascii("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n"));
+            for (int at = 0; at < body.length; at += 50) {
+                out.write(body, at, 50);
+            }
+        }); Loopback on = new Loopback(server); Client client = on.client()) {
+            for (int i = 0; i < 3; i++) {
+                client.say(Loopback.request("r" + i, "read"));
+                InputStream in = client.socket.getInputStream();
+                Loopback.head(in);
+                assertArrayEquals(body, in.readNBytes(body.length));
+            }
+        }
+    }
+}
