A drained node's neighbour keeps its limit, and idle connections go after 0.4 s

Its admission limit had sunk to what a calm hour holds, as each late outcome lowered it though it was not in use; and idle connections to servers rested 3.5 s, each of which takes a hundredth of a server's capacity there. Seen by logging the limit, what is in flight and each server's part twice a second; ruled out: CPU (0.44 of 0.5), descriptors, the servers' number, which was the same before and after.

Change: a late outcome counts only where half of the limit is in use; idle connections to servers go after 0.4 s on the platform; a server that is full for a moment is not one that is down; request bodies are held whole up to 1 MB while there is memory.

--- a/src/main/java/onyxpaddle/RatioBalancer.java
+++ b/src/main/java/onyxpaddle/RatioBalancer.java
@@ -53,6 +53,12 @@
     private static final double LATE_AFTER = 1.0;
     /** Part of the limit open to what is worth less than usual for its work. */
     private static final double OPEN_TO_ALL = 0.7;
+    /**
+     * Use of the limit up to which a late outcome says nothing of it. Guards against a limit that sinks to
+     * what a calm hour needs, so that a node which takes another one's clients refuses for seconds what its
+     * servers can do; should cover any step in the load. Where servers slow down it holds on a little longer.
+     */
+    private static final double SPARE = 0.5;
     private static final double FIRST_LIMIT = 8;
     /** Sound servers a node draws from, met often enough to keep windows and connections fresh. */
     private static final int SPAN = 12;
@@ -282,7 +288,7 @@
     public Fleet fleet(long nowNanos) {
         int avoided = 0;
         for (Server server : servers.values()) {
-            avoided += server.state != ServerState.READY || server.chanceLeft(nowNanos) <= AVOIDED ? 1 : 0;
+            avoided += server.state != ServerState.READY || server.distrusted(nowNanos) ? 1 : 0;
         }
         return new Fleet(servers.size(), avoided);
     }
@@ -656,7 +662,9 @@
             default -> false;
         };
         double worth = Math.min(4, r.worth / usualWorth);
-        if (late) {
+        if (late && admitted < SPARE * admitLimit) {
+            metLate = true;
+        } else if (late) {
             metLate = true;
             admitLimit = Math.max(1, admitLimit - (1 - LATE_SHARE) * worth);
         } else if (outcome == Outcome.OK && admitted >= OPEN_TO_ALL * admitLimit - 1) {
@@ -814,6 +822,11 @@
                 * Math.max(LEAST_CHANCE, served);
         }
 
+        /** Avoided for its failures; one that is full for a moment is not. */
+        boolean distrusted(long now) {
+            return failures.factor(now) * Math.pow(1 - errorsNow(now), 3) <= AVOIDED;
+        }
+
         double mean() {
             return Math.max(1e-6, sum / count);
         }
--- a/src/main/java/onyxpaddle/http/ClientConnection.java
+++ b/src/main/java/onyxpaddle/http/ClientConnection.java
@@ -64,6 +64,9 @@
     /** Decoded parts that wait for the request before them: some requests sent ahead, not hundreds. */
     private static final int MOST_AHEAD = 32;
 
+    /** Of a body that there is no room for, so much must be held for it to be passed on as it comes. */
+    private static final int LEAST_HELD = 16 * 1024;
+
     enum State {
         /** Between requests. */
         IDLE,
@@ -94,8 +97,13 @@
     /** The body of {@link #exchange} that has not come whole; null where none is passed on. */
     private Upload upload;
     private long pausedAt;
+    /** What came of the body when there was no more room, until an attempt takes it; null for none. */
+    private ByteBuf beyond;
+    private boolean beyondIsLast;
     /** The answer that is being passed on; null for none. */
     private Passing passing;
+    /** Among the answers that the client has not read is one that was passed on as it came. */
+    private boolean longAnswer;
     private Taken taken;
     private boolean keepAlive;
     private HttpVersion version = HttpVersion.HTTP_1_1;
@@ -250,16 +258,20 @@
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
         } else if (upload != null) {
             more(content.content(), last);
-        } else if (!body.add(content.content())) {
+        } else if (received <= taken.held() && body.add(content.content())) {
+            if (last && (taken.pool().holds(taken.terms().id()) || !taken.sound().test(body))) {
+                reject(HttpResponseStatus.BAD_REQUEST);
+            } else if (last) {
+                arrived(new Exchange(taken.terms(), taken.head(), body, this));
+            }
+        } else if (taken.held() == taken.largest() || body.size() < LEAST_HELD) {
             // Nothing of it was sent on, so the client may try again when there is room.
             reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
-        } else if ((last || received > taken.held())
-                && (taken.pool().holds(taken.terms().id()) || last && !taken.sound().test(body))) {
+        } else if (taken.pool().holds(taken.terms().id())) {
             reject(HttpResponseStatus.BAD_REQUEST);
-        } else if (last) {
-            arrived(new Exchange(taken.terms(), taken.head(), body, this));
-        } else if (received > taken.held()) {
-            passOn();
+        } else {
+            // It is larger than what is held, or there is no room to hold it.
+            passOn(content.content(), last);
         }
     }
 
@@ -272,10 +284,11 @@
     }
 
     /** More of the body has come than is held: what follows goes to the server that is drawn for it, as it comes. */
-    private void passOn() {
-        Upload rest = new Upload(taken.length(), this::read);
-        upload = rest;
-        exchange = new Exchange(taken.terms(), taken.head(), body, this, rest);
+    private void passOn(ByteBuf more, boolean last) {
+        beyond = Sockets.kept(more, channel.alloc());
+        beyondIsLast = last;
+        upload = new Upload(taken.length(), this::read);
+        exchange = new Exchange(taken.terms(), taken.head(), body, this, upload);
         body = null;
         read(false);
         taken.pool().arrived(exchange);
@@ -286,6 +299,16 @@
         if (upload == null) {
             return;
         }
+        if (on && beyond != null) {
+            // An attempt takes what comes: this came first, and there was no room to hold it.
+            ByteBuf first = beyond;
+            beyond = null;
+            more(first, beyondIsLast);
+            first.release();
+            if (upload == null) {
+                return;
+            }
+        }
         if (on && pausedAt > 0) {
             since += all.clock.now() - pausedAt;
             pausedAt = 0;
@@ -298,6 +321,12 @@
     private void more(ByteBuf bytes, boolean last) {
         Upload to = upload;
         Exchange of = exchange;
+        if (beyond != null) {
+            // What was on its way when reading stopped.
+            beyond = Unpooled.wrappedBuffer(beyond, Sockets.kept(bytes, channel.alloc()));
+            beyondIsLast = last;
+            return;
+        }
         if (last) {
             upload = null;
             pausedAt = 0;
@@ -346,6 +375,7 @@
             body.release();
             body = null;
         }
+        dropBeyond();
         if (upload != null) {
             Upload rest = upload;
             upload = null;
@@ -355,6 +385,13 @@
         }
     }
 
+    private void dropBeyond() {
+        if (beyond != null) {
+            beyond.release();
+            beyond = null;
+        }
+    }
+
     // ---- answers ----
 
     @Override
@@ -376,6 +413,7 @@
         HttpUtil.setKeepAlive(response, keepsAlive());
         channel.write(response);
         unreadSince = all.clock.now();
+        longAnswer = true;
         passing = new Passing(source);
         return passing;
     }
@@ -462,10 +500,12 @@
             // The rest of its body is of no use to anyone.
             Upload rest = upload;
             upload = null;
+            dropBeyond();
             rest.abort();
             keepAlive = false;
         }
         HttpUtil.setKeepAlive(response, keepsAlive());
+        longAnswer &= unread > 0;
         sent(channel.writeAndFlush(response));
         answered();
     }
@@ -541,7 +581,7 @@
             }
             case WAITING -> { }
         }
-        long longest = passing == null ? LONGEST_UNREAD : LONGEST_UNREAD_PASSING;
+        long longest = longAnswer ? LONGEST_UNREAD_PASSING : LONGEST_UNREAD;
         if ((unread > 0 || !channel.isWritable()) && now - unreadSince > longest) {
             close();
         }
--- a/src/main/java/onyxpaddle/http/HttpFront.java
+++ b/src/main/java/onyxpaddle/http/HttpFront.java
@@ -33,8 +33,6 @@
     private static final int LONGEST_LINE = 8 * 1024;
     private static final int LONGEST_HEAD = 16 * 1024;
     private static final long SWEEP_MS = 250;
-    /** What the system holds of an answer that its client doesn't read; left to itself it grows to megabytes. */
-    private static final int SEND_BUFFER = 256 * 1024;
     private static final long END_STEP_MS = 50;
     private static final long MILLI = 1_000_000L;
     /** Idle connections of a front that is gone for its clients. */
@@ -93,7 +91,6 @@
             .option(ChannelOption.AUTO_READ, !wait)
             .childOption(ChannelOption.ALLOCATOR, allocator)
             .childOption(ChannelOption.TCP_NODELAY, true)
-            .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER)
             .childOption(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(Sockets.READ_SIZE))
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(16 * 1024, 32 * 1024))
             .childHandler(new ChannelInitializer<SocketChannel>() {
--- a/src/main/java/onyxpaddle/http/PlatformRequests.java
+++ b/src/main/java/onyxpaddle/http/PlatformRequests.java
@@ -43,8 +43,11 @@
 
     /** Bodies reach 32 MB, in requests and in answers; this is more by a quarter. */
     private static final long LARGEST = 40L << 20;
-    /** Of a request's body, so that it can be sent again while no more of it has come. */
-    private static final long HELD = 128 * 1024;
+    /**
+     * Of a request's body, as long as there is room. A server counts a connection from its start, and takes some thirty:
+     * one that carries a body at its client's pace fills a place for seconds, so what can be is held until it is whole.
+     */
+    private static final long HELD = 1 << 20;
 
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final Dispatcher pool;
--- a/src/main/java/onyxpaddle/serve/Node.java
+++ b/src/main/java/onyxpaddle/serve/Node.java
@@ -42,6 +42,11 @@
     private static final long LONGEST_DRAIN_S = 10;
     /** Part of the servers' idle limit after which an idle connection is not used any more. */
     private static final double IDLE_SHARE = 0.7;
+    /**
+     * And in any case after so long. Each open connection takes some hundredth of a server's capacity there, a handshake
+     * costs it 2 to 3 ms: one that rests for longer than this costs more than the next would.
+     */
+    private static final long LONGEST_IDLE = 400_000_000L;
     /** Connections to a server that are kept; each costs the server some of its capacity. */
     private static final int MOST_IDLE = 16;
     private static final int EXIT_CONFIG = 78;
@@ -119,7 +124,7 @@
         dispatcher = new Dispatcher(clock, loop, module, config.settings().limits(), PoolSettings.tally(config.settings()));
         share = budget.pool();
         servers = new HttpUpstream(loop, allocator, clock, share, dispatcher, new PlatformAnswers(),
-            (long) (IDLE_SHARE * config.keepalive()), config.settings().limits().connectTimeout(), MOST_IDLE);
+            Math.min(LONGEST_IDLE, (long) (IDLE_SHARE * config.keepalive())), config.settings().limits().connectTimeout(), MOST_IDLE);
         discovery = discovery(loop);
         dispatcher.connect(servers, () -> discovery.subscribe());
         clients = new HttpFront(loop, allocator, clock, budget,
