bin/measure upgrade and bulk; stand-ins write long answers as their readers take them

Change: a rig of a platform node in processes (the run command's memory, a discovery, stand-ins); upgrade replaces the process under load and looks up with the stand-ins what ran of requests without an answer; bulk asks 32 MB answers and sends bodies beside small requests. Stand-ins built long answers in memory, and stood still at 16 of 32 MB: they write them piece by piece now.

--- a/src/main/java/onyxpaddle/measure/Measure.java
+++ b/src/main/java/onyxpaddle/measure/Measure.java
@@ -12,8 +12,8 @@
     }
 
     private static final Map<String, Measurement> ALL = new TreeMap<>(Map.of(
-        "pools", new PoolsMeasurement(), "rpc", new RpcMeasurement(), "rpc-mixed", new RpcMixedMeasurement(),
-        "sidecar", new SidecarMeasurement()));
+        "bulk", new BulkMeasurement(), "pools", new PoolsMeasurement(), "rpc", new RpcMeasurement(), "rpc-mixed", new RpcMixedMeasurement(),
+        "sidecar", new SidecarMeasurement(), "upgrade", new UpgradeMeasurement()));
     private static final int USAGE = 64;
 
     private Measure() {
--- a/src/main/java/onyxpaddle/standin/StandInServer.java
+++ b/src/main/java/onyxpaddle/standin/StandInServer.java
@@ -7,15 +7,21 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpChunkedInput;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.stream.ChunkedStream;
+import io.netty.handler.stream.ChunkedWriteHandler;
+import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import onyxpaddle.standin.FaultScript.Fault;
@@ -30,6 +36,9 @@
  */
 public final class StandInServer extends StandIn<StandInServer> {
     private static final int LARGEST = 64 << 20;
+    /** Answers larger than this are not built in memory, and know no faults. */
+    private static final int HELD = 1 << 20;
+    private static final int PIECE = 64 * 1024;
 
     private volatile boolean silent;
     private volatile int status = 200;
@@ -52,7 +61,7 @@
 
     @Override
     ChannelHandler[] handlers() {
-        return new ChannelHandler[] {new HttpServerCodec(), new HttpObjectAggregator(LARGEST), new Requests()};
+        return new ChannelHandler[] {new HttpServerCodec(), new HttpObjectAggregator(LARGEST), new ChunkedWriteHandler(), new Requests()};
     }
 
     /** From now on it takes requests and says nothing, or answers again. */
@@ -82,6 +91,33 @@
         return ledger.served();
     }
 
+    /** So many bytes, all the same. */
+    private static final class Repeated extends InputStream {
+        private long left;
+
+        Repeated(long length) {
+            left = length;
+        }
+
+        @Override
+        public int read() {
+            return left-- > 0 ? 'x' : -1;
+        }
+
+        @Override
+        public int read(byte[] into, int from, int most) {
+            int count = (int) Math.min(left, most);
+            Arrays.fill(into, from, from + count, (byte) 'x');
+            left -= count;
+            return count == 0 ? -1 : count;
+        }
+
+        @Override
+        public int available() {
+            return (int) Math.min(left, Integer.MAX_VALUE);
+        }
+    }
+
     private final class Requests extends SimpleChannelInboundHandler<FullHttpRequest> {
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
@@ -90,6 +126,12 @@
                 return;
             }
             boolean keep = HttpUtil.isKeepAlive(request);
+            long large = number(request, "X-Answer-Bytes", 0);
+            if (large > HELD) {
+                ledger.ran(request.headers().get("X-Effect"));
+                stream(context, large, keep);
+                return;
+            }
             if (refuses) {
                 DefaultFullHttpResponse refusal = answer(503, "full\n");
                 refusal.headers().set("X-Never-Ran", "1");
@@ -107,6 +149,15 @@
             after(context, millis + (fault == Fault.DELAY ? faults.delayMillis() : 0), () -> faulty(context, response, keep, fault));
         }
 
+        /** A long answer, written as its reader takes it. */
+        private void stream(ChannelHandlerContext context, long length, boolean keep) {
+            DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+            head.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+            HttpUtil.setKeepAlive(head, keep);
+            context.write(head);
+            context.writeAndFlush(new HttpChunkedInput(new ChunkedStream(new Repeated(length), PIECE)));
+        }
+
         private void faulty(ChannelHandlerContext context, DefaultFullHttpResponse response, boolean keep, Fault fault) {
             byte[] head = ("HTTP/1.1 200 OK\r\nContent-Length: " + response.content().readableBytes() + "\r\n\r\n")
                 .getBytes(StandardCharsets.US_ASCII);
