A server taken out by hand stays out over lists and replacement; reload counts

Need: staff want to take one server out and put it back, and to see whether a new configuration was taken.

Change: /servers/disable and /servers/enable at the door, an event of the module (TakenOut), part of what one process hands to the next. svc_reconfig_ok_total and svc_reconfig_failed_total. A node that stops in a test closes its listeners before its loop ends: the JDK puts the close of a registered listener off to the next select, and the system went on taking connections for nobody (seen as a listening socket with one connection waiting; a process that ends closes all, so only tests met it).

--- a/src/main/java/onyxpaddle/Balancing.java
+++ b/src/main/java/onyxpaddle/Balancing.java
@@ -132,13 +132,17 @@
 
     /** Something the node is told. */
     public sealed interface Event permits Membership, Arrival, FirstByte, AttemptEnded, ClientGone, Timer,
-            Probed {
+            Probed, TakenOut {
     }
 
     /** News of the server list. */
     public record Membership(ListKind kind, List<ServerEntry> entries) implements Event {
     }
 
+    /** An operator takes a server out by hand, or puts it back; it stays so whatever lists say. */
+    public record TakenOut(String server, boolean out) implements Event {
+    }
+
     /** A request landed here; {@code cost} is a hint of its work in seconds, 0 for none. */
     public record Arrival(String request, String requestClass, long deadline, String tenant, double cost,
             boolean clientRetry) implements Event {
@@ -227,9 +231,10 @@
     }
 
     /** All that a node hands to the process that takes its place: no request, and nothing that discovery tells. */
-    public record Memory(List<ServerMemory> servers, List<ClassMemory> classes, double admitLimit, boolean metLate,
-            double retriesSaved, double usualRank, double usualWorth) {
+    public record Memory(List<ServerMemory> servers, List<ClassMemory> classes, List<String> takenOut,
+            double admitLimit, boolean metLate, double retriesSaved, double usualRank, double usualWorth) {
         public Memory {
+            takenOut = List.copyOf(takenOut);
             servers = List.copyOf(servers);
             classes = List.copyOf(classes);
             require(admitLimit >= 1 && admitLimit < 1e6, "admitLimit");
--- a/src/main/java/onyxpaddle/RatioBalancer.java
+++ b/src/main/java/onyxpaddle/RatioBalancer.java
@@ -5,9 +5,11 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.SplittableRandom;
 import onyxpaddle.Balancing.*;
 
@@ -67,6 +69,7 @@
     /** How much slower a server of another zone reads, for each unit of the price of crossing. */
     private static final double CROSSING = 50;
     private static final long HOLD_STEP = 20_000_000L;
+    private static final int MOST_TAKEN_OUT = 1_000;
     /**
      * No attempt is given up sooner. Guards against a short pause of this node or of the server, such as
      * for garbage, being taken for a lost call where calls take less than a millisecond; should cover any
@@ -77,6 +80,8 @@
     private final Settings settings;
     private final SplittableRandom random;
     private final Map<String, Server> servers = new LinkedHashMap<>();
+    /** Taken out by operators: kept until they are put back, whatever lists say. */
+    private final Set<String> takenOut = new LinkedHashSet<>();
     private final Map<String, Failures> zones = new HashMap<>();
     /** What another process knew of servers that are not listed yet; empty from the first whole list on. */
     private final Map<String, ServerMemory> remembered = new HashMap<>();
@@ -136,6 +141,8 @@
             onEnded(ended);
         } else if (event instanceof Membership news) {
             onMembership(news);
+        } else if (event instanceof TakenOut hand) {
+            takeOut(hand.server(), hand.out());
         } else if (event instanceof Timer) {
             onTimer();
         } else if (event instanceof FirstByte first) {
@@ -176,10 +183,32 @@
         if (news.kind() == ListKind.ALL) {
             remembered.clear();
         }
+        listReady();
+    }
+
+    /** Whether operators have taken the server out by hand. */
+    public boolean isTakenOut(String server) {
+        return takenOut.contains(server);
+    }
+
+    public boolean lists(String server) {
+        return servers.containsKey(server);
+    }
+
+    private void takeOut(String server, boolean out) {
+        if (!out) {
+            takenOut.remove(server);
+        } else if (takenOut.size() < MOST_TAKEN_OUT) {
+            takenOut.add(server);
+        }
+        listReady();
+    }
+
+    private void listReady() {
         ready.clear();
         cold.clear();
         for (Server server : servers.values()) {
-            if (server.state == ServerState.READY) {
+            if (server.state == ServerState.READY && !takenOut.contains(server.id)) {
                 ready.add(server);
                 if (isCold(server)) {
                     cold.add(server);
@@ -243,7 +272,8 @@
         List<ClassMemory> ofClasses = new ArrayList<>();
         classes.forEach((name, use) -> ofClasses.add(new ClassMemory(name, use.trip, use.deviation, use.cost,
             use.costVariance, use.covariance, use.seen)));
-        return new Memory(ofServers, ofClasses, admitLimit, metLate, retriesSaved, usualRank, usualWorth);
+        return new Memory(ofServers, ofClasses, List.copyOf(takenOut), admitLimit, metLate, retriesSaved,
+            usualRank, usualWorth);
     }
 
     /**
@@ -253,6 +283,7 @@
     public void remember(Memory memory) {
         memory.servers().forEach(s -> remembered.put(s.server(), s));
         servers.values().forEach(this::remind);
+        memory.takenOut().forEach(server -> takeOut(server, true));
         for (ClassMemory c : memory.classes()) {
             ClassUse use = classes.get(c.name());
             if (use != null) {
@@ -288,7 +319,8 @@
     public Fleet fleet(long nowNanos) {
         int avoided = 0;
         for (Server server : servers.values()) {
-            avoided += server.state != ServerState.READY || server.distrusted(nowNanos) ? 1 : 0;
+            boolean out = server.state != ServerState.READY || takenOut.contains(server.id);
+            avoided += out || server.distrusted(nowNanos) ? 1 : 0;
         }
         return new Fleet(servers.size(), avoided);
     }
--- a/src/main/java/onyxpaddle/admin/AdminCalls.java
+++ b/src/main/java/onyxpaddle/admin/AdminCalls.java
@@ -11,6 +11,9 @@
     /** Empties the node; false where that can't be. */
     boolean drain();
 
+    /** Takes a server out by its id, or puts it back; false where no such server is known. */
+    boolean takeOut(String server, boolean out);
+
     /** Back to work; false where that can't be. */
     boolean undrain();
 }
--- a/src/main/java/onyxpaddle/admin/AdminDoor.java
+++ b/src/main/java/onyxpaddle/admin/AdminDoor.java
@@ -26,9 +26,11 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.QueryStringDecoder;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import onyxpaddle.node.Log;
 
@@ -47,6 +49,7 @@
     private static final int LONGEST_HEAD = 4 * 1024;
     private static final int LONGEST_BODY = 1024;
     private static final int READ_SIZE = 2048;
+    private static final int MOST_PARAMETERS = 8;
 
     private final EventLoop loop;
     private final ByteBufAllocator allocator;
@@ -87,7 +90,7 @@
 
     public void close() {
         listener.close();
-        open.forEach(Channel::close);
+        List.copyOf(open).forEach(Channel::close);
     }
 
     private void opened(Channel channel) {
@@ -111,10 +114,12 @@
         }
     }
 
-    private Result call(HttpMethod method, String path) {
+    private Result call(HttpMethod method, String uri) {
+        QueryStringDecoder query = new QueryStringDecoder(uri, StandardCharsets.UTF_8, true, MOST_PARAMETERS);
+        String path = query.rawPath();
         HttpMethod wanted = switch (path) {
             case "/ready", "/metrics" -> HttpMethod.GET;
-            case "/drain", "/undrain" -> HttpMethod.POST;
+            case "/drain", "/undrain", "/servers/disable", "/servers/enable" -> HttpMethod.POST;
             default -> null;
         };
         if (wanted == null) {
@@ -126,14 +131,22 @@
             case "/ready" -> Result.of(calls.ready());
             case "/metrics" -> new Result(HttpResponseStatus.OK, Exposition.TYPE, calls.figures());
             case "/drain" -> Result.of(calls.drain());
-            default -> Result.of(calls.undrain());
+            case "/undrain" -> Result.of(calls.undrain());
+            default -> byHand(query.parameters().getOrDefault("id", List.of()), path.endsWith("/disable"));
         };
     }
 
+    private Result byHand(List<String> ids, boolean out) {
+        if (ids.size() != 1 || ids.get(0).isEmpty()) {
+            return Result.of(HttpResponseStatus.BAD_REQUEST);
+        }
+        return calls.takeOut(ids.get(0), out) ? Result.of(true) : Result.of(HttpResponseStatus.NOT_FOUND);
+    }
+
     /** One connection's one call. */
     private final class Call extends SimpleChannelInboundHandler<HttpObject> {
         private HttpMethod method;
-        private String path;
+        private String uri;
         private int body;
         private boolean answered;
 
@@ -148,8 +161,7 @@
             }
             if (part instanceof HttpRequest request) {
                 method = request.method();
-                int query = request.uri().indexOf('?');
-                path = query < 0 ? request.uri() : request.uri().substring(0, query);
+                uri = request.uri();
                 // Nobody is told to go on with a body: it has no use here.
             }
             if (part instanceof HttpContent content) {
@@ -157,11 +169,20 @@
                 if (body > LONGEST_BODY) {
                     answer(context, Result.of(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE));
                 } else if (part instanceof LastHttpContent) {
-                    answer(context, call(method, path));
+                    answer(context, callOrError());
                 }
             }
         }
 
+        private Result callOrError() {
+            try {
+                return call(method, uri);
+            } catch (IllegalArgumentException e) {
+                // A query whose percent signs make no sense.
+                return Result.of(HttpResponseStatus.BAD_REQUEST);
+            }
+        }
+
         private void answer(ChannelHandlerContext context, Result result) {
             answered = true;
             DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, result.status(),
--- a/src/main/java/onyxpaddle/admin/Exposition.java
+++ b/src/main/java/onyxpaddle/admin/Exposition.java
@@ -16,8 +16,8 @@
     private Exposition() {
     }
 
-    /** Of all pools together: a class that several pools have is one. */
-    public static String of(Collection<Dispatcher> pools) {
+    /** Of all pools together: a class that several pools have is one. {@code reloads}: how many changed the node, and didn't. */
+    public static String of(Collection<Dispatcher> pools, long reloads, long failedReloads) {
         Exposition to = new Exposition();
         to.type("svc_calls_total", "counter", "Requests that have their final answer, by class and by how they ended.");
         java.util.Set<String> classes = new java.util.LinkedHashSet<>();
@@ -47,6 +47,8 @@
         to.one("svc_inflight", "gauge", "Requests taken that have no final answer yet.", inflight);
         to.one("svc_hosts_listed", "gauge", "Servers on the list.", listed);
         to.one("svc_hosts_down", "gauge", "Servers on the list that the node avoids now.", down);
+        to.one("svc_reconfig_ok_total", "counter", "New configurations that are in force or were.", reloads);
+        to.one("svc_reconfig_failed_total", "counter", "New configurations that changed nothing, being at fault.", failedReloads);
         return to.text.toString();
     }
 
--- a/src/main/java/onyxpaddle/handover/HandoverMessage.java
+++ b/src/main/java/onyxpaddle/handover/HandoverMessage.java
@@ -22,7 +22,7 @@
  */
 public final class HandoverMessage {
     static final int MAGIC = 0x4c55504e;
-    static final int VERSION = 1;
+    static final int VERSION = 2;
     /** Bytes before the payload: magic, version, length, checksum. */
     public static final int HEAD = 16;
     /** The most bytes of payload: some 500 servers with full windows. */
@@ -112,6 +112,11 @@
             g.writeNumber(memory.usualRank());
             g.writeNumber(memory.usualWorth());
             g.writeStartArray();
+            for (String server : memory.takenOut()) {
+                g.writeString(server);
+            }
+            g.writeEndArray();
+            g.writeStartArray();
             for (ClassMemory c : memory.classes()) {
                 g.writeStartArray();
                 g.writeString(c.name());
@@ -152,6 +157,12 @@
         double retriesSaved = number(p);
         double usualRank = number(p);
         double usualWorth = number(p);
+        List<String> takenOut = new ArrayList<>();
+        open(p);
+        while (p.nextToken() != JsonToken.END_ARRAY) {
+            expect(p.currentToken() == JsonToken.VALUE_STRING && takenOut.size() < MOST_SERVERS);
+            takenOut.add(p.getText());
+        }
         List<ClassMemory> classes = new ArrayList<>();
         open(p);
         while (another(p, classes.size())) {
@@ -164,7 +175,7 @@
             servers.add(server(p));
         }
         close(p);
-        return new Memory(servers, classes, admitLimit, metLate, retriesSaved, usualRank, usualWorth);
+        return new Memory(servers, classes, takenOut, admitLimit, metLate, retriesSaved, usualRank, usualWorth);
     }
 
     private static ServerMemory server(JsonParser p) throws IOException {
--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -81,6 +81,15 @@
         return module.fleet(clock.now());
     }
 
+    /** An operator takes a server out, or puts it back; false where neither the list nor what is out has it. */
+    public boolean takeOut(String server, boolean out) {
+        if (!module.lists(server) && !module.isTakenOut(server)) {
+            return false;
+        }
+        tell(new TakenOut(server, out));
+        return true;
+    }
+
     /** A front answered a request of this pool before it was taken. */
     public void turnedAway(Terms terms, Tally.End how) {
         tally.ended(terms.requestClass().name(), how);
--- a/src/main/java/onyxpaddle/serve/Node.java
+++ b/src/main/java/onyxpaddle/serve/Node.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import onyxpaddle.Balancing.ListKind;
 import onyxpaddle.Balancing.Memory;
@@ -67,6 +68,8 @@
     private Discovery discovery;
     private HttpFront clients;
     private PlatformConfig config;
+    private long reloads;
+    private long failedReloads;
     private ByteBufAllocator allocator;
     private boolean anyServer;
     private boolean heard;
@@ -194,7 +197,7 @@
 
         @Override
         public String figures() {
-            return Exposition.of(List.of(dispatcher));
+            return Exposition.of(List.of(dispatcher), reloads, failedReloads);
         }
 
         @Override
@@ -203,6 +206,13 @@
             return state.drain(clock.now());
         }
 
+        @Override
+        public boolean takeOut(String server, boolean out) {
+            boolean known = dispatcher.takeOut(server, out);
+            Log.line("an operator " + (out ? "takes out" : "puts back") + " server " + server + (known ? "" : ", which is not known"));
+            return known;
+        }
+
         @Override
         public boolean undrain() {
             Log.line("an operator puts the node back to work");
@@ -233,10 +243,12 @@
             group.next().execute(() -> move(next));
         } catch (PlatformConfig.InvalidConfigException e) {
             Log.line("SIGHUP: the configuration stays as it was: " + e.getMessage());
+            group.next().execute(() -> failedReloads++);
         }
     }
 
     private void move(PlatformConfig next) {
+        reloads++;
         if (config == null || next.discovery().equals(config.discovery())) {
             return;
         }
@@ -267,6 +279,21 @@
         return door.address();
     }
 
+    private void closeAll() {
+        if (clients != null && listens()) {
+            clients.close();
+        }
+        if (door != null) {
+            door.close();
+        }
+        if (handover != null) {
+            handover.close();
+        }
+        if (discovery != null) {
+            discovery.stop();
+        }
+    }
+
     /** Ends as planned: returns when all that was taken is answered. */
     void drain() {
         group.next().execute(() -> {
@@ -288,8 +315,17 @@
         }
     }
 
-    /** Ends at once. */
+    /**
+     * Ends at once. Listeners are closed before their loop ends: the JDK puts the close of a registered one off to the next
+     * select, and a loop that ends makes none, so that the system would go on taking connections for nobody.
+     */
     void stop() {
+        try {
+            group.next().submit(this::closeAll).syncUninterruptibly();
+            group.next().schedule(() -> { }, 1, TimeUnit.MILLISECONDS).syncUninterruptibly();
+        } catch (RejectedExecutionException e) {
+            // It has ended already.
+        }
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 }
--- /dev/null
+++ b/src/test/java/onyxpaddle/ReplacementTest.java
@@ -0,0 +1,101 @@
+package onyxpaddle;
+
+import static onyxpaddle.Node.MS;
+import static onyxpaddle.Node.sent;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import onyxpaddle.Balancing.*;
+import org.junit.jupiter.api.Test;
+
+/** What one process of a node tells the next, what operators take out by hand, and a limit that a calm hour leaves alone. */
+class ReplacementTest {
+    /** A node that has met a fast server, a slow one and one that only fails. */
+    private static Node experienced() {
+        Node node = Node.plain().list("a", "b", "c");
+        for (int i = 0; i < 400; i++) {
+            node.now += 5 * MS;
+            String server = sent(node.arrive("r" + i, "write"));
+            Outcome outcome = server.equals("c") ? Outcome.ERROR : Outcome.OK;
+            node.end("r" + i, 0, server, outcome, server.equals("a") ? 10 * MS : 200 * MS);
+        }
+        return node;
+    }
+
+    private static int[] shares(Node node, String prefix) {
+        int[] shares = new int[3];
+        for (int i = 0; i < 60; i++) {
+            String server = sent(node.arrive(prefix + i, "write"));
+            shares[server.charAt(0) - 'a']++;
+            node.handle(new ClientGone(prefix + i));
+            node.end(prefix + i, 0, server, Outcome.CANCELLED, MS);
+        }
+        return shares;
+    }
+
+    @Test
+    void nextProcessSendsWhereTheFirstHasLearntTo() {
+        Node first = experienced();
+        Node next = Node.plain();
+        next.now = first.now;
+        next.balancer.remember(first.balancer.memory(first.now));
+        // The list comes after what is remembered, or before: either way it is this server's.
+        next.list("a", "b", "c");
+        int[] shares = shares(next, "n");
+        assertTrue(shares[0] > 45, "the fast one has " + shares[0] + " of 60");
+        assertTrue(shares[2] < 6, "the failing one has " + shares[2]);
+        int[] anew = shares(Node.plain().list("a", "b", "c"), "m");
+        assertTrue(anew[0] < 40, "without being told the fast one has " + anew[0]);
+    }
+
+    @Test
+    void memoryOfAServerThatHasStartedAnewIsNotUsed() {
+        Node first = experienced();
+        Node next = Node.plain();
+        next.now = first.now;
+        next.balancer.remember(first.balancer.memory(first.now));
+        next.handle(new Membership(ListKind.ALL, List.of(next.entry("a", ServerState.READY, 0),
+            next.entry("c", ServerState.READY, next.now - 20 * Node.SECOND))));
+        int[] shares = shares(next, "n");
+        assertTrue(shares[2] > 15, "one that is new has " + shares[2] + " of 60");
+    }
+
+    @Test
+    void memoryGoesRoundUnchanged() {
+        Node first = experienced();
+        Node next = Node.plain();
+        next.now = first.now;
+        next.list("a", "b", "c");
+        next.balancer.remember(first.balancer.memory(first.now));
+        assertEquals(first.balancer.memory(first.now), next.balancer.memory(first.now));
+    }
+
+    @Test
+    void serverTakenOutGetsNothingUntilItIsPutBackWhateverListsSay() {
+        Node node = Node.plain().list("a", "b");
+        node.handle(new TakenOut("a", true));
+        node.list("a", "b");
+        node.changes(node.entry("a", ServerState.DRAINING, 0));
+        node.changes(node.entry("a", ServerState.READY, 0));
+        assertEquals(0, shares(node, "x")[0]);
+        assertEquals(new Fleet(2, 1), node.balancer.fleet(node.now));
+        node.handle(new TakenOut("a", false));
+        assertTrue(shares(node, "y")[0] > 10);
+    }
+
+    @Test
+    void lateAnswersInACalmHourLeaveTheLimitForWhatMayCome() {
+        Node node = Node.plain().list("a", "b");
+        for (int i = 0; i < 300; i++) {
+            node.now += 50 * MS;
+            String server = sent(node.arrive("c" + i, "write"));
+            node.end("c" + i, 0, server, Outcome.OK, i % 10 == 0 ? 900 * MS : 20 * MS);
+        }
+        int sent = 0;
+        while (sent(node.arrive("more" + sent, "write")) != null) {
+            sent++;
+        }
+        assertTrue(sent >= 5, sent + " are let in at once after a calm hour");
+    }
+}
--- a/src/test/java/onyxpaddle/handover/HandoverMessageTest.java
+++ b/src/test/java/onyxpaddle/handover/HandoverMessageTest.java
@@ -22,7 +22,7 @@
         for (int i = 0; i < servers; i++) {
             list.add(new ServerMemory("s-" + i, i, List.of(0.5, 1.25, 3.0), 1_700_000_000_000_000_000L, 0.25, 1.5, 12, 0, 0, 0.75));
         }
-        return new Memory(list, List.of(new ClassMemory("book", 3e7, 1e6, 0.5, 0.25, -0.5, 77)), 42.5, true, 3.25, 1e-7, 3);
+        return new Memory(list, List.of(new ClassMemory("book", 3e7, 1e6, 0.5, 0.25, -0.5, 77)), List.of("s-1", "s-9"), 42.5, true, 3.25, 1e-7, 3);
     }
 
     @Test
@@ -68,7 +68,7 @@
     @Test
     void sensibleBytesThatMakeNoSenseAreRefused() {
         Random random = new Random(5);
-        String sound = "[42.5,true,3.25,1.0,3.0,[[\"book\",1.0,1.0,0.0,0.0,0.0,7]],[[\"s\",1,2,0.5,1.0,3,0.0,4,0.5,1.0]]]";
+        String sound = "[42.5,true,3.25,1.0,3.0,[\"s\"],[[\"book\",1.0,1.0,0.0,0.0,0.0,7]],[[\"s\",1,2,0.5,1.0,3,0.0,4,0.5,1.0]]]";
         for (int i = 0; i < 20_000; i++) {
             StringBuilder text = new StringBuilder(sound);
             for (int n = random.nextInt(3); n >= 0; n--) {
--- a/src/test/java/onyxpaddle/serve/InServiceTest.java
+++ b/src/test/java/onyxpaddle/serve/InServiceTest.java
@@ -80,7 +80,7 @@
             try (Client client = new Client(node.address()); Client waits = new Client(node.address())) {
                 for (int i = 0; i < 5; i++) {
                     server.answers.add(Loopback.ok("fine"));
-                    client.say(Loopback.request("r" + i, "read")).hear();
+                    client.say(Loopback.request("r" + i, "book", "Content-Length: 0")).hear();
                 }
                 server.answers.add("HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n");
                 assertTrue(client.say(Loopback.request("b1", "book", "Content-Length: 0")).hear().startsWith("502"));
@@ -92,7 +92,7 @@
                 waits.say(Loopback.request("b3", "book", "Content-Length: 0"));
                 server.heard();
                 String figures = call(node, "GET /metrics");
-                assertFigure(figures, "svc_calls_total{tier=\"read\",code=\"success\"} 5");
+                assertFigure(figures, "svc_calls_total{tier=\"book\",code=\"success\"} 5");
                 assertFigure(figures, "svc_calls_total{tier=\"read\",code=\"busy\"} 0");
                 assertFigure(figures, "svc_calls_total{tier=\"book\",code=\"failure\"} 1");
                 assertFigure(figures, "svc_backend_calls_total 7");
@@ -160,7 +160,7 @@
                 server.answers.add(Loopback.ok("two"));
                 server.answers.add(Loopback.ok("three"));
                 assertEquals("200 two", busy.hear(), "what the first took it answers");
-                assertEquals("200 three", kept.say(Loopback.request("r3", "read")).hear());
+                assertEquals("200 three", kept.say(Loopback.request("r3", "book", "Content-Length: 0")).hear());
                 assertNull(kept.hear(), "and sends its clients to the next");
                 end.join(Loopback.PATIENCE_MS);
                 assertFalse(end.isAlive());
@@ -168,7 +168,7 @@
                 for (int i = 0; i < 20; i++) {
                     try (Client fresh = new Client(next.address())) {
                         server.answers.add(Loopback.ok("four"));
-                        assertEquals("200 four", fresh.say(Loopback.request("n" + i, "read")).hear());
+                        assertEquals("200 four", fresh.say(Loopback.request("n" + i, "book", "Content-Length: 0")).hear());
                     }
                 }
                 Node third = node(new FakeDiscovery(Loopback.list(1, server)), "127.0.0.1:" + next.address().getPort(), folder,
@@ -181,6 +181,73 @@
         }
     }
 
+    @Test
+    void serverTakenOutByHandStaysOutOverListsAndReplacement(@TempDir Path folder) throws Exception {
+        try (FakeServer one = new FakeServer("s1"); FakeServer two = new FakeServer("s2");
+                FakeDiscovery discovery = new FakeDiscovery(Loopback.list(1, one, two));
+                FakeDiscovery second = new FakeDiscovery(Loopback.list(1, one, two))) {
+            Node node = node(discovery, "127.0.0.1:0", folder, one, two);
+            untilReady(node);
+            assertTrue(call(node, "POST /servers/disable").startsWith("400"));
+            assertTrue(call(node, "POST /servers/disable?id=%zz").startsWith("400"));
+            assertTrue(call(node, "POST /servers/disable?id=s3").startsWith("404"));
+            assertTrue(call(node, "GET /servers/disable?id=s1").startsWith("405"));
+            assertTrue(call(node, "POST /servers/disable?id=s1").startsWith("200"));
+            assertFigure(call(node, "GET /metrics"), "svc_hosts_down 1");
+            discovery.lists.add(Loopback.list(2, one, two));
+            for (int calls = 0; calls < 3; calls++) {
+                assertTrue(discovery.calls.poll(Loopback.PATIENCE_MS, java.util.concurrent.TimeUnit.MILLISECONDS) != null);
+            }
+            askTwenty(node, two);
+            Node next = node(second, "127.0.0.1:" + node.address().getPort(), folder, one, two);
+            untilReady(next);
+            node.drain();
+            node.stop();
+            askTwenty(next, two);
+            assertEquals(0, one.heard.size());
+            assertTrue(call(next, "POST /servers/enable?id=s1").startsWith("200"));
+            assertTrue(call(next, "POST /servers/disable?id=s2").startsWith("200"));
+            askTwenty(next, one);
+            assertEquals(40, two.heard.size());
+            next.stop();
+        }
+    }
+
+    private static void askTwenty(Node node, FakeServer server) throws Exception {
+        try (Client client = new Client(node.address())) {
+            for (int i = 0; i < 20; i++) {
+                server.answers.add(Loopback.ok("fine"));
+                // A booking, as a slow look-up might be sent twice and take two answers.
+                assertEquals("200 fine", client.say(Loopback.request("x" + i, "book", "Content-Length: 0")).hear());
+            }
+        }
+    }
+
+    @Test
+    void processKilledAtAnyStepLeavesTheOtherServing(@TempDir Path folder) throws Exception {
+        try (FakeServer server = new FakeServer("s1"); FakeDiscovery discovery = new FakeDiscovery(Loopback.list(1, server))) {
+            Node first = node(discovery, "127.0.0.1:0", folder, server);
+            untilReady(first);
+            // The next one dies before its yes: its discovery never answers, so it has asked and listens not yet.
+            try (FakeDiscovery mute = new FakeDiscovery("{}")) {
+                Node dies = node(mute, "127.0.0.1:" + first.address().getPort(), folder, server);
+                dies.stop();
+            }
+            askTwenty(first, server);
+            // One that dies after its yes; the first serves on alone, and a third finds no socket that answers.
+            Node second = node(new FakeDiscovery(Loopback.list(1, server)), "127.0.0.1:" + first.address().getPort(), folder, server);
+            untilReady(second);
+            second.stop();
+            askTwenty(first, server);
+            Node third = node(new FakeDiscovery(Loopback.list(1, server)), "127.0.0.1:" + first.address().getPort(), folder, server);
+            untilReady(third);
+            // The first one is killed with nothing said: the third serves all.
+            first.stop();
+            askTwenty(third, server);
+            third.stop();
+        }
+    }
+
     @Test
     void processThatFindsASilentOneStartsAlone(@TempDir Path folder) throws Exception {
         try (FakeServer server = new FakeServer("s1"); FakeDiscovery discovery = new FakeDiscovery(Loopback.list(1, server));
