Only a platform node shares its port: two sidecars that claim one are told again

Cause, found by reading the change once more: every HTTP listener was bound with SO_REUSEPORT, so a second sidecar that claims the same port would have started and taken a part of the connections, and neither been told; before, the second one failed with the address's name.

Change: the option is set by the platform's node alone, whose processes replace each other; a test starts two sidecars on one port. The longest deadline was worked out twice: the front says it. Timers of the door go with their connection, so a flood of calls leaves none. BrokenListsTest holds how soon a list is asked for again; it passed with the old waits, too.

The platform's listener is bound as before.

--- a/src/main/java/onyxpaddle/admin/AdminDoor.java
+++ b/src/main/java/onyxpaddle/admin/AdminDoor.java
@@ -31,6 +31,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import onyxpaddle.node.Log;
 
@@ -100,8 +101,11 @@
             oldest.close();
         }
         open.add(channel);
-        channel.closeFuture().addListener(f -> open.remove(channel));
-        loop.schedule(() -> channel.close(), LONGEST_CALL_MS, TimeUnit.MILLISECONDS);
+        Future<?> late = loop.schedule(() -> channel.close(), LONGEST_CALL_MS, TimeUnit.MILLISECONDS);
+        channel.closeFuture().addListener(f -> {
+            late.cancel(false);
+            open.remove(channel);
+        });
     }
 
     private record Result(HttpResponseStatus status, String type, String text) {
@@ -191,7 +195,8 @@
                 .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes())
                 .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             context.writeAndFlush(response).addListener(f -> ((SocketChannel) context.channel()).shutdownOutput());
-            loop.schedule(() -> context.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+            Future<?> lingering = loop.schedule(() -> context.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+            context.channel().closeFuture().addListener(f -> lingering.cancel(false));
         }
 
         @Override
--- a/src/main/java/onyxpaddle/handover/SharedListener.java
+++ b/src/main/java/onyxpaddle/handover/SharedListener.java
@@ -18,7 +18,7 @@
  * comes between the last look at the queue and the close, some microseconds, is still reset.
  */
 public final class SharedListener extends NioServerSocketChannel {
-    /** Both processes must say so before they bind; the first can't know that there will be a second, so all do. */
+    /** Both processes must say so before they bind; the first can't know that there will be a second, so it does always. */
     public static final ChannelOption<Boolean> REUSE_PORT = NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT);
     /** By then the selector has let go of the channel; before, the JDK puts a close off to its next select. */
     private static final long UNREGISTERED_MS = 2;
--- a/src/main/java/onyxpaddle/http/HttpFront.java
+++ b/src/main/java/onyxpaddle/http/HttpFront.java
@@ -73,7 +73,7 @@
 
     @Override
     public ChannelFuture listen(InetSocketAddress address) {
-        return listen(address, true);
+        return listen(address, true, false);
     }
 
     @Override
@@ -81,12 +81,16 @@
         return listener.localAddress();
     }
 
-    /** {@code wait}: connections are left in the backlog until {@link #open}. */
-    public ChannelFuture listen(InetSocketAddress address, boolean wait) {
+    /**
+     * {@code wait}: connections are left in the backlog until {@link #open}; {@code shared}: another process may listen at
+     * the address, too. Only for a node whose processes replace each other: elsewhere two that claim one port would each
+     * take a part of the connections, and neither be told.
+     */
+    public ChannelFuture listen(InetSocketAddress address, boolean wait, boolean shared) {
         sweeping = loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(SharedListener.class)
             .option(ChannelOption.SO_BACKLOG, 4096)
-            .option(SharedListener.REUSE_PORT, true)
+            .option(SharedListener.REUSE_PORT, shared)
             .option(ChannelOption.SO_REUSEADDR, true)
             .option(ChannelOption.AUTO_READ, !wait)
             .childOption(ChannelOption.ALLOCATOR, allocator)
@@ -265,8 +269,13 @@
      */
     @Override
     public void drain(Runnable done) {
+        end(false, done);
+    }
+
+    /** As {@link #drain}; {@code replaced}: another process listens in this one's place. */
+    public void end(boolean replaced, Runnable done) {
         if (ending == null) {
-            state.end(clock.now(), false, dialect.longestPatience());
+            state.end(clock.now(), replaced, dialect.longestPatience());
             ending = loop.scheduleWithFixedDelay(() -> endStep(done), 1, END_STEP_MS, TimeUnit.MILLISECONDS);
         }
     }
--- a/src/main/java/onyxpaddle/serve/Node.java
+++ b/src/main/java/onyxpaddle/serve/Node.java
@@ -15,7 +15,6 @@
 import java.util.concurrent.TimeUnit;
 import onyxpaddle.Balancing.ListKind;
 import onyxpaddle.Balancing.Memory;
-import onyxpaddle.Balancing.RequestClass;
 import onyxpaddle.RatioBalancer;
 import onyxpaddle.admin.AdminCalls;
 import onyxpaddle.admin.AdminDoor;
@@ -175,7 +174,7 @@
     }
 
     private void listen() {
-        clients.listen(config.listen(), false).addListener(f -> {
+        clients.listen(config.listen(), false, true).addListener(f -> {
             if (!f.isSuccess()) {
                 serving.completeExceptionally(f.cause());
                 return;
@@ -304,9 +303,7 @@
             }
             boolean replaced = handover != null && handover.succeeded();
             Log.line(replaced ? "ending, as another process serves" : "ending");
-            long longest = config.settings().classes().stream().mapToLong(RequestClass::deadline).max().orElse(0);
-            state.end(clock.now(), replaced, longest);
-            clients.drain(drained::countDown);
+            clients.end(replaced, drained::countDown);
         });
         try {
             drained.await(LONGEST_DRAIN_S, TimeUnit.SECONDS);
--- a/src/test/java/onyxpaddle/serve/BrokenListsTest.java
+++ b/src/test/java/onyxpaddle/serve/BrokenListsTest.java
@@ -68,10 +68,13 @@
             };
             try (Flaky discovery = new Flaky(List.of(bad, bad, whole))) {
                 Node node = node(discovery, before);
+                long start = System.nanoTime();
                 try (Client client = new Client(node.address())) {
                     for (int i = 0; i < 3; i++) {
                         assertTrue(discovery.calls.poll(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS).startsWith("GET /v1/endpoints"));
                     }
+                    // What two calls had to tell counted as told 4 s after each, at the latest.
+                    assertTrue(System.nanoTime() - start < 4_000_000_000L, "the third call comes too late");
                     // The fourth call comes when the list that was whole is in force.
                     assertTrue(discovery.calls.poll(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS).contains("after=2"));
                     after.answers.add(Loopback.ok("after"));
--- a/src/test/java/onyxpaddle/serve/SidecarReloadTest.java
+++ b/src/test/java/onyxpaddle/serve/SidecarReloadTest.java
@@ -212,4 +212,15 @@
             }
         }
     }
+
+    /** Two of them would else share the port, each with a part of the connections, and neither be told. */
+    @Test
+    void portOfAnotherSidecarIsTaken() throws Exception {
+        try (StandInServer box = new StandInServer("box", 0); SidecarRig first = new SidecarRig(SidecarRig.simple("", box))) {
+            String same = SidecarRig.simple("", box).replace("127.0.0.1:0\"", "127.0.0.1:" + first.node.address("in").getPort() + "\"");
+            String why = org.junit.jupiter.api.Assertions.assertThrows(java.io.IOException.class, () -> new SidecarRig(same))
+                .getMessage();
+            assertTrue(why.startsWith("cannot listen on "), why);
+        }
+    }
 }
