--- a/src/main/java/onyxpaddle/RatioBalancer.java
+++ b/src/main/java/onyxpaddle/RatioBalancer.java
@@ -27,9 +27,8 @@
 public final class RatioBalancer {
     /** Round trips a server's mean is taken over (the paper's averaged variant). */
     private static final int WINDOW = 20;
-    /** Time in which an old mean loses most of its distance to t_b, and a failure count its height. */
+    /** Time in which an old mean loses most of its distance to t_b, and a share of errors its height. */
     private static final double FADE = 10e9;
-    private static final double FAILURE_FADE = 5e9;
     /**
      * A server that turns calls away as full has room again as soon as a few have left. Guards against many
      * calls that meet a full server at once, which kept it out for seconds, idle; should cover any
@@ -38,12 +37,8 @@
     private static final double FULL_FADE = 1e9;
     private static final double MOST_FULL = 3;
     private static final double ERROR_STEP = 0.1;
-    /** Share of the draws that is left to a server however often it failed. */
-    private static final double LEAST_CHANCE = 0.02;
     /** A server that is left this share of its draws or less is one that the node avoids. */
     private static final double AVOIDED = 0.25;
-    /** Weight of one more round trip in a class's usual one. */
-    private static final double USUAL_STEP = 0.02;
     /** Further attempts of possibly-run requests, as a share of arrivals: tiers multiply them. */
     private static final double RETRY_SHARE = 0.1;
     private static final double MOST_RETRIES_SAVED = 10;
@@ -70,12 +65,6 @@
     private static final double CROSSING = 50;
     private static final long HOLD_STEP = 20_000_000L;
     private static final int MOST_TAKEN_OUT = 1_000;
-    /**
-     * No attempt is given up sooner. Guards against a short pause of this node or of the server, such as
-     * for garbage, being taken for a lost call where calls take less than a millisecond; should cover any
-     * server much faster than its pauses. Where such a server loses calls, each is noticed this late.
-     */
-    private static final long LEAST_PATIENCE = 20_000_000L;
 
     private final Settings settings;
     private final SplittableRandom random;
@@ -270,8 +259,7 @@
                 Math.max(0, s.credit)));
         }
         List<ClassMemory> ofClasses = new ArrayList<>();
-        classes.forEach((name, use) -> ofClasses.add(new ClassMemory(name, use.trip, use.deviation, use.cost,
-            use.costVariance, use.covariance, use.seen)));
+        classes.values().forEach(use -> ofClasses.add(use.memory()));
         return new Memory(ofServers, ofClasses, List.copyOf(takenOut), admitLimit, metLate, retriesSaved,
             usualRank, usualWorth);
     }
@@ -287,12 +275,7 @@
         for (ClassMemory c : memory.classes()) {
             ClassUse use = classes.get(c.name());
             if (use != null) {
-                use.trip = c.trip();
-                use.deviation = c.deviation();
-                use.cost = c.cost();
-                use.costVariance = c.costVariance();
-                use.covariance = c.covariance();
-                use.seen = c.seen();
+                use.recall(c);
             }
         }
         admitLimit = memory.admitLimit();
@@ -493,7 +476,7 @@
         ClassUse use = classes.getOrDefault(arrival.requestClass(), unknownClass);
         Request r = new Request(arrival, use, worth(arrival, use), dueCount++);
         requests.put(r.id, r);
-        usualRank = usualRank == 0 ? r.rank : usualRank + USUAL_STEP * (r.rank - usualRank);
+        usualRank = usualRank == 0 ? r.rank : usualRank + ClassUse.STEP * (r.rank - usualRank);
         retriesSaved = Math.min(MOST_RETRIES_SAVED, retriesSaved + RETRY_SHARE);
         if (cold.size() == ready.size()) {
             earnCredit(0.7 / Math.max(1, ready.size()));
@@ -713,7 +696,7 @@
         if (quota != null && !quota.take(now)) {
             worth *= settings.overShareWorth();
         }
-        usualWorth = usualWorth == 0 ? worth : usualWorth + USUAL_STEP * (worth - usualWorth);
+        usualWorth = usualWorth == 0 ? worth : usualWorth + ClassUse.STEP * (worth - usualWorth);
         return worth;
     }
 
@@ -851,7 +834,7 @@
         double chanceLeft(long now) {
             double served = Math.pow(1 - errorsNow(now), 3);
             return failures.factor(now) * full.factor(now) * zoneFailures.factor(now)
-                * Math.max(LEAST_CHANCE, served);
+                * Math.max(Failures.LEAST_CHANCE, served);
         }
 
         /** Avoided for its failures; one that is full for a moment is not. */
@@ -864,47 +847,6 @@
         }
     }
 
-    /** Failures since the last served call, fading with time. */
-    private static final class Failures {
-        final double fade;
-        final double most;
-        double count;
-        long at;
-
-        Failures() {
-            this(FAILURE_FADE, Double.MAX_VALUE);
-        }
-
-        Failures(double fade, double most) {
-            this.fade = fade;
-            this.most = most;
-        }
-
-        void add(long now) {
-            count = Math.min(most, countNow(now) + 1);
-            at = now;
-        }
-
-        void clear() {
-            count = 0;
-        }
-
-        void recall(double known, long then) {
-            count = Math.min(most, known);
-            at = then;
-        }
-
-        double countNow(long now) {
-            return count == 0 ? 0 : count * Math.exp((at - now) / fade);
-        }
-
-        /** What they leave of a chance: less with each, never nothing. */
-        double factor(long now) {
-            double failures = countNow(now);
-            return Math.max(LEAST_CHANCE, 1 / (1 + failures * failures));
-        }
-    }
-
     private static final class Attempt {
         final Request request;
         final Server server;
@@ -974,68 +916,4 @@
             return null;
         }
     }
-
-    /** This node's part of a tenant's quota, as a bucket of one second. */
-    private static final class Quota {
-        final double perSecond;
-        double left;
-        long at;
-
-        Quota(double perSecond) {
-            this.perSecond = perSecond;
-            this.left = perSecond;
-        }
-
-        boolean take(long now) {
-            left = Math.min(Math.max(1, perSecond), left + perSecond * (at == 0 ? 0 : now - at) / 1e9);
-            at = now;
-            if (left < 1) {
-                return false;
-            }
-            left--;
-            return true;
-        }
-    }
-
-    /**
-     * A class's usual round trip, by the cost hint where there is one. Round trips are divided by it, so that
-     * a server is not judged by what it happened to get (the paper's remedy for mixed requests, section 6).
-     */
-    private static final class ClassUse {
-        final RequestClass about;
-        double trip;
-        double deviation;
-        double cost;
-        double costVariance;
-        double covariance;
-        int seen;
-
-        ClassUse(RequestClass about) {
-            this.about = about;
-        }
-
-        void learn(double hint, double latency) {
-            double step = Math.max(USUAL_STEP, 1.0 / ++seen);
-            deviation += step * (Math.abs(latency - usual(hint)) - deviation);
-            double offCost = hint - cost;
-            double offTrip = latency - trip;
-            cost += step * offCost;
-            trip += step * offTrip;
-            costVariance += step * (offCost * offCost - costVariance);
-            covariance += step * (offCost * offTrip - covariance);
-        }
-
-        double usual(double hint) {
-            if (seen == 0) {
-                return about.aim() > 0 ? about.aim() / 4.0 : 1e8;
-            }
-            double slope = costVariance > 1e-12 ? covariance / costVariance : 0;
-            return Math.max(trip / 5, trip + Math.max(0, slope) * (hint - cost));
-        }
-
-        /** How long an attempt may take before a further one is worth its work. */
-        long patience(double hint) {
-            return Math.max(LEAST_PATIENCE, (long) (usual(hint) + 4 * deviation));
-        }
-    }
 }
--- a/src/test/java/onyxpaddle/PackageRulesTest.java
+++ b/src/test/java/onyxpaddle/PackageRulesTest.java
@@ -19,7 +19,7 @@
         .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("onyxpaddle");
     /** Modules that decide, besides the root package. */
     private static final Set<String> DECIDERS = Set.of("onyxpaddle.RatioBalancer", "onyxpaddle.Balancing",
-        "onyxpaddle.FlatSettings", "onyxpaddle.node.SharedLimit", "onyxpaddle.node.Budget", "onyxpaddle.node.InFlightLimit",
+        "onyxpaddle.FlatSettings", "onyxpaddle.ClassUse", "onyxpaddle.Failures", "onyxpaddle.Quota", "onyxpaddle.node.SharedLimit", "onyxpaddle.node.Budget", "onyxpaddle.node.InFlightLimit",
         "onyxpaddle.node.Tally",
         "onyxpaddle.rpc.CallTable", "onyxpaddle.rpc.ConnectionChoice");
 
--- a/src/test/java/onyxpaddle/SourceLimitsTest.java
+++ b/src/test/java/onyxpaddle/SourceLimitsTest.java
@@ -5,13 +5,19 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class SourceLimitsTest {
     @Test
     void moduleStaysShortEnoughToPrint() throws IOException {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/onyxpaddle/RatioBalancer.java"));
+        List<String> lines = new ArrayList<>();
+        for (String part : List.of("RatioBalancer", "ClassUse", "Failures", "Quota")) {
+            Path file = Path.of("src/main/java/onyxpaddle/" + part + ".java");
+            assertTrue(Files.readString(Path.of("deploy/balancer.toml")).contains("\"" + file + "\""), file + " decides");
+            lines.addAll(Files.readAllLines(file));
+        }
         long full = lines.stream().filter(line -> !line.isBlank()).count();
         assertTrue(full <= 1_200, full + " lines");
         for (String line : lines) {
