--- a/src/main/java/onyxpaddle/drain/NodeState.java
+++ b/src/main/java/onyxpaddle/drain/NodeState.java
@@ -26,6 +26,8 @@
     private static final long GRACE = 550 * MILLI;
     /** Connections are closed between requests from so long before the end on. */
     private static final long LAST_CALL = 300 * MILLI;
+    /** Calls that were on their way when their callee began to refuse are refused, not cut off. */
+    private static final long REFUSES_FOR = 300 * MILLI;
     /** Where a successor serves: idle connections go once they have been so for as long, from then on. */
     private static final long REPLACED_IDLE = 1_000 * MILLI;
 
@@ -109,6 +111,24 @@
         return phase == Phase.DRAINING && now - since >= NOTHING_TAKEN;
     }
 
+    /**
+     * Whether a call is refused, as one that never ran, on a connection that has no other way to say that its callee
+     * goes. Where the process ends alone that is at once: its callers find another before it is gone.
+     */
+    public boolean refusesCalls(long now) {
+        return switch (phase) {
+            case SERVING -> false;
+            case DRAINING, REPLACED -> now - since >= NOTHING_TAKEN;
+            case ENDING -> true;
+        };
+    }
+
+    /** Whether such a connection, without calls since then, is closed. */
+    public boolean closesBetweenCalls(long idleSince, long now) {
+        long refusing = phase == Phase.ENDING ? REFUSES_FOR : NOTHING_TAKEN + REFUSES_FOR;
+        return phase != Phase.SERVING && now - since > refusing || phase != Phase.ENDING && closesIdle(idleSince, now);
+    }
+
     /** Whether a caller with so much patience has its answer before the process ends. */
     public boolean outlasts(long patience, long now) {
         return !ending() || now + patience <= endsAt();
--- /dev/null
+++ b/src/main/java/onyxpaddle/front/FrontConnection.java
@@ -0,0 +1,18 @@
+package onyxpaddle.front;
+
+import onyxpaddle.node.Dispatcher;
+
+/** One caller's connection, as its front sees it. Used on the event loop alone. */
+public interface FrontConnection {
+    /** Closes it at once. */
+    void close();
+
+    /** Looks whether it has been slow, idle or unread for longer than it may; {@code now}: by the node's clock. */
+    void sweep(long now);
+
+    /** Whether a request that was taken has no answer yet. */
+    boolean waits();
+
+    /** Whether a request that is not yet answered is, or will be, this pool's. */
+    boolean uses(Dispatcher pool);
+}
--- a/src/main/java/onyxpaddle/front/SharedListener.java
+++ b/src/main/java/onyxpaddle/front/SharedListener.java
@@ -1,4 +1,4 @@
-package onyxpaddle.handover;
+package onyxpaddle.front;
 
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.nio.NioChannelOption;
--- a/src/main/java/onyxpaddle/http/ClientConnection.java
+++ b/src/main/java/onyxpaddle/http/ClientConnection.java
@@ -28,6 +28,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import onyxpaddle.front.FrontConnection;
 import onyxpaddle.node.Answer;
 import onyxpaddle.node.AnswerSink;
 import onyxpaddle.node.Caller;
@@ -42,7 +43,7 @@
  * connection are dealt with one at a time; of what is sent ahead a little waits. A client that breaks the protocol
  * is told so and let go of: where its next request would begin can't be known.
  */
-final class ClientConnection extends ChannelInboundHandlerAdapter implements Caller {
+final class ClientConnection extends ChannelInboundHandlerAdapter implements Caller, FrontConnection {
     private static final long SECOND = 1_000_000_000L;
     /**
      * How long a request may take to come whole, from its first byte, or from the connect for the first one. A head
@@ -97,7 +98,7 @@
     ClientConnection(HttpFront all, SocketChannel channel) {
         this.all = all;
         this.channel = channel;
-        this.since = all.clock.now();
+        this.since = all.now();
     }
 
     /** Sees bytes before they are parsed: a head that trickles in, and what comes after the last answer. */
@@ -121,14 +122,15 @@
         };
     }
 
-    void close() {
+    @Override
+    public void close() {
         channel.close();
     }
 
     private void enter(State next) {
         state = next;
         if (next != State.RECEIVING || anyRequest) {
-            since = all.clock.now();
+            since = all.now();
         }
         all.entered(this, next);
     }
@@ -214,7 +216,7 @@
                 reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
                 return;
             }
-            incoming = new IncomingBody(taken, channel, all.clock, this, this::bodyPassedOn);
+            incoming = new IncomingBody(taken, channel, all.clock(), this, this::bodyPassedOn);
             if (HttpUtil.is100ContinueExpected(request)) {
                 channel.writeAndFlush(new DefaultFullHttpResponse(version, HttpResponseStatus.CONTINUE,
                     Unpooled.EMPTY_BUFFER));
@@ -318,7 +320,7 @@
 
     /** The client has taken a part of an answer. */
     void moved() {
-        unreadSince = all.clock.now();
+        unreadSince = all.now();
     }
 
     /** An answer is passed on whole; {@code last}: the write of its end. */
@@ -417,17 +419,18 @@
 
     // ---- ends ----
 
-    /** Whether a request that was taken has no answer yet. */
-    boolean waits() {
+    @Override
+    public boolean waits() {
         return state == State.WAITING || incoming != null && incoming.passing();
     }
 
-    /** Whether a request that is not yet answered is, or will be, this pool's. */
-    boolean uses(Dispatcher pool) {
+    @Override
+    public boolean uses(Dispatcher pool) {
         return (exchange != null || incoming != null) && taken.pool() == pool;
     }
 
-    void checkProgress(long now) {
+    @Override
+    public void sweep(long now) {
         long spent = now - since;
         switch (state) {
             case IDLE -> {
--- a/src/main/java/onyxpaddle/rpc/CallerConnection.java
+++ b/src/main/java/onyxpaddle/rpc/CallerConnection.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import onyxpaddle.front.FrontConnection;
 import onyxpaddle.node.Answer;
 import onyxpaddle.node.Body;
 import onyxpaddle.node.Caller;
@@ -27,7 +28,7 @@
  * has as many calls open as it may, or leaves answers unread. What is not MessagePack-RPC ends it, after what was taken
  * has been answered.
  */
-final class CallerConnection extends ChannelInboundHandlerAdapter implements FrameSink {
+final class CallerConnection extends ChannelInboundHandlerAdapter implements FrameSink, FrontConnection {
     private static final long SECOND = 1_000_000_000L;
     /** How long a frame may take to come whole, and what a byte adds to that: as for HTTP. */
     private static final long LONGEST_FRAME = 2_400_000_000L;
@@ -95,7 +96,7 @@
         private void other(OwnError error, Answer own) {
             if (msgid == NOTIFICATION) {
                 notices--;
-                all.counts.add(Dropped.NOTIFICATION, all.clock.now(), taken.head().method() + ": " + error.message());
+                all.counts.add(Dropped.NOTIFICATION, all.clock().now(), taken.head().method() + ": " + error.message());
                 goOn();
             } else if (own != null) {
                 answered(this, own.body().whole());
@@ -109,21 +110,27 @@
         this.all = all;
         this.channel = channel;
         decoder = new FrameDecoder(FrameLimits.forPayload(READ_OVER * all.calls.largest()), this);
-        idleSince = all.clock.now();
+        idleSince = all.clock().now();
     }
 
     boolean idle() {
         return open.isEmpty() && notices == 0 && unread == 0;
     }
 
-    /** Whether a call that is not yet answered is this pool's. */
-    boolean uses(Dispatcher pool) {
+    @Override
+    public boolean uses(Dispatcher pool) {
         // A notification has no entry of its own; while one is out, any pool may be meant.
         return notices > 0 || receiving != null && receiving.taken.target().pool() == pool
             || open.values().stream().anyMatch(c -> c.taken.target().pool() == pool);
     }
 
-    void close() {
+    @Override
+    public boolean waits() {
+        return notices > 0 || !open.isEmpty();
+    }
+
+    @Override
+    public void close() {
         channel.close();
     }
 
@@ -167,9 +174,9 @@
                     ahead.poll().release();
                 }
             }
-            frameSince = !decoder.midFrame() ? -1 : frameSince < 0 ? all.clock.now() : frameSince;
+            frameSince = !decoder.midFrame() ? -1 : frameSince < 0 ? all.clock().now() : frameSince;
         } catch (FormatException e) {
-            all.counts.add(Dropped.MALFORMED, all.clock.now(), "caller " + channel.remoteAddress() + ": " + e.getMessage());
+            all.counts.add(Dropped.MALFORMED, all.clock().now(), "caller " + channel.remoteAddress() + ": " + e.getMessage());
             endAfterAnswers();
         } finally {
             reading = false;
@@ -261,14 +268,14 @@
                 call.taken.target().pool().arrived(call.exchange);
             }
         }
-        idleSince = all.clock.now();
+        idleSince = all.clock().now();
         return !closing && !mustWait();
     }
 
     /** Turns away what was never taken. */
     private void refuse(long msgid, String method, OwnError error) {
         if (msgid == NOTIFICATION) {
-            all.counts.add(Dropped.NOTIFICATION, all.clock.now(), method + ": " + error.message());
+            all.counts.add(Dropped.NOTIFICATION, all.clock().now(), method + ": " + error.message());
         } else {
             write(msgid, body(error));
         }
@@ -290,7 +297,7 @@
         long held = body.readableBytes();
         share.takeAnyway(held);
         write(call.msgid, body).addListener(f -> share.giveBack(held));
-        idleSince = all.clock.now();
+        idleSince = all.clock().now();
         goOn();
     }
 
@@ -301,13 +308,13 @@
         MsgPack.whole(head, msgid);
         long bytes = head.readableBytes() + body.readableBytes();
         if (unread++ == 0) {
-            unreadSince = all.clock.now();
+            unreadSince = all.clock().now();
         }
         unreadBytes += bytes;
         ChannelFuture sent = channel.writeAndFlush(Unpooled.wrappedBuffer(head, body)).addListener(f -> {
             unread--;
             unreadBytes -= bytes;
-            unreadSince = all.clock.now();
+            unreadSince = all.clock().now();
         });
         if (unreadBytes > all.mostUnread()) {
             letGo();
@@ -318,7 +325,7 @@
     }
 
     private void letGo() {
-        all.counts.add(Dropped.UNREAD, all.clock.now(), "caller " + channel.remoteAddress() + ": " + unreadBytes + " bytes");
+        all.counts.add(Dropped.UNREAD, all.clock().now(), "caller " + channel.remoteAddress() + ": " + unreadBytes + " bytes");
         close();
     }
 
@@ -341,13 +348,14 @@
     private void shutWhenDone() {
         if (!shut && open.isEmpty()) {
             shut = true;
-            idleSince = all.clock.now();
+            idleSince = all.clock().now();
             // Closing with bytes unread would reset the connection, and take answers along.
             channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> channel.shutdownOutput());
         }
     }
 
-    void sweep(long now) {
+    @Override
+    public void sweep(long now) {
         if (unread > 0 && now - unreadSince > LONGEST_UNREAD) {
             letGo();
         } else if (closing) {
@@ -357,7 +365,7 @@
         } else if (frameSince >= 0 && now - frameSince > LONGEST_FRAME + all.calls.largest() * FOR_EACH_BYTE) {
             all.counts.add(Dropped.MALFORMED, now, "caller " + channel.remoteAddress() + ": a frame did not come whole in time");
             endAfterAnswers();
-        } else if (idle() && !decoder.midFrame() && (all.ends(now) || now - idleSince > all.calls.longestIdle)) {
+        } else if (idle() && !decoder.midFrame() && (all.ends(idleSince, now) || now - idleSince > all.calls.longestIdle)) {
             endAfterAnswers();
         }
     }
--- a/src/main/java/onyxpaddle/serve/Node.java
+++ b/src/main/java/onyxpaddle/serve/Node.java
@@ -20,6 +20,7 @@
 import onyxpaddle.admin.AdminDoor;
 import onyxpaddle.admin.Exposition;
 import onyxpaddle.drain.NodeState;
+import onyxpaddle.front.ListeningFront.Surroundings;
 import onyxpaddle.handover.HandoverSocket;
 import onyxpaddle.http.HttpFront;
 import onyxpaddle.http.HttpUpstream;
@@ -129,8 +130,8 @@
             Math.min(LONGEST_IDLE, (long) (IDLE_SHARE * config.keepalive())), config.settings().limits().connectTimeout(), MOST_IDLE);
         discovery = discovery(loop);
         dispatcher.connect(servers, () -> discovery.subscribe());
-        clients = new HttpFront(loop, allocator, clock, budget,
-            new PlatformRequests(config.settings().classes(), dispatcher, share.bytes()), this::ready, state);
+        clients = new HttpFront(new Surroundings(loop, allocator, clock, budget, state),
+            new PlatformRequests(config.settings().classes(), dispatcher, share.bytes()), this::ready);
         apply(config.known(), ListKind.REMEMBERED);
         discovery.start();
         if (config.admin() != null) {
@@ -174,11 +175,12 @@
     }
 
     private void listen() {
-        clients.listen(config.listen(), false, true).addListener(f -> {
+        clients.listen(config.listen(), true).addListener(f -> {
             if (!f.isSuccess()) {
                 serving.completeExceptionally(f.cause());
                 return;
             }
+            clients.open();
             if (handover != null) {
                 handover.listen(() -> module.memory(clock.now()));
             }
@@ -303,7 +305,8 @@
             }
             boolean replaced = handover != null && handover.succeeded();
             Log.line(replaced ? "ending, as another process serves" : "ending");
-            clients.end(replaced, drained::countDown);
+            state.end(clock.now(), replaced, clients.longestPatience());
+            clients.end(drained::countDown);
         });
         try {
             drained.await(LONGEST_DRAIN_S, TimeUnit.SECONDS);
--- a/src/main/java/onyxpaddle/serve/Sidecar.java
+++ b/src/main/java/onyxpaddle/serve/Sidecar.java
@@ -29,6 +29,7 @@
 import onyxpaddle.config.NodeConfigReader;
 import onyxpaddle.bridge.HttpOverRpc;
 import onyxpaddle.drain.NodeState;
+import onyxpaddle.front.ListeningFront.Surroundings;
 import onyxpaddle.http.HttpFront;
 import onyxpaddle.http.PlainRequests;
 import onyxpaddle.http.PlainRequests.Target;
@@ -68,6 +69,9 @@
         return thread;
     });
     private final Budget budget;
+    /** Of the listeners for others; and of those for what the application itself calls, which end after them. */
+    private final NodeState inbound = new NodeState();
+    private final NodeState outbound = new NodeState();
     private final Map<String, PoolUnit> pools = new LinkedHashMap<>();
     private final Map<String, Door> doors = new LinkedHashMap<>();
     private final List<PoolUnit> leavingPools = new ArrayList<>();
@@ -79,8 +83,8 @@
     private Change current;
     private Change next;
 
-    /** A listener as it runs. */
-    private record Door(Listener listener, Front front, InetSocketAddress bound) {
+    /** A listener as it runs; {@code outbound}: the side it was opened on. */
+    private record Door(Listener listener, Front front, InetSocketAddress bound, boolean outbound) {
     }
 
     private record Change(NodeConfig config, CompletableFuture<String> done) {
@@ -162,10 +166,11 @@
         List<io.netty.util.concurrent.Future<?>> binding = new ArrayList<>();
         for (Listener listener : current.config().listeners().values()) {
             if (standing(listener) == null) {
-                Front front = listener.rpc() ? new RpcFront(loop, allocator, clock, budget,
-                    new RpcCounts("listener " + listener.name())) : new HttpFront(loop, allocator, clock, budget, null, this::ready, new NodeState());
-                binding.add(front.listen(Addresses.of(listener.address().host(), listener.address().port())));
-                fresh.add(new Door(listener, front, null));
+                Surroundings around = new Surroundings(loop, allocator, clock, budget, listener.outbound() ? outbound : inbound);
+                Front front = listener.rpc() ? new RpcFront(around, new RpcCounts("listener " + listener.name()))
+                    : new HttpFront(around, null, this::ready);
+                binding.add(front.listen(Addresses.of(listener.address().host(), listener.address().port()), false));
+                fresh.add(new Door(listener, front, null, listener.outbound()));
             }
         }
         bound(fresh, binding, 0, null);
@@ -185,7 +190,8 @@
         if (failure == null) {
             List<Door> ready = new ArrayList<>();
             for (int i = 0; i < fresh.size(); i++) {
-                ready.add(new Door(fresh.get(i).listener(), fresh.get(i).front(), fresh.get(i).front().address()));
+                Door door = fresh.get(i);
+                ready.add(new Door(door.listener(), door.front(), door.front().address(), door.outbound()));
             }
             commit(change.config(), ready);
         } else {
@@ -226,7 +232,10 @@
                 door.front().open();
                 Log.line("listener " + listener.name() + " is on " + door.bound());
             }
-            doors.put(listener.name(), new Door(listener, door.front(), door.bound()));
+            if (door.outbound() != listener.outbound()) {
+                Log.line("reload: listener " + listener.name() + " stays on its side until a start, as its connections do");
+            }
+            doors.put(listener.name(), new Door(listener, door.front(), door.bound(), door.outbound()));
         }
         for (Door door : before.values()) {
             Log.line("listener " + door.listener().name() + " on " + door.bound() + " ends");
@@ -332,7 +341,7 @@
     private void drain(boolean outbound, Runnable then) {
         Set<Front> open = new HashSet<>();
         for (Door door : doors.values()) {
-            if (door.listener().outbound() == outbound) {
+            if (door.outbound() == outbound) {
                 open.add(door.front());
             }
         }
@@ -340,8 +349,10 @@
             then.run();
             return;
         }
+        (outbound ? this.outbound : inbound).end(clock.now(), false,
+            open.stream().mapToLong(Front::longestPatience).max().orElse(0));
         for (Front front : List.copyOf(open)) {
-            front.drain(() -> {
+            front.end(() -> {
                 if (open.remove(front) && open.isEmpty()) {
                     then.run();
                 }
