--- a/src/main/java/onyxpaddle/Balancing.java
+++ b/src/main/java/onyxpaddle/Balancing.java
@@ -205,11 +205,24 @@
     public record Fleet(int listed, int avoided) {
     }
 
+    /**
+     * How a server stands with a node, for on-call staff.
+     *
+     * @param doubted listed by the file the process was started with, and not by what the process before it knew
+     * @param chance the part of its draws that failures leave it, 0 to 1
+     * @param mean its round trips against what is usual for their class; 0 before the first
+     * @param out attempts that are with it now
+     */
+    public record Standing(String server, String zone, ServerState state, boolean takenOut, boolean doubted, boolean cold,
+            double chance, double mean, int out) {
+    }
+
     /**
      * What a node has learnt of one server, by the node's clock: its last round trips as multiples of what is usual for
-     * their class (20 at most, oldest first), failures that fade, and what a cold one may still be sent.
+     * their class (20 at most, oldest first), failures that fade, and what a cold one may still be sent. {@code leaving}: it
+     * was told to drain.
      */
-    public record ServerMemory(String server, long startedAt, List<Double> trips, long sampledAt, double errorShare,
+    public record ServerMemory(String server, long startedAt, boolean leaving, List<Double> trips, long sampledAt, double errorShare,
             double failures, long failedAt, double full, long fullAt, double credit) {
         public ServerMemory {
             trips = List.copyOf(trips);
@@ -230,8 +243,11 @@
         }
     }
 
-    /** All that a node hands to the process that takes its place: no request, and nothing that discovery tells. */
-    public record Memory(List<ServerMemory> servers, List<ClassMemory> classes, List<String> takenOut,
+    /**
+     * All that a node hands to the process that takes its place, but for requests; {@code whole}: every server that it
+     * has on its list is here, so that one that isn't was gone.
+     */
+    public record Memory(List<ServerMemory> servers, boolean whole, List<ClassMemory> classes, List<String> takenOut,
             double admitLimit, boolean metLate, double retriesSaved, double usualRank, double usualWorth) {
         public Memory {
             takenOut = List.copyOf(takenOut);
--- a/src/main/java/onyxpaddle/RatioBalancer.java
+++ b/src/main/java/onyxpaddle/RatioBalancer.java
@@ -74,6 +74,10 @@
     private final Map<String, Failures> zones = new HashMap<>();
     /** What another process knew of servers that are not listed yet; empty from the first whole list on. */
     private final Map<String, ServerMemory> remembered = new HashMap<>();
+    /** The process before this one is known to have had no other servers than those remembered. */
+    private boolean rememberedAll;
+    /** Discovery has told a whole list. */
+    private boolean heardAll;
     /** The servers that may be sent to, in an order that all nodes share; and from this node's place on. */
     private final List<Server> ready = new ArrayList<>();
     private final List<Server> around = new ArrayList<>();
@@ -168,8 +172,9 @@
             news.entries().forEach(e -> before.remove(e.server()));
             before.keySet().forEach(servers::remove);
         }
-        news.entries().forEach(this::applyEntry);
-        if (news.kind() == ListKind.ALL) {
+        heardAll |= news.kind() == ListKind.ALL;
+        news.entries().forEach(entry -> applyEntry(entry, news.kind() != ListKind.REMEMBERED));
+        if (heardAll) {
             remembered.clear();
         }
         listReady();
@@ -197,7 +202,7 @@
         ready.clear();
         cold.clear();
         for (Server server : servers.values()) {
-            if (server.state == ServerState.READY && !takenOut.contains(server.id)) {
+            if (server.state == ServerState.READY && !server.doubted && !takenOut.contains(server.id)) {
                 ready.add(server);
                 if (isCold(server)) {
                     cold.add(server);
@@ -213,7 +218,8 @@
         chance = chance.length < ready.size() ? new double[ready.size() * 2] : chance;
     }
 
-    private void applyEntry(ServerEntry entry) {
+    /** {@code news}: from discovery, and not from the list that the process was started with. */
+    private void applyEntry(ServerEntry entry, boolean news) {
         if (entry.state() == ServerState.GONE) {
             servers.remove(entry.server());
             return;
@@ -226,6 +232,7 @@
             servers.put(entry.server(), server);
             remind(server);
         }
+        server.doubted &= !news;
         server.state = entry.state();
         server.size = entry.weight() > 0 ? entry.weight() : 1;
     }
@@ -254,14 +261,15 @@
             for (int i = 0; i < s.count; i++) {
                 trips.add(s.window[(s.next - s.count + i + WINDOW) % WINDOW]);
             }
-            ofServers.add(new ServerMemory(s.id, s.startedAt, trips, s.sampledAt, s.errorShare,
+            boolean leaving = s.state == ServerState.DRAINING || s.doubted;
+            ofServers.add(new ServerMemory(s.id, s.startedAt, leaving, trips, s.sampledAt, s.errorShare,
                 s.failures.countNow(nowNanos), nowNanos, s.full.countNow(nowNanos), nowNanos,
                 Math.max(0, s.credit)));
         }
         List<ClassMemory> ofClasses = new ArrayList<>();
         classes.values().forEach(use -> ofClasses.add(use.memory()));
-        return new Memory(ofServers, ofClasses, List.copyOf(takenOut), admitLimit, metLate, retriesSaved,
-            usualRank, usualWorth);
+        return new Memory(ofServers, true, ofClasses, List.copyOf(takenOut), admitLimit, metLate,
+            retriesSaved, usualRank, usualWorth);
     }
 
     /**
@@ -270,6 +278,7 @@
      */
     public void remember(Memory memory) {
         memory.servers().forEach(s -> remembered.put(s.server(), s));
+        rememberedAll = memory.whole() && !memory.servers().isEmpty();
         servers.values().forEach(this::remind);
         memory.takenOut().forEach(server -> takeOut(server, true));
         for (ClassMemory c : memory.classes()) {
@@ -283,10 +292,20 @@
         retriesSaved = Math.min(MOST_RETRIES_SAVED, memory.retriesSaved());
         usualRank = memory.usualRank();
         usualWorth = memory.usualWorth();
+        listReady();
     }
 
+    /**
+     * A list from before the start may be older than what the process before this one knew: a server that had
+     * left that one's list, drains, or has started again since, gets nothing before discovery has named it.
+     */
     private void remind(Server server) {
         ServerMemory memory = remembered.remove(server.id);
+        if (!heardAll) {
+            server.doubted = memory == null ? rememberedAll
+                : memory.leaving() && memory.startedAt() >= server.startedAt
+                    || memory.startedAt() > server.startedAt;
+        }
         if (memory != null && memory.startedAt() == server.startedAt) {
             memory.trips().forEach(trip -> server.add(trip, memory.sampledAt()));
             server.errorShare = memory.errorShare();
@@ -302,12 +321,23 @@
     public Fleet fleet(long nowNanos) {
         int avoided = 0;
         for (Server server : servers.values()) {
-            boolean out = server.state != ServerState.READY || takenOut.contains(server.id);
+            boolean out = server.state != ServerState.READY || server.doubted || takenOut.contains(server.id);
             avoided += out || server.distrusted(nowNanos) ? 1 : 0;
         }
         return new Fleet(servers.size(), avoided);
     }
 
+    /** How each listed server stands, for on-call staff. */
+    public List<Standing> standings(long nowNanos) {
+        List<Standing> all = new ArrayList<>(servers.size());
+        for (Server s : servers.values()) {
+            boolean coldNow = s.startedAt > 0 && nowNanos - s.startedAt < settings.rules().coldSpan();
+            all.add(new Standing(s.id, s.zone, s.state, takenOut.contains(s.id), s.doubted, coldNow,
+                s.chanceLeft(nowNanos), s.count == 0 ? 0 : s.mean(), s.out.size()));
+        }
+        return all;
+    }
+
     // ---- observation ----
 
     private void served(Request r, Attempt attempt, long latency) {
@@ -807,6 +837,8 @@
         int count;
         int next;
         boolean isColdListed;
+        /** Gets nothing until discovery names it: see {@link #remind}. */
+        boolean doubted;
         long sampledAt;
         long heardAt;
 
--- a/src/main/java/onyxpaddle/admin/AdminCalls.java
+++ b/src/main/java/onyxpaddle/admin/AdminCalls.java
@@ -8,6 +8,9 @@
     /** The figures, in the text format. */
     String figures();
 
+    /** How each server of each pool stands, as JSON. */
+    String servers();
+
     /** Empties the node; false where that can't be. */
     boolean drain();
 
--- a/src/main/java/onyxpaddle/admin/AdminDoor.java
+++ b/src/main/java/onyxpaddle/admin/AdminDoor.java
@@ -122,7 +122,7 @@
         QueryStringDecoder query = new QueryStringDecoder(uri, StandardCharsets.UTF_8, true, MOST_PARAMETERS);
         String path = query.rawPath();
         HttpMethod wanted = switch (path) {
-            case "/ready", "/metrics" -> HttpMethod.GET;
+            case "/ready", "/metrics", "/servers" -> HttpMethod.GET;
             case "/drain", "/undrain", "/servers/disable", "/servers/enable" -> HttpMethod.POST;
             default -> null;
         };
@@ -134,6 +134,7 @@
         return switch (path) {
             case "/ready" -> Result.of(calls.ready());
             case "/metrics" -> new Result(HttpResponseStatus.OK, Exposition.TYPE, calls.figures());
+            case "/servers" -> new Result(HttpResponseStatus.OK, "application/json", calls.servers());
             case "/drain" -> Result.of(calls.drain());
             case "/undrain" -> Result.of(calls.undrain());
             default -> byHand(query.parameters().getOrDefault("id", List.of()), path.endsWith("/disable"));
--- /dev/null
+++ b/src/main/java/onyxpaddle/command/Lupinmount.java
@@ -0,0 +1,71 @@
+package onyxpaddle.command;
+
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import onyxpaddle.config.HostPort;
+import onyxpaddle.measure.Measure;
+import onyxpaddle.serve.Sidecar;
+import onyxpaddle.sidecar.CommandRun;
+import onyxpaddle.sidecar.RpcCommand;
+import onyxpaddle.sidecar.SidecarCommand;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.IVersionProvider;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** All of the program's commands, in one tree. The platform's {@code serve} and the simulator's adapter don't come by here. */
+@Command(name = "lupinmount", mixinStandardHelpOptions = true, versionProvider = Lupinmount.Version.class,
+    synopsisSubcommandLabel = "COMMAND", subcommands = {Lupinmount.Serve.class, NodeCommand.class, Measure.class},
+    description = "A load-balancing node, and what belongs to it.",
+    exitCodeListHeading = "%nExit codes:%n",
+    exitCodeList = {"0:done, or the answer is yes", "1:cannot run, or the answer is no", "64:wrong usage", "78:faults in a file"})
+public final class Lupinmount implements Callable<Integer> {
+    static final int CANNOT_RUN = 1;
+    static final int USAGE = 64;
+
+    @Spec
+    private CommandSpec spec;
+
+    /** Runs a command and returns its exit code; -1 where it goes on running. */
+    public static int run(String[] args, PrintWriter out, PrintWriter err) {
+        CommandLine line = new CommandLine(new Lupinmount());
+        line.addSubcommand(SidecarCommand.line()).addSubcommand(RpcCommand.line());
+        return CommandRun.run(line, args, out, err);
+    }
+
+    @Override
+    public Integer call() {
+        spec.commandLine().usage(spec.commandLine().getErr());
+        return USAGE;
+    }
+
+    /** Runs a node by a file; without one, as the platform's environment says. */
+    @Command(name = "serve", mixinStandardHelpOptions = true, description = {"Runs a node until SIGTERM; SIGHUP reads the file again.",
+        "Without --config it is told by GW_CONFIG and the other variables of its platform."},
+        footer = "%nExample: lupinmount serve --config /tmp/nodes/booking.yaml --admin 127.0.0.1:9801")
+    static final class Serve implements Callable<Integer> {
+        @Option(names = "--config", required = true, paramLabel = "FILE", description = "the node's configuration")
+        private Path file;
+
+        @Option(names = "--admin", paramLabel = "ADDRESS", converter = NodeCommand.Address.class,
+            description = "where operators call, in place of the file's: for a second process beside the first")
+        private HostPort admin;
+
+        @Override
+        public Integer call() {
+            Sidecar.main(file, admin);
+            return -1;
+        }
+    }
+
+    static final class Version implements IVersionProvider {
+        @Override
+        public String[] getVersion() {
+            String version = Lupinmount.class.getPackage().getImplementationVersion();
+            return new String[] {"lupinmount " + (version == null ? "(not from its jar)" : version)};
+        }
+    }
+}
--- a/src/main/java/onyxpaddle/config/NodeConfig.java
+++ b/src/main/java/onyxpaddle/config/NodeConfig.java
@@ -8,8 +8,13 @@
 import onyxpaddle.route.Procedure;
 import onyxpaddle.route.Route;
 
-/** A node's configuration, sound: what {@code serve --config} runs by. Spans in nanoseconds, sizes in bytes. */
-public record NodeConfig(String name, String tenant, Limits limits, Map<String, Listener> listeners,
+/**
+ * A node's configuration, sound: what {@code serve --config} runs by. Spans in nanoseconds, sizes in bytes.
+ *
+ * @param admin where operators call; null for no door
+ * @param handover the folder in which processes of this node meet; null where none takes another's place
+ */
+public record NodeConfig(String name, String tenant, Limits limits, HostPort admin, Path handover, Map<String, Listener> listeners,
         Map<String, RequestClass> classes, Map<String, Pool> pools, List<Route> routes,
         List<Procedure> procedures) {
     /** What effect a repeat of a request may have. */
@@ -101,6 +106,11 @@
         }
     }
 
+    /** The same with another address for operators, as for a second process beside the first. */
+    public NodeConfig withAdmin(HostPort other) {
+        return new NodeConfig(name, tenant, limits, other, handover, listeners, classes, pools, routes, procedures);
+    }
+
     /** The classes that a pool's routes and procedures name. */
     public List<RequestClass> classesOf(String pool) {
         return Stream.concat(routes.stream().filter(r -> r.pool().equals(pool)).map(Route::requestClass),
--- a/src/main/java/onyxpaddle/config/NodeConfigReader.java
+++ b/src/main/java/onyxpaddle/config/NodeConfigReader.java
@@ -31,6 +31,8 @@
     public static final long USUAL_BODY = 1 << 20;
     public static final long USUAL_MEMORY = 64L << 20;
     public static final int USUAL_DESCRIPTORS = 1024;
+    /** Bytes of a folder's name that leave room for a socket's: the system takes some 100 in all. */
+    private static final int LONGEST_FOLDER = 80;
     private static final long USUAL_CLIENT_IDLE = 60 * S;
     public static final int USUAL_OPEN_CALLS = 256;
     /** Part of the servers' idle limit after which an idle connection is not used any more. */
@@ -87,7 +89,7 @@
             unused("classes", used, "no route gives its requests this class");
         }
         NodeConfig config = new NodeConfig(root.text("name", Shape.Kind.NAME, ""), root.text("tenant", Shape.Kind.NAME, null),
-            limits, listeners, classes, pools, routes, procedures);
+            limits, admin(root, faults), handover(root, folder, faults), listeners, classes, pools, routes, procedures);
         pools.forEach((name, pool) -> ProtocolCheck.check(config, pool, root.named("pools").get(name), known.get(name), faults));
         return config;
     }
@@ -96,6 +98,39 @@
         return new Limits(view.size("memory", USUAL_MEMORY), view.count("descriptors", USUAL_DESCRIPTORS));
     }
 
+    /** Where operators call, checked; null for no door. */
+    public static HostPort admin(View root, Faults faults) {
+        HostPort admin = root.address("admin");
+        if (admin != null && admin.any()) {
+            faults.add(root.place("admin"), root.path("admin"), "whoever reaches this machine could empty the node",
+                "one address that operators reach, such as 127.0.0.1:" + admin.port());
+        }
+        return admin;
+    }
+
+    /** The folder in which processes meet, checked; null for none. */
+    public static Path handover(View root, Path folder, Faults faults) {
+        String text = root.text("handover", Shape.Kind.TEXT, null);
+        if (text == null) {
+            return null;
+        }
+        Path path;
+        try {
+            path = folder.resolve(text).normalize();
+        } catch (InvalidPathException e) {
+            faults.add(root.place("handover"), root.path("handover"), "is no name of a folder", "the name of a folder");
+            return null;
+        }
+        int length = path.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8).length;
+        if (length > LONGEST_FOLDER) {
+            faults.add(root.place("handover"), root.path("handover"), "the folder's name has " + length
+                + " bytes, too many for a socket in it", "at most " + LONGEST_FOLDER + " bytes");
+        } else if (!java.nio.file.Files.isDirectory(path)) {
+            faults.add(root.place("handover"), root.path("handover"), "there is no folder " + path, "one that exists");
+        }
+        return path;
+    }
+
     private Map<String, Listener> listeners() {
         Map<String, Listener> listeners = new LinkedHashMap<>();
         root.named("listeners").forEach((name, view) -> {
@@ -109,6 +144,11 @@
                         + other.name() + "` too (" + other.address() + ")", "a port of its own for each listener");
                 }
             }
+            HostPort admin = root.address("admin");
+            if (admin != null && admin.clashes(address)) {
+                faults.add(view.place("address"), view.path("address"), address + " is where operators call too (`admin`: "
+                    + admin + ")", "a port of its own for each");
+            }
             listeners.put(name, new Listener(name, address, view.span("idle", USUAL_CLIENT_IDLE),
                 view.word("side", "inbound", "inbound", "outbound").equals("outbound"),
                 view.word("protocol", "http", "http", "messagepack-rpc").equals("messagepack-rpc"),
--- a/src/main/java/onyxpaddle/config/NodeShape.java
+++ b/src/main/java/onyxpaddle/config/NodeShape.java
@@ -53,6 +53,11 @@
     public static final Key RETRY = optional("retry", plain(Kind.FLAG), "true unless `unsafe`",
         "whether a request that may have run is sent again; what never ran always may be");
 
+    public static final Key ADMIN = optional("admin", plain(Kind.ADDRESS), "no door",
+        "where operators call: `/ready`, `/metrics`, `/servers`, `/drain`, `/undrain`; one address, never all of them");
+    public static final Key HANDOVER = optional("handover", plain(Kind.TEXT), "none",
+        "a folder in which processes of this node meet, so that a second one takes the first one's place; relative to this file");
+
     private static final Section CLASS = section(EFFECT, AIM, DEADLINE, WORTH, LATE_WORTH, KEY_MEMORY, RETRY);
 
     private static final Section SERVER = section(
@@ -132,6 +137,7 @@
         required("name", plain(Kind.NAME), "the node's name"),
         optional("tenant", plain(Kind.NAME), "none", "whose requests these are"),
         optional("limits", section(MEMORY, DESCRIPTORS), "see its keys", "what the node may hold"),
+        ADMIN, HANDOVER,
         required("listeners", new MapOf(Kind.NAME, LISTENER, false), "where callers connect"),
         required("classes", new MapOf(Kind.NAME, CLASS, false), "the classes of requests"),
         required("pools", new MapOf(Kind.NAME, POOL, false), "sets of servers"),
--- a/src/main/java/onyxpaddle/handover/HandoverMessage.java
+++ b/src/main/java/onyxpaddle/handover/HandoverMessage.java
@@ -10,7 +10,9 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.zip.CRC32C;
 import onyxpaddle.Balancing.ClassMemory;
 import onyxpaddle.Balancing.Memory;
@@ -22,12 +24,14 @@
  */
 public final class HandoverMessage {
     static final int MAGIC = 0x4c55504e;
-    static final int VERSION = 2;
+    static final int VERSION = 3;
     /** Bytes before the payload: magic, version, length, checksum. */
     public static final int HEAD = 16;
     /** The most bytes of payload: some 500 servers with full windows. */
     public static final int LARGEST = 256 * 1024;
     private static final int MOST_SERVERS = 2_000;
+    private static final int MOST_POOLS = 64;
+    private static final int MOST_CLASSES = 1_000;
     private static final int LONGEST_NAME = 256;
     private static final JsonFactory JSON = JsonFactory.builder().streamReadConstraints(StreamReadConstraints.builder()
         .maxNestingDepth(8).maxStringLength(LONGEST_NAME).maxNumberLength(40).build()).build();
@@ -41,13 +45,16 @@
         return ByteBuffer.allocate(12 + name.length).putInt(MAGIC).putInt(VERSION).putInt(name.length).put(name).array();
     }
 
-    /** The message; servers that would make it too long are left out, as their state can be learnt again. */
-    public static byte[] write(Memory memory) throws IOException {
-        List<ServerMemory> servers = memory.servers().subList(0, Math.min(MOST_SERVERS, memory.servers().size()));
-        byte[] payload = json(memory, servers);
-        while (payload.length > LARGEST) {
-            servers = servers.subList(0, servers.size() / 2);
-            payload = json(memory, servers);
+    /** The message, by pool; servers that would make it too long are left out, as their state can be learnt again. */
+    public static byte[] write(Map<String, Memory> pools) throws IOException {
+        int most = MOST_SERVERS;
+        byte[] payload = json(pools, most);
+        while (payload.length > LARGEST && most > 0) {
+            most /= 2;
+            payload = json(pools, most);
+        }
+        if (payload.length > LARGEST || pools.size() > MOST_POOLS) {
+            throw new IOException("too many classes or pools to hand over: " + payload.length + " bytes, " + pools.size() + " pools");
         }
         return ByteBuffer.allocate(HEAD + payload.length).putInt(MAGIC).putInt(VERSION).putInt(payload.length)
             .putInt(checksum(payload)).put(payload).array();
@@ -76,8 +83,8 @@
         return length;
     }
 
-    /** Reads a whole message. */
-    public static Memory read(byte[] message) throws IOException {
+    /** Reads a whole message: what is known, by pool. */
+    public static Map<String, Memory> read(byte[] message) throws IOException {
         if (message.length < HEAD) {
             throw new IOException("a handover that breaks off in its head");
         }
@@ -90,11 +97,16 @@
             throw new IOException("a handover whose checksum is wrong");
         }
         try (JsonParser p = JSON.createParser(payload)) {
-            Memory memory = memory(p);
+            Map<String, Memory> pools = new LinkedHashMap<>();
+            open(p);
+            while (another(p, pools.size(), MOST_POOLS)) {
+                expect(pools.put(text(p), memory(p)) == null);
+                close(p);
+            }
             if (p.nextToken() != null) {
                 throw new IOException("a handover with more behind it");
             }
-            return memory;
+            return pools;
         } catch (IllegalArgumentException e) {
             throw new IOException("a handover that makes no sense: " + e.getMessage(), e);
         }
@@ -102,61 +114,73 @@
 
     // ---- JSON: arrays by position, as both sides are of one version ----
 
-    private static byte[] json(Memory memory, List<ServerMemory> servers) throws IOException {
+    private static byte[] json(Map<String, Memory> pools, int mostServers) throws IOException {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         try (JsonGenerator g = JSON.createGenerator(out)) {
             g.writeStartArray();
-            g.writeNumber(memory.admitLimit());
-            g.writeBoolean(memory.metLate());
-            g.writeNumber(memory.retriesSaved());
-            g.writeNumber(memory.usualRank());
-            g.writeNumber(memory.usualWorth());
-            g.writeStartArray();
-            for (String server : memory.takenOut()) {
-                g.writeString(server);
-            }
-            g.writeEndArray();
-            g.writeStartArray();
-            for (ClassMemory c : memory.classes()) {
+            for (Map.Entry<String, Memory> pool : pools.entrySet()) {
                 g.writeStartArray();
-                g.writeString(c.name());
-                for (double figure : new double[] {c.trip(), c.deviation(), c.cost(), c.costVariance(), c.covariance()}) {
-                    g.writeNumber(figure);
-                }
-                g.writeNumber(c.seen());
+                g.writeString(pool.getKey());
+                write(g, pool.getValue(), mostServers);
                 g.writeEndArray();
             }
             g.writeEndArray();
+        }
+        return out.toByteArray();
+    }
+
+    private static void write(JsonGenerator g, Memory memory, int mostServers) throws IOException {
+        List<ServerMemory> servers = memory.servers().subList(0, Math.min(mostServers, memory.servers().size()));
+        g.writeNumber(memory.admitLimit());
+        g.writeBoolean(memory.metLate());
+        g.writeNumber(memory.retriesSaved());
+        g.writeNumber(memory.usualRank());
+        g.writeNumber(memory.usualWorth());
+        g.writeBoolean(memory.whole() && servers.size() == memory.servers().size());
+        g.writeStartArray();
+        for (String server : memory.takenOut()) {
+            g.writeString(server);
+        }
+        g.writeEndArray();
+        g.writeStartArray();
+        for (ClassMemory c : memory.classes()) {
             g.writeStartArray();
-            for (ServerMemory s : servers) {
-                g.writeStartArray();
-                g.writeString(s.server());
-                g.writeNumber(s.startedAt());
-                g.writeNumber(s.sampledAt());
-                g.writeNumber(s.errorShare());
-                g.writeNumber(s.failures());
-                g.writeNumber(s.failedAt());
-                g.writeNumber(s.full());
-                g.writeNumber(s.fullAt());
-                g.writeNumber(s.credit());
-                for (double trip : s.trips()) {
-                    g.writeNumber((float) trip);
-                }
-                g.writeEndArray();
+            g.writeString(c.name());
+            for (double figure : new double[] {c.trip(), c.deviation(), c.cost(), c.costVariance(), c.covariance()}) {
+                g.writeNumber(figure);
             }
+            g.writeNumber(c.seen());
             g.writeEndArray();
+        }
+        g.writeEndArray();
+        g.writeStartArray();
+        for (ServerMemory s : servers) {
+            g.writeStartArray();
+            g.writeString(s.server());
+            g.writeNumber(s.startedAt());
+            g.writeBoolean(s.leaving());
+            g.writeNumber(s.sampledAt());
+            g.writeNumber(s.errorShare());
+            g.writeNumber(s.failures());
+            g.writeNumber(s.failedAt());
+            g.writeNumber(s.full());
+            g.writeNumber(s.fullAt());
+            g.writeNumber(s.credit());
+            for (double trip : s.trips()) {
+                g.writeNumber((float) trip);
+            }
             g.writeEndArray();
         }
-        return out.toByteArray();
+        g.writeEndArray();
     }
 
     private static Memory memory(JsonParser p) throws IOException {
-        open(p);
         double admitLimit = number(p);
-        boolean metLate = p.nextBooleanValue() == Boolean.TRUE;
+        boolean metLate = flag(p);
         double retriesSaved = number(p);
         double usualRank = number(p);
         double usualWorth = number(p);
+        boolean whole = flag(p);
         List<String> takenOut = new ArrayList<>();
         open(p);
         while (p.nextToken() != JsonToken.END_ARRAY) {
@@ -165,22 +189,22 @@
         }
         List<ClassMemory> classes = new ArrayList<>();
         open(p);
-        while (another(p, classes.size())) {
+        while (another(p, classes.size(), MOST_CLASSES)) {
             classes.add(new ClassMemory(text(p), number(p), number(p), number(p), number(p), number(p), (int) whole(p)));
             close(p);
         }
         List<ServerMemory> servers = new ArrayList<>();
         open(p);
-        while (another(p, servers.size())) {
+        while (another(p, servers.size(), MOST_SERVERS)) {
             servers.add(server(p));
         }
-        close(p);
-        return new Memory(servers, classes, takenOut, admitLimit, metLate, retriesSaved, usualRank, usualWorth);
+        return new Memory(servers, whole, classes, takenOut, admitLimit, metLate, retriesSaved, usualRank, usualWorth);
     }
 
     private static ServerMemory server(JsonParser p) throws IOException {
         String id = text(p);
         long startedAt = whole(p);
+        boolean leaving = flag(p);
         long sampledAt = whole(p);
         double errorShare = number(p);
         double failures = number(p);
@@ -195,7 +219,7 @@
             }
             trips.add(p.getDoubleValue());
         }
-        return new ServerMemory(id, startedAt, trips, sampledAt, errorShare, failures, failedAt, full, fullAt, credit);
+        return new ServerMemory(id, startedAt, leaving, trips, sampledAt, errorShare, failures, failedAt, full, fullAt, credit);
     }
 
     private static void open(JsonParser p) throws IOException {
@@ -206,12 +230,18 @@
         expect(p.nextToken() == JsonToken.END_ARRAY);
     }
 
-    private static boolean another(JsonParser p, int before) throws IOException {
+    private static boolean another(JsonParser p, int before, int most) throws IOException {
         JsonToken next = p.nextToken();
-        expect(next == JsonToken.END_ARRAY || next == JsonToken.START_ARRAY && before < MOST_SERVERS);
+        expect(next == JsonToken.END_ARRAY || next == JsonToken.START_ARRAY && before < most);
         return next == JsonToken.START_ARRAY;
     }
 
+    private static boolean flag(JsonParser p) throws IOException {
+        Boolean flag = p.nextBooleanValue();
+        expect(flag != null);
+        return flag;
+    }
+
     private static double number(JsonParser p) throws IOException {
         JsonToken next = p.nextToken();
         expect(next != null && next.isNumeric());
--- a/src/main/java/onyxpaddle/handover/HandoverSocket.java
+++ b/src/main/java/onyxpaddle/handover/HandoverSocket.java
@@ -19,6 +19,7 @@
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -68,7 +69,7 @@
     // ---- the new process ----
 
     /**
-     * Asks the process that runs, if there is one. What comes is told once: whether one is there, and its memory or null.
+     * Asks the process that runs, if there is one. What comes is told once: whether one is there, and what it knows by pool, or null.
      * The connection stays open as long as this process lives.
      */
     public void ask(Answered done) {
@@ -98,7 +99,7 @@
 
     /** Hears what the process that runs has said. */
     public interface Answered {
-        void answered(boolean present, Memory memory);
+        void answered(boolean present, Map<String, Memory> pools);
     }
 
     private final class Asking extends ChannelInboundHandlerAdapter {
@@ -110,11 +111,11 @@
             this.done = done;
         }
 
-        private void finish(boolean present, Memory memory) {
+        private void finish(boolean present, Map<String, Memory> pools) {
             if (!finished) {
                 finished = true;
                 got.release();
-                done.answered(present, memory);
+                done.answered(present, pools);
             }
         }
 
@@ -166,7 +167,7 @@
     // ---- the process that runs ----
 
     /** Answers the next process from now on; takes the path over from the one before. */
-    public void listen(Supplier<Memory> memory) {
+    public void listen(Supplier<Map<String, Memory>> memory) {
         try {
             Files.deleteIfExists(address.getPath());
         } catch (IOException e) {
@@ -202,11 +203,11 @@
     }
 
     private final class Telling extends ChannelInboundHandlerAdapter {
-        private final Supplier<Memory> memory;
+        private final Supplier<Map<String, Memory>> memory;
         private final byte[] expected = HandoverMessage.hello(node);
         private int heard;
 
-        Telling(Supplier<Memory> memory) {
+        Telling(Supplier<Map<String, Memory>> memory) {
             this.memory = memory;
         }
 
@@ -224,7 +225,7 @@
         }
 
         @Override
-        public void channelRead(ChannelHandlerContext context, Object message) throws IOException {
+        public void channelRead(ChannelHandlerContext context, Object message) {
             ByteBuf in = (ByteBuf) message;
             try {
                 while (in.isReadable()) {
@@ -238,9 +239,14 @@
                 in.release();
             }
             if (heard == expected.length) {
+                // It is there, whatever it can be told.
                 successors.add(context.channel());
-                Log.line("handover: told to a further process of this node");
-                context.writeAndFlush(Unpooled.wrappedBuffer(HandoverMessage.write(memory.get())));
+                try {
+                    context.writeAndFlush(Unpooled.wrappedBuffer(HandoverMessage.write(memory.get())));
+                    Log.line("handover: told to a further process of this node");
+                } catch (IOException e) {
+                    Log.line("handover: nothing told: " + e.getMessage());
+                }
             }
         }
 
--- a/src/main/java/onyxpaddle/measure/Measure.java
+++ b/src/main/java/onyxpaddle/measure/Measure.java
@@ -3,9 +3,19 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
 
 /** The measurements by name: each prints its figures and says whether what it stands for holds. */
-public final class Measure {
+@Command(name = "measure", mixinStandardHelpOptions = true, description = "Lists the measurements, or runs one.",
+    exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:it holds", "1:it falls short", "64:wrong usage"},
+    footer = "%nExample: lupinmount measure upgrade --long")
+public final class Measure implements Callable<Integer> {
     /** One of them; {@code part}: how much longer than usual it runs. */
     interface Measurement {
         void run(Figures figures, double part) throws Exception;
@@ -14,32 +24,27 @@
     private static final Map<String, Measurement> ALL = new TreeMap<>(Map.of(
         "bulk", new BulkMeasurement(), "pools", new PoolsMeasurement(), "rpc", new RpcMeasurement(), "rpc-mixed", new RpcMixedMeasurement(),
         "sidecar", new SidecarMeasurement(), "upgrade", new UpgradeMeasurement()));
-    private static final int USAGE = 64;
 
-    private Measure() {
-    }
+    @Spec
+    private CommandSpec spec;
 
-    /** {@code NAME [--long] [--json FILE]}; without a name it lists them. Returns the exit code. */
-    public static int run(String[] args) {
-        String name = null;
-        boolean longer = false;
-        Path json = null;
-        for (int i = 0; i < args.length; i++) {
-            if (args[i].equals("--long")) {
-                longer = true;
-            } else if (args[i].equals("--json") && i + 1 < args.length) {
-                json = Path.of(args[++i]);
-            } else {
-                name = args[i];
-            }
-        }
+    @Parameters(arity = "0..1", paramLabel = "NAME", description = "without it they are listed")
+    private String name;
+
+    @Option(names = "--long", description = "five times as long")
+    private boolean longer;
+
+    @Option(names = "--json", paramLabel = "FILE", description = "keeps the figures")
+    private Path json;
+
+    @Override
+    public Integer call() {
         if (name == null) {
             ALL.keySet().forEach(System.out::println);
             return 0;
         }
         if (!ALL.containsKey(name)) {
-            System.err.println("no measurement " + name + "; there are " + String.join(", ", ALL.keySet()));
-            return USAGE;
+            throw new ParameterException(spec.commandLine(), "no measurement " + name + "; there are " + String.join(", ", ALL.keySet()));
         }
         Figures figures = new Figures();
         try {
--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -81,6 +81,21 @@
         return module.fleet(clock.now());
     }
 
+    /** How each server on the list stands. */
+    public List<Standing> standings() {
+        return module.standings(clock.now());
+    }
+
+    /** What the process that takes this one's place need not learn anew. */
+    public Memory memory() {
+        return module.memory(clock.now());
+    }
+
+    /** Goes on from what the process before this one has learnt. */
+    public void remember(Memory memory) {
+        module.remember(memory);
+    }
+
     /** An operator takes a server out, or puts it back; false where neither the list nor what is out has it. */
     public boolean takeOut(String server, boolean out) {
         if (!module.lists(server) && !module.isTakenOut(server)) {
--- a/src/main/java/onyxpaddle/serve/Node.java
+++ b/src/main/java/onyxpaddle/serve/Node.java
@@ -1,27 +1,14 @@
 package onyxpaddle.serve;
 
-import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.TimeUnit;
 import onyxpaddle.Balancing.ListKind;
-import onyxpaddle.Balancing.Memory;
 import onyxpaddle.RatioBalancer;
-import onyxpaddle.admin.AdminCalls;
-import onyxpaddle.admin.AdminDoor;
-import onyxpaddle.admin.Exposition;
-import onyxpaddle.drain.NodeState;
 import onyxpaddle.front.ListeningFront.Surroundings;
-import onyxpaddle.handover.HandoverSocket;
 import onyxpaddle.http.HttpFront;
 import onyxpaddle.http.HttpUpstream;
 import onyxpaddle.http.PlatformAnswers;
@@ -33,10 +20,9 @@
 import onyxpaddle.node.Dispatcher;
 import onyxpaddle.node.Log;
 import onyxpaddle.node.Roster;
-import onyxpaddle.node.Sockets;
 
-/** The real node: one event loop that reads and writes all sockets and runs the module. */
-public final class Node {
+/** The platform's node: one listener, one pool whose servers discovery tells. */
+public final class Node implements Lifecycle.Work {
     /** How long a node that hears nothing of discovery waits before it works by the list it was started with. */
     private static final long WAIT_FOR_LIST = 1_000_000_000L;
     /** The planned end takes no longer than this; by then every deadline has long passed. */
@@ -51,26 +37,15 @@
     /** Connections to a server that are kept; each costs the server some of its capacity. */
     private static final int MOST_IDLE = 16;
     private static final int EXIT_CONFIG = 78;
-    private static final long READY_STEP_MS = 10;
 
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final Clock clock = new Clock();
+    private final Lifecycle life = new Lifecycle(this);
+    private final Clock clock = life.clock;
     private final long startedAt = clock.now();
-    private final CountDownLatch drained = new CountDownLatch(1);
-    private final NodeState state = new NodeState();
-    private final CompletableFuture<InetSocketAddress> serving = new CompletableFuture<>();
-    private RatioBalancer module;
     private Dispatcher dispatcher;
-    private AdminDoor door;
-    private HandoverSocket handover;
-    private PoolShare share;
     private HttpUpstream servers;
     private Discovery discovery;
     private HttpFront clients;
     private PlatformConfig config;
-    private long reloads;
-    private long failedReloads;
-    private ByteBufAllocator allocator;
     private boolean anyServer;
     private boolean heard;
 
@@ -105,128 +80,51 @@
         return node;
     }
 
-    private void run(PlatformConfig first, String folder) throws Exception {
-        try {
-            group.next().submit(() -> build(first, folder)).sync();
-            serving.get();
-        } catch (ExecutionException e) {
-            stop();
-            throw new IOException(e.getCause().getMessage(), e.getCause());
-        } catch (Exception e) {
-            stop();
-            throw e;
-        }
+    private void run(PlatformConfig first, String folder) throws IOException {
+        config = first;
+        life.start(new Lifecycle.Terms(first.name(), first.admin(), folder, LONGEST_DRAIN_S));
     }
 
-    private void build(PlatformConfig first, String folder) {
-        config = first;
-        EventLoop loop = group.next();
-        allocator = Sockets.allocator();
+    @Override
+    public void build() {
+        EventLoop loop = life.loop;
         Budget budget = new Budget(config.sockets(), Runtime.getRuntime().maxMemory());
-        module = new RatioBalancer(config.settings(), config.seed());
-        dispatcher = new Dispatcher(clock, loop, module, config.settings().limits(), PoolSettings.tally(config.settings()));
-        share = budget.pool();
-        servers = new HttpUpstream(loop, allocator, clock, share, dispatcher, new PlatformAnswers(),
+        dispatcher = new Dispatcher(clock, loop, new RatioBalancer(config.settings(), config.seed()), config.settings().limits(),
+            PoolSettings.tally(config.settings()));
+        PoolShare share = budget.pool();
+        servers = new HttpUpstream(loop, life.allocator, clock, share, dispatcher, new PlatformAnswers(),
             Math.min(LONGEST_IDLE, (long) (IDLE_SHARE * config.keepalive())), config.settings().limits().connectTimeout(), MOST_IDLE);
-        discovery = discovery(loop);
+        discovery = discovery();
         dispatcher.connect(servers, () -> discovery.subscribe());
-        clients = new HttpFront(new Surroundings(loop, allocator, clock, budget, state),
+        clients = new HttpFront(new Surroundings(loop, life.allocator, clock, budget, life.state),
             new PlatformRequests(config.settings().classes(), dispatcher, share.bytes()), this::ready);
         apply(config.known(), ListKind.REMEMBERED);
         discovery.start();
-        if (config.admin() != null) {
-            door = new AdminDoor(loop, allocator, new Operations());
-            door.listen(config.admin()).addListener(f -> {
-                if (!f.isSuccess()) {
-                    serving.completeExceptionally(f.cause());
-                }
-            });
-        }
-        handover = HandoverSocket.in(folder, config.name(), loop);
-        if (handover == null) {
-            listen();
-        } else {
-            handover.ask(this::follow);
-        }
-    }
-
-    /**
-     * Listens once it is known whether another process of this node serves. Beside one that does, not before this one is
-     * ready: what the kernel gave it until then would wait.
-     */
-    private void follow(boolean present, Memory memory) {
-        if (memory != null) {
-            module.remember(memory);
-            Log.line("handover: goes on from what is known of " + memory.servers().size() + " servers");
-        }
-        if (present) {
-            listenWhenReady();
-        } else {
-            listen();
-        }
-    }
-
-    private void listenWhenReady() {
-        if (ready()) {
-            listen();
-        } else {
-            group.next().schedule(this::listenWhenReady, READY_STEP_MS, TimeUnit.MILLISECONDS);
-        }
     }
 
-    private void listen() {
+    /** Always shared: the first process can't know whether there will be a second. */
+    @Override
+    public CompletableFuture<Void> listen() {
+        CompletableFuture<Void> done = new CompletableFuture<>();
         clients.listen(config.listen(), true).addListener(f -> {
-            if (!f.isSuccess()) {
-                serving.completeExceptionally(f.cause());
-                return;
-            }
-            clients.open();
-            if (handover != null) {
-                handover.listen(() -> module.memory(clock.now()));
+            if (f.isSuccess()) {
+                clients.open();
+                Log.line("node " + config.name() + " listens on " + clients.address());
+                done.complete(null);
+            } else {
+                done.completeExceptionally(f.cause());
             }
-            Log.line("node " + config.name() + " listens on " + clients.address());
-            serving.complete(clients.address());
         });
+        return done;
     }
 
-    /** What operators ask for. */
-    private final class Operations implements AdminCalls {
-        @Override
-        public boolean ready() {
-            return listens() && state.wantsWork() && Node.this.ready();
-        }
-
-        @Override
-        public String figures() {
-            return Exposition.of(List.of(dispatcher), reloads, failedReloads);
-        }
-
-        @Override
-        public boolean drain() {
-            Log.line("an operator empties the node");
-            return state.drain(clock.now());
-        }
-
-        @Override
-        public boolean takeOut(String server, boolean out) {
-            boolean known = dispatcher.takeOut(server, out);
-            Log.line("an operator " + (out ? "takes out" : "puts back") + " server " + server + (known ? "" : ", which is not known"));
-            return known;
-        }
-
-        @Override
-        public boolean undrain() {
-            Log.line("an operator puts the node back to work");
-            return state.undrain(clock.now());
-        }
-    }
-
-    private boolean listens() {
-        return serving.isDone() && !serving.isCompletedExceptionally();
+    @Override
+    public Map<String, Dispatcher> pools() {
+        return Map.of("", dispatcher);
     }
 
-    private Discovery discovery(EventLoop loop) {
-        return new Discovery(loop, allocator, config.discovery(), config.settings().mustAskMembership(),
+    private Discovery discovery() {
+        return new Discovery(life.loop, life.allocator, config.discovery(), config.settings().mustAskMembership(),
             config.known().seq(), roster -> {
                 heard = true;
                 apply(roster, roster.whole() ? ListKind.ALL : ListKind.CHANGES);
@@ -241,22 +139,22 @@
     void reload(Map<String, String> environment) {
         try {
             PlatformConfig next = PlatformConfig.reload(environment);
-            group.next().execute(() -> move(next));
+            life.loop.execute(() -> move(next));
         } catch (PlatformConfig.InvalidConfigException e) {
             Log.line("SIGHUP: the configuration stays as it was: " + e.getMessage());
-            group.next().execute(() -> failedReloads++);
+            life.loop.execute(() -> life.reloaded(false));
         }
     }
 
     private void move(PlatformConfig next) {
-        reloads++;
-        if (config == null || next.discovery().equals(config.discovery())) {
+        life.reloaded(true);
+        if (discovery == null || next.discovery().equals(config.discovery())) {
             return;
         }
         Log.line("SIGHUP: discovery is at " + next.discovery() + " now");
         config = next;
         discovery.stop();
-        discovery = discovery(group.next());
+        discovery = discovery();
         discovery.startAnew();
     }
 
@@ -267,29 +165,30 @@
     }
 
     /** Requests can be served once a server is known; the list at the start may be old, so news is waited for. */
-    private boolean ready() {
+    @Override
+    public boolean ready() {
         return anyServer && (heard || clock.now() - startedAt > WAIT_FOR_LIST);
     }
 
     InetSocketAddress address() {
-        return serving.join();
+        return clients.address();
     }
 
-    /** Where operators call; for a node that was given an address for it. */
     InetSocketAddress adminAddress() {
-        return door.address();
+        return life.adminAddress();
+    }
+
+    @Override
+    public void end(boolean replaced, Runnable done) {
+        life.state.end(clock.now(), replaced, clients.longestPatience());
+        clients.end(done);
     }
 
-    private void closeAll() {
-        if (clients != null && listens()) {
+    @Override
+    public void close() {
+        if (life.listens()) {
             clients.close();
         }
-        if (door != null) {
-            door.close();
-        }
-        if (handover != null) {
-            handover.close();
-        }
         if (discovery != null) {
             discovery.stop();
         }
@@ -297,35 +196,11 @@
 
     /** Ends as planned: returns when all that was taken is answered. */
     void drain() {
-        group.next().execute(() -> {
-            if (!listens()) {
-                // Nothing was taken, so nothing is owed.
-                drained.countDown();
-                return;
-            }
-            boolean replaced = handover != null && handover.succeeded();
-            Log.line(replaced ? "ending, as another process serves" : "ending");
-            state.end(clock.now(), replaced, clients.longestPatience());
-            clients.end(drained::countDown);
-        });
-        try {
-            drained.await(LONGEST_DRAIN_S, TimeUnit.SECONDS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+        life.drain();
     }
 
-    /**
-     * Ends at once. Listeners are closed before their loop ends: the JDK puts the close of a registered one off to the next
-     * select, and a loop that ends makes none, so that the system would go on taking connections for nobody.
-     */
+    /** Ends at once. */
     void stop() {
-        try {
-            group.next().submit(this::closeAll).syncUninterruptibly();
-            group.next().schedule(() -> { }, 1, TimeUnit.MILLISECONDS).syncUninterruptibly();
-        } catch (RejectedExecutionException e) {
-            // It has ended already.
-        }
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        life.stop();
     }
 }
--- a/src/main/java/onyxpaddle/serve/Sidecar.java
+++ b/src/main/java/onyxpaddle/serve/Sidecar.java
@@ -2,8 +2,6 @@
 
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.security.SecureRandom;
@@ -16,13 +14,13 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import onyxpaddle.config.Fault;
 import onyxpaddle.config.Faults;
+import onyxpaddle.config.HostPort;
 import onyxpaddle.config.MachineLimits;
 import onyxpaddle.config.NodeConfig;
 import onyxpaddle.config.NodeConfig.Listener;
@@ -37,9 +35,9 @@
 import onyxpaddle.node.Addresses;
 import onyxpaddle.node.Budget;
 import onyxpaddle.node.Clock;
+import onyxpaddle.node.Dispatcher;
 import onyxpaddle.node.Front;
 import onyxpaddle.node.Log;
-import onyxpaddle.node.Sockets;
 import onyxpaddle.route.ProcedureTable;
 import onyxpaddle.route.RouteTable;
 import onyxpaddle.rpc.RpcCalls;
@@ -51,16 +49,16 @@
  * all or nothing: listeners that are new are bound first, and only when all are does anything else move. What was
  * taken before goes on by the routes and pools it was taken by; they end when it has.
  */
-public final class Sidecar {
+public final class Sidecar implements Lifecycle.Work {
     private static final int EXIT_CONFIG = 78;
     private static final long REAP_MS = 50;
     private static final long LONGEST_DRAIN_S = 60;
     private static final int MOST_FAULTS_LOGGED = 20;
 
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final EventLoop loop = group.next();
-    private final Clock clock = new Clock();
-    private final ByteBufAllocator allocator = Sockets.allocator();
+    private final Lifecycle life = new Lifecycle(this);
+    private final EventLoop loop = life.loop;
+    private final Clock clock = life.clock;
+    private final ByteBufAllocator allocator = life.allocator;
     private final SecureRandom seeds = new SecureRandom();
     private final String idPrefix = Long.toHexString(seeds.nextLong()) + "-";
     private final ScheduledExecutorService files = Executors.newSingleThreadScheduledExecutor(task -> {
@@ -70,12 +68,13 @@
     });
     private final Budget budget;
     /** Of the listeners for others; and of those for what the application itself calls, which end after them. */
-    private final NodeState inbound = new NodeState();
+    private final NodeState inbound = life.state;
     private final NodeState outbound = new NodeState();
     private final Map<String, PoolUnit> pools = new LinkedHashMap<>();
     private final Map<String, Door> doors = new LinkedHashMap<>();
     private final List<PoolUnit> leavingPools = new ArrayList<>();
     private final List<Front> leavingFronts = new ArrayList<>();
+    private final NodeConfig first;
     private NodeConfig config;
     private Future<?> reaping;
     private long requests;
@@ -91,12 +90,13 @@
     }
 
     private Sidecar(NodeConfig first) {
+        this.first = first;
         long heap = Math.min(first.limits().memory(), Runtime.getRuntime().maxMemory());
         budget = new Budget(first.limits().descriptors(), heap);
     }
 
-    /** Runs a node by the file, until it is told to stop. */
-    public static void main(Path file) {
+    /** Runs a node by the file, until it is told to stop; {@code admin}: in place of the file's, null for that. */
+    public static void main(Path file, HostPort admin) {
         Faults faults = new Faults();
         NodeConfig first = NodeConfigReader.file(file, MachineLimits.here(), faults);
         if (first == null) {
@@ -104,7 +104,7 @@
             System.exit(EXIT_CONFIG);
         }
         try {
-            Sidecar node = start(first);
+            Sidecar node = start(admin == null ? first : first.withAdmin(admin));
             Hangup.runs(() -> node.reload(file));
             Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
         } catch (Exception e) {
@@ -116,14 +116,39 @@
     /** Starts a node; fails where an address is taken. */
     public static Sidecar start(NodeConfig first) throws Exception {
         Sidecar node = new Sidecar(first);
-        String failure = node.change(first).get();
-        if (failure != null) {
-            node.stop();
-            throw new java.io.IOException(failure);
-        }
+        HostPort admin = first.admin();
+        Path folder = first.handover();
+        node.life.start(new Lifecycle.Terms(first.name(), admin == null ? null : Addresses.of(admin.host(), admin.port()),
+            folder == null ? null : folder.toString(), LONGEST_DRAIN_S));
         return node;
     }
 
+    /** Pools learn their servers before there is a listener: where another process serves, this one listens once it can. */
+    @Override
+    public void build() {
+        commitPools(first);
+    }
+
+    @Override
+    public CompletableFuture<Void> listen() {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        change(first).thenAccept(failure -> {
+            if (failure == null) {
+                done.complete(null);
+            } else {
+                done.completeExceptionally(new java.io.IOException(failure));
+            }
+        });
+        return done;
+    }
+
+    @Override
+    public Map<String, Dispatcher> pools() {
+        Map<String, Dispatcher> dispatchers = new LinkedHashMap<>();
+        pools.forEach((name, pool) -> dispatchers.put(name, pool.dispatcher));
+        return dispatchers;
+    }
+
     // ---- change ----
 
     /** Reads the file again, off the event loop; a faulty one changes nothing and is told in full. */
@@ -133,10 +158,13 @@
         if (read == null) {
             Log.line("reload: nothing is changed, as the file is at fault:");
             faults.list().stream().limit(MOST_FAULTS_LOGGED).map(Fault::toString).forEach(Log::line);
+            loop.execute(() -> life.reloaded(false));
             return;
         }
-        change(read).thenAccept(failure -> Log.line(failure == null ? "reload: done"
-            : "reload: nothing is changed: " + failure));
+        change(read).thenAccept(failure -> {
+            life.reloaded(failure == null);
+            Log.line(failure == null ? "reload: done" : "reload: nothing is changed: " + failure);
+        });
     }
 
     /**
@@ -169,7 +197,7 @@
                 Surroundings around = new Surroundings(loop, allocator, clock, budget, listener.outbound() ? outbound : inbound);
                 Front front = listener.rpc() ? new RpcFront(around, new RpcCounts("listener " + listener.name()))
                     : new HttpFront(around, null, this::ready);
-                binding.add(front.listen(Addresses.of(listener.address().host(), listener.address().port()), false));
+                binding.add(front.listen(Addresses.of(listener.address().host(), listener.address().port()), life.shares()));
                 fresh.add(new Door(listener, front, null, listener.outbound()));
             }
         }
@@ -211,6 +239,9 @@
         if (config != null && !config.limits().equals(to.limits())) {
             Log.line("reload: `limits` hold from a start only; all else is taken");
         }
+        if (config != null && !java.util.Objects.equals(config.handover(), to.handover())) {
+            Log.line("reload: `handover` holds from a start only; all else is taken");
+        }
         config = to;
         commitPools(to);
         Map<String, Target> targets = new HashMap<>();
@@ -302,7 +333,8 @@
 
     // ---- what is asked of it ----
 
-    private boolean ready() {
+    @Override
+    public boolean ready() {
         return pools.values().stream().allMatch(PoolUnit::ready);
     }
 
@@ -322,35 +354,48 @@
 
     // ---- end ----
 
+    /** Ends as planned: returns when all that was taken is answered. */
+    public void drain() {
+        life.drain();
+    }
+
     /**
-     * Ends as planned: returns when all that was taken is answered. The outbound side drains after the inbound one, as
-     * the application needs what it calls to answer what it has taken.
+     * The outbound side ends after the inbound one, as the application needs what it calls to answer what it has taken.
+     * Beside a process that listens in this one's place both end at once: the application's calls have another way.
      */
-    public void drain() {
-        Log.line("draining");
-        CountDownLatch left = new CountDownLatch(1);
-        loop.execute(() -> drain(false, () -> drain(true, left::countDown)));
-        try {
-            left.await(LONGEST_DRAIN_S, TimeUnit.SECONDS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+    @Override
+    public void end(boolean replaced, Runnable done) {
+        if (replaced) {
+            int[] sides = {2};
+            Runnable side = () -> {
+                if (--sides[0] == 0) {
+                    done.run();
+                }
+            };
+            endSide(false, true, side);
+            endSide(true, true, side);
+        } else {
+            endSide(false, false, () -> endSide(true, false, done));
         }
     }
 
-    /** Drains the listeners of one side, then goes on, once. */
-    private void drain(boolean outbound, Runnable then) {
+    /** Ends the listeners of one side, and those of an earlier configuration with the inbound one; then goes on, once. */
+    private void endSide(boolean outbound, boolean replaced, Runnable then) {
         Set<Front> open = new HashSet<>();
         for (Door door : doors.values()) {
             if (door.outbound() == outbound) {
                 open.add(door.front());
             }
         }
+        if (!outbound) {
+            open.addAll(leavingFronts);
+        }
+        (outbound ? this.outbound : inbound).end(clock.now(), replaced,
+            open.stream().mapToLong(Front::longestPatience).max().orElse(0));
         if (open.isEmpty()) {
             then.run();
             return;
         }
-        (outbound ? this.outbound : inbound).end(clock.now(), false,
-            open.stream().mapToLong(Front::longestPatience).max().orElse(0));
         for (Front front : List.copyOf(open)) {
             front.end(() -> {
                 if (open.remove(front) && open.isEmpty()) {
@@ -360,9 +405,24 @@
         }
     }
 
+    @Override
+    public void close() {
+        if (reaping != null) {
+            reaping.cancel(false);
+        }
+        doors.values().forEach(door -> door.front().close());
+        leavingFronts.forEach(Front::close);
+        pools.values().forEach(PoolUnit::stop);
+        leavingPools.forEach(PoolUnit::stop);
+        files.shutdownNow();
+    }
+
+    InetSocketAddress adminAddress() {
+        return life.adminAddress();
+    }
+
     /** Ends at once. */
     public void stop() {
-        files.shutdownNow();
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        life.stop();
     }
 }
--- /dev/null
+++ b/src/main/java/onyxpaddle/sidecar/CommandRun.java
@@ -0,0 +1,31 @@
+package onyxpaddle.sidecar;
+
+import java.io.PrintWriter;
+import picocli.CommandLine;
+
+/** How each command of the program is run: what it prints to, and what becomes of wrong usage and of failures. */
+public final class CommandRun {
+    private static final int CANNOT_RUN = 1;
+    private static final int USAGE = 64;
+
+    private CommandRun() {
+    }
+
+    /** Runs a command and returns its exit code. */
+    public static int run(CommandLine line, String[] args, PrintWriter out, PrintWriter err) {
+        line.setOut(out).setErr(err);
+        line.setParameterExceptionHandler((e, a) -> {
+            err.println(e.getMessage());
+            e.getCommandLine().usage(err);
+            return USAGE;
+        });
+        line.setExecutionExceptionHandler((e, l, r) -> {
+            err.println("lupinmount: cannot run: " + (e.getMessage() == null ? e : e.getMessage()));
+            return CANNOT_RUN;
+        });
+        int code = line.execute(args);
+        out.flush();
+        err.flush();
+        return code;
+    }
+}
--- a/src/main/java/onyxpaddle/sidecar/Derivation.java
+++ b/src/main/java/onyxpaddle/sidecar/Derivation.java
@@ -49,6 +49,12 @@
         line("limits:");
         line("  memory: " + Units.sizeText(of.limits().memory()));
         line("  descriptors: " + of.limits().descriptors());
+        if (of.admin() != null) {
+            line("admin: " + quoted(of.admin().toString()));
+        }
+        if (of.handover() != null) {
+            line("handover: " + quoted(relative(of.handover())));
+        }
         line("listeners:");
         listener("inbound", of.inbound(), "");
         listener("inbound--rpc", of.inboundRpc(), RPC);
--- a/src/main/java/onyxpaddle/sidecar/Description.java
+++ b/src/main/java/onyxpaddle/sidecar/Description.java
@@ -14,11 +14,12 @@
  * An application as its people describe it. What stands in no file is derived.
  *
  * @param inbound where callers connect by HTTP, {@code inboundRpc} by MessagePack-RPC; one of the two may be null
+ * @param admin where operators call, null for nowhere; {@code handover}: where its processes meet, null for nowhere
  * @param own the pool that is the application itself
  * @param others the class of requests for all other paths; null where they are turned away
  */
 record Description(Path file, View at, String name, String tenant, Ports ports, HostPort inbound, HostPort inboundRpc,
-        Limits limits, Pool own, Map<String, Served> serves, RequestClass others, Map<String, Call> calls) {
+        HostPort admin, Path handover, Limits limits, Pool own, Map<String, Served> serves, RequestClass others, Map<String, Call> calls) {
     /** Ports on 127.0.0.1, one for each protocol; 0 for none. */
     record Ports(int http, int rpc) {
     }
--- a/src/main/java/onyxpaddle/sidecar/DescriptionReader.java
+++ b/src/main/java/onyxpaddle/sidecar/DescriptionReader.java
@@ -70,7 +70,8 @@
         Map<String, Call> calls = new LinkedHashMap<>();
         root.named("calls").forEach((name, view) -> calls.put(name, call(name, view, inbound, inboundRpc)));
         return new Description(file, root, root.text("application", Kind.LABEL, ""),
-            root.text("tenant", Kind.NAME, null), ports, inbound, inboundRpc, limits, own, serves, others(root), calls);
+            root.text("tenant", Kind.NAME, null), ports, inbound, inboundRpc,
+            NodeConfigReader.admin(root, faults), NodeConfigReader.handover(root, file.toAbsolutePath().getParent(), faults), limits, own, serves, others(root), calls);
     }
 
     private static HostPort here(int port) {
--- a/src/main/java/onyxpaddle/sidecar/DescriptionShape.java
+++ b/src/main/java/onyxpaddle/sidecar/DescriptionShape.java
@@ -51,6 +51,7 @@
         OTHERS,
         optional("calls", new MapOf(Kind.LABEL, CALL, false), "none",
             "what it calls: `servers`, `file` or `discovery`, or else the application of that name on this machine"),
+        NodeShape.ADMIN, NodeShape.HANDOVER,
         optional("limits", LIMITS, "see its keys", "what the node may hold, and what the application bears"));
 
     private DescriptionShape() {
--- a/src/main/java/onyxpaddle/sidecar/RpcCommand.java
+++ b/src/main/java/onyxpaddle/sidecar/RpcCommand.java
@@ -28,7 +28,7 @@
 import picocli.CommandLine.Spec;
 
 /** Calls a server or a node by MessagePack-RPC, by hand. */
-@Command(name = "lupinmount rpc", mixinStandardHelpOptions = true, synopsisSubcommandLabel = "COMMAND",
+@Command(name = "rpc", mixinStandardHelpOptions = true, synopsisSubcommandLabel = "COMMAND",
     description = "Calls a server or a node by MessagePack-RPC, by hand.")
 public final class RpcCommand {
     private static final int ANSWERED = 0;
@@ -43,23 +43,14 @@
     private RpcCommand() {
     }
 
-    /** Runs the tool and returns its exit code. */
-    public static int run(String[] args, PrintWriter out, PrintWriter err) {
-        CommandLine line = new CommandLine(new RpcCommand());
-        line.setOut(out).setErr(err);
-        line.setParameterExceptionHandler((e, a) -> {
-            err.println(e.getMessage());
-            e.getCommandLine().usage(err);
-            return USAGE;
-        });
-        line.setExecutionExceptionHandler((e, l, r) -> {
-            err.println("lupinmount: cannot run: " + (e.getMessage() == null ? e : e.getMessage()));
-            return CANNOT_RUN;
-        });
-        int code = line.execute(args);
-        out.flush();
-        err.flush();
-        return code;
+    /** Runs the tool alone and returns its exit code. */
+    static int run(String[] args, PrintWriter out, PrintWriter err) {
+        return CommandRun.run(line(), args, out, err);
+    }
+
+    /** The tool as a part of the program's commands. */
+    public static CommandLine line() {
+        return new CommandLine(new RpcCommand());
     }
 
     @Command(name = "call", mixinStandardHelpOptions = true,
--- a/src/main/java/onyxpaddle/sidecar/SidecarCommand.java
+++ b/src/main/java/onyxpaddle/sidecar/SidecarCommand.java
@@ -27,7 +27,7 @@
 import picocli.CommandLine.Spec;
 
 /** The tool: writes, checks, explains and tries configurations of sidecars. */
-@Command(name = "lupinmount sidecar", mixinStandardHelpOptions = true, synopsisSubcommandLabel = "COMMAND",
+@Command(name = "sidecar", mixinStandardHelpOptions = true, synopsisSubcommandLabel = "COMMAND",
     description = "Writes, checks, explains and tries the configuration of a node beside an application.",
     exitCodeListHeading = "%nExit codes:%n",
     exitCodeList = {"0:sound", "78:faults found", "64:wrong usage", "1:cannot run"})
@@ -46,27 +46,14 @@
         this.machine = machine;
     }
 
-    /** Runs the tool and returns its exit code. */
-    public static int run(String[] args, PrintWriter out, PrintWriter err) {
-        return run(args, out, err, MachineLimits.here());
+    /** Runs the tool alone and returns its exit code. */
+    static int run(String[] args, PrintWriter out, PrintWriter err, MachineLimits machine) {
+        return CommandRun.run(new CommandLine(new SidecarCommand(machine)), args, out, err);
     }
 
-    static int run(String[] args, PrintWriter out, PrintWriter err, MachineLimits machine) {
-        CommandLine line = new CommandLine(new SidecarCommand(machine));
-        line.setOut(out).setErr(err);
-        line.setParameterExceptionHandler((e, a) -> {
-            err.println(e.getMessage());
-            e.getCommandLine().usage(err);
-            return USAGE;
-        });
-        line.setExecutionExceptionHandler((e, l, r) -> {
-            err.println("lupinmount: cannot run: " + (e.getMessage() == null ? e : e.getMessage()));
-            return CANNOT_RUN;
-        });
-        int code = line.execute(args);
-        out.flush();
-        err.flush();
-        return code;
+    /** The tool as a part of the program's commands. */
+    public static CommandLine line() {
+        return new CommandLine(new SidecarCommand(MachineLimits.here()));
     }
 
     private PrintWriter out() {
--- a/src/main/java/onyxpaddle/sidecar/Together.java
+++ b/src/main/java/onyxpaddle/sidecar/Together.java
@@ -50,6 +50,7 @@
             claim(claims, d, d.at(), "rpc-port", here(d.ports().rpc()), "the application `" + d.name() + "`");
             claim(claims, d, d.at(), "inbound", d.inbound(), "the inbound side of `" + d.name() + "`");
             claim(claims, d, d.at(), "inbound-rpc", d.inboundRpc(), "the inbound side of `" + d.name() + "`");
+            claim(claims, d, d.at(), "admin", d.admin(), "the operators' door of `" + d.name() + "`");
             for (Call call : d.calls().values()) {
                 String what = "the call `" + call.name() + "` of `" + d.name() + "`";
                 claim(claims, d, call.at(), "port", here(call.ports().http()), what);
--- a/src/main/java/onyxpaddle/sidecar/Trial.java
+++ b/src/main/java/onyxpaddle/sidecar/Trial.java
@@ -112,7 +112,7 @@
         }
         Ports inbound = freePorts(new Ports(of.inbound() == null ? 0 : 1, of.inboundRpc() == null ? 0 : 1), taken);
         return new Description(of.file(), of.at(), of.name(), of.tenant(), new Ports(port(application.address()),
-            port(application.rpc())), here(inbound.http()), here(inbound.rpc()), of.limits(),
+            port(application.rpc())), here(inbound.http()), here(inbound.rpc()), null, null, of.limits(),
             of.own().at(List.of(application)), of.serves(), of.others(), calls);
     }
 
--- a/src/test/java/onyxpaddle/ReplacementTest.java
+++ b/src/test/java/onyxpaddle/ReplacementTest.java
@@ -26,14 +26,19 @@
     private static int[] shares(Node node, String prefix) {
         int[] shares = new int[3];
         for (int i = 0; i < 60; i++) {
-            String server = sent(node.arrive(prefix + i, "write"));
-            shares[server.charAt(0) - 'a']++;
-            node.handle(new ClientGone(prefix + i));
-            node.end(prefix + i, 0, server, Outcome.CANCELLED, MS);
+            shares[asked(node, prefix + i).charAt(0) - 'a']++;
         }
         return shares;
     }
 
+    /** Where a request goes, whose caller then leaves. */
+    private static String asked(Node node, String id) {
+        String server = sent(node.arrive(id, "write"));
+        node.handle(new ClientGone(id));
+        node.end(id, 0, server, Outcome.CANCELLED, MS);
+        return server;
+    }
+
     @Test
     void nextProcessSendsWhereTheFirstHasLearntTo() {
         Node first = experienced();
@@ -71,6 +76,71 @@
         assertEquals(first.balancer.memory(first.now), next.balancer.memory(first.now));
     }
 
+    /** The list that a process is started with may be older than what the process before it was told. */
+    @Test
+    void whatTheFirstProcessKnewToDrainOrToBeGoneGetsNothingFromAnOlderList() {
+        Node first = Node.plain().list("a", "b", "c", "d");
+        first.changes(first.entry("b", ServerState.DRAINING, 0), first.entry("c", ServerState.GONE, 0));
+        for (boolean listFirst : new boolean[] {true, false}) {
+            Node next = Node.plain();
+            next.now = first.now;
+            if (listFirst) {
+                next.handle(old(next));
+                next.balancer.remember(first.balancer.memory(first.now));
+            } else {
+                next.balancer.remember(first.balancer.memory(first.now));
+                next.handle(old(next));
+            }
+            for (int i = 0; i < 40; i++) {
+                String server = asked(next, "r" + i);
+                assertTrue(server.equals("a") || server.equals("d"), server + " gets a request, list first: " + listFirst);
+            }
+            assertEquals(new Fleet(4, 2), next.balancer.fleet(next.now));
+            assertEquals(2, next.balancer.standings(next.now).stream().filter(Standing::doubted).count());
+            // Handed on again before discovery has spoken, it is still what the first process knew.
+            assertTrue(next.balancer.memory(next.now).servers().stream().filter(ServerMemory::leaving).count() == 2);
+            // Discovery's own word holds, for one server or for all.
+            next.changes(next.entry("b", ServerState.READY, 0));
+            assertEquals(new Fleet(4, 1), next.balancer.fleet(next.now));
+            next.list("a", "b", "c", "d");
+            assertEquals(new Fleet(4, 0), next.balancer.fleet(next.now));
+        }
+    }
+
+    @Test
+    void anOlderListDoesNotMakeAServerWarmThatHasStartedSince() {
+        Node first = Node.plain();
+        first.handle(new Membership(ListKind.ALL, List.of(first.entry("a", ServerState.READY, 0),
+            first.entry("b", ServerState.READY, first.now - Node.SECOND))));
+        Node next = Node.plain();
+        next.now = first.now;
+        next.handle(old(next));
+        next.balancer.remember(first.balancer.memory(first.now));
+        for (int i = 0; i < 20; i++) {
+            assertEquals("a", asked(next, "r" + i));
+        }
+    }
+
+    @Test
+    void aProcessThatKnewNoServerOrNotAllOfThemLeavesTheListAsItIs() {
+        Node next = Node.plain();
+        next.handle(old(next));
+        next.balancer.remember(Node.plain().balancer.memory(next.now));
+        assertEquals(new Fleet(4, 0), next.balancer.fleet(next.now));
+        Memory all = Node.plain().list("a").balancer.memory(next.now);
+        Node third = Node.plain();
+        third.handle(old(third));
+        third.balancer.remember(new Memory(all.servers(), false, all.classes(), all.takenOut(), all.admitLimit(), all.metLate(),
+            all.retriesSaved(), all.usualRank(), all.usualWorth()));
+        assertEquals(new Fleet(4, 0), third.balancer.fleet(third.now));
+    }
+
+    /** a to d, all ready. */
+    private static Membership old(Node node) {
+        return new Membership(ListKind.REMEMBERED, java.util.stream.Stream.of("a", "b", "c", "d")
+            .map(id -> node.entry(id, ServerState.READY, 0)).toList());
+    }
+
     @Test
     void serverTakenOutGetsNothingUntilItIsPutBackWhateverListsSay() {
         Node node = Node.plain().list("a", "b");
--- a/src/test/java/onyxpaddle/drain/NodeStateTest.java
+++ b/src/test/java/onyxpaddle/drain/NodeStateTest.java
@@ -94,4 +94,34 @@
         assertEquals(Phase.ENDING, state.phase(), "a second signal changes nothing");
         assertTrue(state.over(4_550 * MS));
     }
+
+    /** A protocol that has no word for going refuses, then closes between calls. */
+    @Test
+    void callsAreRefusedBeforeTheirConnectionCloses() {
+        assertFalse(state.refusesCalls(9_000 * MS));
+        assertFalse(state.closesBetweenCalls(0, 9_000 * MS));
+        state.drain(0);
+        assertFalse(state.refusesCalls(1_999 * MS));
+        assertTrue(state.refusesCalls(2_000 * MS));
+        assertFalse(state.closesBetweenCalls(0, 999 * MS));
+        assertTrue(state.closesBetweenCalls(0, 1_000 * MS));
+        assertFalse(state.closesBetweenCalls(2_250 * MS, 2_300 * MS), "one that is just refused is left time to read it");
+        assertTrue(state.closesBetweenCalls(2_301 * MS, 2_301 * MS));
+        state.undrain(3_000 * MS);
+        assertFalse(state.refusesCalls(3_000 * MS));
+    }
+
+    @Test
+    void aloneCallsAreRefusedAtOnceBesideAnotherProcessServedOn() {
+        state.end(0, false, PATIENCE);
+        assertTrue(state.refusesCalls(0));
+        assertFalse(state.closesBetweenCalls(0, 300 * MS));
+        assertTrue(state.closesBetweenCalls(300 * MS, 301 * MS));
+        NodeState other = new NodeState();
+        other.end(0, true, PATIENCE);
+        assertFalse(other.refusesCalls(1_999 * MS));
+        assertTrue(other.refusesCalls(2_000 * MS));
+        assertFalse(other.closesBetweenCalls(0, 999 * MS));
+        assertTrue(other.closesBetweenCalls(0, 1_000 * MS));
+    }
 }
--- a/src/test/java/onyxpaddle/handover/HandoverMessageTest.java
+++ b/src/test/java/onyxpaddle/handover/HandoverMessageTest.java
@@ -1,6 +1,7 @@
 package onyxpaddle.handover;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -8,7 +9,9 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import onyxpaddle.Balancing.ClassMemory;
 import onyxpaddle.Balancing.Memory;
@@ -17,12 +20,19 @@
 
 /** What goes from process to process comes whole or not at all. */
 class HandoverMessageTest {
-    private static Memory memory(int servers) {
+    private static Map<String, Memory> memory(int servers) {
+        Map<String, Memory> pools = new LinkedHashMap<>();
+        pools.put("app", known(servers));
+        pools.put("", known(1));
+        return pools;
+    }
+
+    private static Memory known(int servers) {
         List<ServerMemory> list = new ArrayList<>();
         for (int i = 0; i < servers; i++) {
-            list.add(new ServerMemory("s-" + i, i, List.of(0.5, 1.25, 3.0), 1_700_000_000_000_000_000L, 0.25, 1.5, 12, 0, 0, 0.75));
+            list.add(new ServerMemory("s-" + i, i, i % 2 == 1, List.of(0.5, 1.25, 3.0), 1_700_000_000_000_000_000L, 0.25, 1.5, 12, 0, 0, 0.75));
         }
-        return new Memory(list, List.of(new ClassMemory("book", 3e7, 1e6, 0.5, 0.25, -0.5, 77)), List.of("s-1", "s-9"), 42.5, true, 3.25, 1e-7, 3);
+        return new Memory(list, true, List.of(new ClassMemory("book", 3e7, 1e6, 0.5, 0.25, -0.5, 77)), List.of("s-1", "s-9"), 42.5, true, 3.25, 1e-7, 3);
     }
 
     @Test
@@ -35,7 +45,19 @@
     void whatWouldBeTooLongLeavesServersOut() throws IOException {
         byte[] message = HandoverMessage.write(memory(20_000));
         assertTrue(message.length <= HandoverMessage.HEAD + HandoverMessage.LARGEST);
-        assertTrue(HandoverMessage.read(message).servers().size() > 500);
+        Memory read = HandoverMessage.read(message).get("app");
+        assertTrue(read.servers().size() > 500);
+        assertFalse(read.whole(), "that some are missing is told");
+        assertTrue(HandoverMessage.read(message).get("").whole());
+    }
+
+    @Test
+    void morePoolsThanMayBeAreNotTold() {
+        Map<String, Memory> pools = new LinkedHashMap<>();
+        for (int i = 0; i < 65; i++) {
+            pools.put("p" + i, known(0));
+        }
+        assertThrows(IOException.class, () -> HandoverMessage.write(pools));
     }
 
     @Test
@@ -80,7 +102,7 @@
             byte[] message = ByteBuffer.allocate(16 + payload.length).putInt(HandoverMessage.MAGIC)
                 .putInt(HandoverMessage.VERSION).putInt(payload.length).putInt((int) crc.getValue()).put(payload).array();
             try {
-                Memory read = HandoverMessage.read(message);
+                Memory read = HandoverMessage.read(message).getOrDefault("app", known(0));
                 assertTrue(read.admitLimit() >= 1 && read.servers().size() <= 1);
             } catch (IOException e) {
                 assertTrue(e.getMessage() != null);
