--- a/src/main/java/onyxpaddle/admin/Exposition.java
+++ b/src/main/java/onyxpaddle/admin/Exposition.java
@@ -16,34 +16,35 @@
     private Exposition() {
     }
 
-    /** Of all pools together: a class that several pools have is one. {@code reloads}: how many changed the node, and didn't. */
-    public static String of(Collection<Dispatcher> pools, long reloads, long failedReloads) {
+    /**
+     * Of all pools together: a class that several pools have is one.
+     *
+     * @param tally what the process has counted since its start, over all its configurations
+     * @param leaving pools of an earlier configuration that still have requests out
+     * @param reloads how many configurations changed the node, {@code failedReloads} how many didn't
+     */
+    public static String of(Tally tally, Collection<Dispatcher> pools, Collection<Dispatcher> leaving, long reloads,
+            long failedReloads) {
         Exposition to = new Exposition();
         to.type("svc_calls_total", "counter", "Requests that have their final answer, by class and by how they ended.");
-        java.util.Set<String> classes = new java.util.LinkedHashSet<>();
-        pools.forEach(pool -> classes.addAll(pool.tally().classes()));
-        for (String name : classes) {
+        for (String name : tally.classes()) {
             for (End end : End.values()) {
-                long sum = 0;
-                for (Dispatcher pool : pools) {
-                    Tally tally = pool.tally();
-                    sum += tally.classes().contains(name) ? tally.count(name, end) : 0;
-                }
                 to.line("svc_calls_total{tier=\"" + escaped(name) + "\",code=\"" + end.name().toLowerCase(Locale.ROOT)
-                    + "\"}", sum);
+                    + "\"}", tally.count(name, end));
             }
         }
-        long attempts = 0;
         long inflight = 0;
         long listed = 0;
         long down = 0;
         for (Dispatcher pool : pools) {
-            attempts += pool.tally().attempts();
             inflight += pool.unanswered();
             listed += pool.fleet().listed();
             down += pool.fleet().avoided();
         }
-        to.one("svc_backend_calls_total", "counter", "Attempts written whole to servers.", attempts);
+        for (Dispatcher pool : leaving) {
+            inflight += pool.unanswered();
+        }
+        to.one("svc_backend_calls_total", "counter", "Attempts written whole to servers.", tally.attempts());
         to.one("svc_inflight", "gauge", "Requests taken that have no final answer yet.", inflight);
         to.one("svc_hosts_listed", "gauge", "Servers on the list.", listed);
         to.one("svc_hosts_down", "gauge", "Servers on the list that the node avoids now.", down);
--- a/src/main/java/onyxpaddle/config/NodeConfig.java
+++ b/src/main/java/onyxpaddle/config/NodeConfig.java
@@ -84,11 +84,12 @@
      * @param idle how long this node keeps one to use it again
      * @param inFlight how many requests it holds before it refuses; 0 for no limit
      * @param body the most bytes of a body, both ways
+     * @param held the most bytes of a request's body that are held until it is whole; no more than {@code body}
      * @param cold how long a server that has just started is cold; 0 for never
      * @param startCapacity the part of its capacity that a cold server starts with
      */
     public record Pool(String name, List<Server> servers, Path file, HostPort discovery, long connectTimeout,
-            long keepAlive, long idle, int attempts, int inFlight, long body, long cold, double startCapacity, Rpc rpc) {
+            long keepAlive, long idle, int attempts, int inFlight, long body, long held, long cold, double startCapacity, Rpc rpc) {
         /** The same but for its servers. */
         public boolean differsInServersOnly(Pool other) {
             return withoutServers().equals(other.withoutServers());
@@ -96,13 +97,13 @@
 
         /** The same with a fixed list of servers. */
         public Pool at(List<Server> fixed) {
-            return new Pool(name, fixed, null, null, connectTimeout, keepAlive, idle, attempts, inFlight, body, cold,
+            return new Pool(name, fixed, null, null, connectTimeout, keepAlive, idle, attempts, inFlight, body, held, cold,
                 startCapacity, rpc);
         }
 
         private Pool withoutServers() {
             return new Pool(name, List.of(), file, discovery, connectTimeout, keepAlive, idle, attempts, inFlight, body,
-                cold, startCapacity, rpc);
+                held, cold, startCapacity, rpc);
         }
     }
 
@@ -118,6 +119,11 @@
             .sorted(Comparator.comparing(RequestClass::name)).toList();
     }
 
+    /** Whether bodies of the pool's requests must be held whole, as they are, or may be, MessagePack. */
+    public boolean holdsWhole(String pool) {
+        return called(pool) || routes.stream().anyMatch(r -> r.pool().equals(pool) && r.procedure() != null);
+    }
+
     /** Whether any procedure leads to the pool. */
     public boolean called(String pool) {
         return procedures.stream().anyMatch(p -> p.pool().equals(pool));
--- a/src/main/java/onyxpaddle/config/NodeConfigReader.java
+++ b/src/main/java/onyxpaddle/config/NodeConfigReader.java
@@ -29,6 +29,7 @@
     public static final long USUAL_DIAL = 250 * MS;
     public static final long USUAL_KEEP_ALIVE = 5 * S;
     public static final long USUAL_BODY = 1 << 20;
+    public static final long USUAL_HELD = 1 << 20;
     public static final long USUAL_MEMORY = 64L << 20;
     public static final int USUAL_DESCRIPTORS = 1024;
     /** Bytes of a folder's name that leave room for a socket's: the system takes some 100 in all. */
@@ -90,7 +91,13 @@
         }
         NodeConfig config = new NodeConfig(root.text("name", Shape.Kind.NAME, ""), root.text("tenant", Shape.Kind.NAME, null),
             limits, admin(root, faults), handover(root, folder, faults), listeners, classes, pools, routes, procedures);
-        pools.forEach((name, pool) -> ProtocolCheck.check(config, pool, root.named("pools").get(name), known.get(name), faults));
+        pools.forEach((name, pool) -> {
+            View at = root.named("pools").get(name);
+            ProtocolCheck.check(config, pool, at, known.get(name), faults);
+            if (config.holdsWhole(name)) {
+                fitsWhole(at, pool, limits, faults);
+            }
+        });
         return config;
     }
 
@@ -240,15 +247,26 @@
                 "less than `keep-alive`, as a request on a connection that is just closed fails");
         }
         long body = view.size("body", USUAL_BODY);
-        if (body > limits.memory() / 8) {
-            faults.add(view.place("body"), view.path("body"), "bodies of " + Units.sizeText(body) + " in a memory of "
-                + Units.sizeText(limits.memory()), "at most an eighth of `limits.memory`, so that several fit");
-        }
+        long held = Math.min(body, view.size("held", USUAL_HELD));
+        fits(view, "held", held, limits, faults);
         return new Pool(name, servers, file, discovery, view.span("connect-timeout", USUAL_DIAL), keepAlive, idle,
-            view.count("attempts", 3), view.count("in-flight", 0), body, view.span("cold", 0),
+            view.count("attempts", 3), view.count("in-flight", 0), body, held, view.span("cold", 0),
             view.number("start-capacity", 1), rpc(view.section("rpc")));
     }
 
+    /** Adds a fault where bodies that are held under this key are too large for several to fit. */
+    private static void fits(View view, String key, long bytes, Limits limits, Faults faults) {
+        if (bytes > limits.memory() / 8) {
+            faults.add(view.place(key), view.path(key), "bodies of " + Units.sizeText(bytes) + " held in a memory of "
+                + Units.sizeText(limits.memory()), "at most an eighth of `limits.memory`, so that several fit");
+        }
+    }
+
+    /** For a pool whose bodies are held whole, as they are MessagePack. */
+    public static void fitsWhole(View view, Pool pool, Limits limits, Faults faults) {
+        fits(view, "body", pool.body(), limits, faults);
+    }
+
     private static Rpc rpc(View view) {
         return new Rpc(view.count("connections", Rpc.USUAL.connections()), view.count("calls", Rpc.USUAL.calls()),
             view.flag("envelope", Rpc.USUAL.envelope()));
--- a/src/main/java/onyxpaddle/config/NodeShape.java
+++ b/src/main/java/onyxpaddle/config/NodeShape.java
@@ -22,8 +22,11 @@
     private static final double KIB = 1024;
     private static final double MIB = 1024 * KIB;
 
-    public static final Key BODY = optional("body", within(Kind.SIZE, 1, 64 * MIB), "1 MiB",
-        "the most that the body of a request or of an answer may have; it is held whole, within `memory`");
+    public static final Key BODY = optional("body", within(Kind.SIZE, 1, 1024 * 1024 * MIB), "1 MiB",
+        "the most that the body of a request or of an answer may have; by MessagePack-RPC it is held whole, within `memory`");
+    public static final Key HELD = optional("held", within(Kind.SIZE, 0, 64 * MIB), "1 MiB",
+        "how much of a request's body is held until it is whole; a larger one is passed on as it comes, and tried again only"
+            + " until a part of it that is not held has gone");
     public static final Key IN_FLIGHT = optional("in-flight", within(Kind.COUNT, 0, 100_000), "0",
         "how many requests may be taken and not yet answered before more are refused at once; 0: no such limit");
     public static final Key ATTEMPTS = optional("attempts", within(Kind.COUNT, 1, 20), "3",
@@ -91,7 +94,7 @@
         "see its keys", "how its servers are called by MessagePack-RPC");
 
     private static final Section POOL = section(SERVER_LIST, FILE, DISCOVERY, CONNECT_TIMEOUT, KEEP_ALIVE, IDLE,
-        ATTEMPTS, IN_FLIGHT, BODY, RPC,
+        ATTEMPTS, IN_FLIGHT, BODY, HELD, RPC,
         optional("cold", within(Kind.SPAN, 0, 3600 * S), "0 ms", "how long a server that has just started is cold"),
         optional("start-capacity", within(Kind.NUMBER, 0.01, 1), "1", "the part of its capacity it starts with"));
 
--- a/src/main/java/onyxpaddle/http/IncomingBody.java
+++ b/src/main/java/onyxpaddle/http/IncomingBody.java
@@ -86,7 +86,7 @@
             return more(bytes, last) ? Fate.MORE : Fate.NO_ROOM;
         } else if (received <= taken.held() && body.add(bytes)) {
             return last ? whole() : Fate.MORE;
-        } else if (taken.held() == taken.largest() || body.size() < LEAST_HELD) {
+        } else if (taken.whole() || received <= taken.held() && body.size() < LEAST_HELD) {
             return Fate.NO_ROOM;
         } else if (taken.pool().holds(taken.terms().id())) {
             return Fate.UNSOUND;
--- a/src/main/java/onyxpaddle/http/PlainRequests.java
+++ b/src/main/java/onyxpaddle/http/PlainRequests.java
@@ -35,8 +35,11 @@
     private static final Pattern DOTS = Pattern.compile("/(?:\\.|%2[eE]){1,2}(?:/|$)");
     private static final long WHOLE_SECOND = 1_000_000_000L;
 
-    /** A pool as requests see it; {@code body}: the most bytes of a body, both ways. */
-    public record Target(Dispatcher pool, SharedLimit.Share bytes, long body) {
+    /**
+     * A pool as requests see it; {@code body}: the most bytes of a body, both ways; {@code held}: the most of a request's
+     * that is held until it is whole.
+     */
+    public record Target(Dispatcher pool, SharedLimit.Share bytes, long body, long held) {
     }
 
     /** A class; {@code unkeyed}: what a request is that should carry a key and does not, else the same. */
@@ -147,9 +150,10 @@
             requestClass.deadline());
         String onward = uri == path ? route.rewritten(path) : route.rewritten(path) + uri.substring(path.length());
         Terms terms = new Terms(ids.get(), requestClass, patience, tenant, 0, "1".equals(headers.get("X-Second-Try")));
+        boolean mappedTo = route.procedure() != null;
         return new Taken(target.pool(), target.bytes(), terms, new HttpHead(method, onward, headers, target.body(),
-            caller.getAddress().getHostAddress(), route.procedure()), length, target.body(), target.body(),
-            route.procedure() == null ? body -> true : mapped);
+            caller.getAddress().getHostAddress(), route.procedure()), length, target.body(),
+            mappedTo ? target.body() : target.held(), mappedTo, mappedTo ? mapped : body -> true);
     }
 
     private static String withoutPort(String host) {
--- a/src/main/java/onyxpaddle/http/Taken.java
+++ b/src/main/java/onyxpaddle/http/Taken.java
@@ -14,12 +14,13 @@
  * @param length the body's length, or -1 where it comes in chunks
  * @param sound whether a body that has come whole is one that can be sent on
  * @param largest the most bytes that its body may have
- * @param held the most bytes of it that are held whole; what is larger is passed on as it comes
+ * @param held the most bytes of it that are held whole; what is larger, or has no room, is passed on as it comes
+ * @param whole whether it must be held whole all the same: what it is can't be told from a part
  */
 public record Taken(Dispatcher pool, SharedLimit.Share bytes, Terms terms, HttpHead head, long length, long largest,
-        long held, Predicate<Body> sound) {
+        long held, boolean whole, Predicate<Body> sound) {
     /** One whose body may be anything. */
     public Taken(Dispatcher pool, SharedLimit.Share bytes, Terms terms, HttpHead head, long length, long largest, long held) {
-        this(pool, bytes, terms, head, length, largest, held, body -> true);
+        this(pool, bytes, terms, head, length, largest, held, false, body -> true);
     }
 }
--- a/src/main/java/onyxpaddle/measure/PlatformRig.java
+++ b/src/main/java/onyxpaddle/measure/PlatformRig.java
@@ -75,10 +75,12 @@
     /** A process of the node that runs. */
     final class Running {
         final Process process;
-        final double startMs;
+        double startMs;
+        private final long startedAt;
+        private final Path log;
         private final InetSocketAddress admin = free();
 
-        /** Starts it and waits until it says that it is ready; {@code meets}: the folder where its processes meet. */
+        /** Starts it; {@code meets}: the folder where its processes meet. */
         private Running(Path meets) throws Exception {
             Path config = Files.writeString(folder.resolve("config.json"), """
                 {"name":"measured","listen":"%s","discovery":"127.0.0.1:%d","seed":"7","limits":{"sockets":1024},"known":%s,
@@ -88,7 +90,10 @@
                   "limits":{"maxAttempts":3,"cancel":true,"secondCopies":true,"retryAfter":true,"maxRetryAfterS":1,
                             "dialTimeoutS":0.2,"keepaliveS":5},"rules":{"drainGraceS":2}}}"""
                 .formatted(text(listen), discovery.getAddress().getPort(), list(false)));
-            Path jar = Path.of(PlatformRig.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+            Path from = Path.of(PlatformRig.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+            // Tests may run from the classes beside the jar.
+            Path jar = Files.isDirectory(from) ? from.resolveSibling("weldlink.jar") : from;
+            log = folder.resolve("process-" + running.size() + ".log");
             List<String> command = new ArrayList<>();
             command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
             Path classes = jar.resolveSibling("weldlink.jsa");
@@ -98,20 +103,35 @@
             command.addAll(OPTIONS);
             command.addAll(List.of("-jar", jar.toString(), "serve"));
             ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.DISCARD);
+                .redirectOutput(log.toFile());
             builder.environment().put("GW_CONFIG", config.toString());
             builder.environment().put("GW_ADMIN", text(admin));
             builder.environment().put("TMPDIR", meets.toString());
-            long start = System.nanoTime();
+            startedAt = System.nanoTime();
             process = builder.start();
+        }
+
+        /** Waits until it says that it is ready. */
+        Running awaitReady() throws Exception {
             while (!call("GET /ready").startsWith("HTTP/1.1 200")) {
-                if (System.nanoTime() - start > TimeUnit.SECONDS.toNanos(LONGEST_START_S) || !process.isAlive()) {
+                if (System.nanoTime() - startedAt > TimeUnit.SECONDS.toNanos(LONGEST_START_S) || !process.isAlive()) {
                     process.destroyForcibly();
                     throw new IOException("the node was not ready within " + LONGEST_START_S + " s");
                 }
                 Thread.sleep(2);
             }
-            startMs = (System.nanoTime() - start) / 1e6;
+            startMs = (System.nanoTime() - startedAt) / 1e6;
+            return this;
+        }
+
+        /** What it has written so far. */
+        String log() throws IOException {
+            return Files.readString(log);
+        }
+
+        /** Sends it a signal by its name, such as STOP or CONT. */
+        void signal(String name) throws IOException, InterruptedException {
+            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
         }
 
         /** What the door answers, head and all; empty where it doesn't. */
@@ -136,8 +156,13 @@
         }
     }
 
-    /** Starts a further process; {@code knows}: it is told what the one that runs knows. */
+    /** Starts a further process and waits until it is ready; {@code knows}: it is told what the one that runs knows. */
     Running start(boolean knows) throws Exception {
+        return launch(knows).awaitReady();
+    }
+
+    /** As {@link #start}, and does not wait for it. */
+    Running launch(boolean knows) throws Exception {
         Path meets = folder.resolve(knows ? "node" : "alone" + running.size());
         Files.createDirectories(meets);
         Running next = new Running(meets);
--- a/src/main/java/onyxpaddle/measure/UpgradeMeasurement.java
+++ b/src/main/java/onyxpaddle/measure/UpgradeMeasurement.java
@@ -1,18 +1,8 @@
 package onyxpaddle.measure;
 
-import java.io.BufferedInputStream;
-import java.io.IOException;
-import java.io.InputStream;
-import java.net.ConnectException;
-import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Queue;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import onyxpaddle.measure.Measure.Measurement;
 import onyxpaddle.measure.PlatformRig.Running;
 import onyxpaddle.standin.StandInServer;
@@ -29,18 +19,6 @@
     private static final int SLOW_MS = 200;
     private static final int FAST_MS = 10;
     private static final long LOOK_MS = 1_000;
-    /** A client opens a new connection after so many requests, as new ones come all the time. */
-    private static final int PER_CONNECTION = 20;
-
-    /** What clients saw; names of bookings that got no answer are looked up with the servers afterwards. */
-    private static final class Seen {
-        final AtomicLong served = new AtomicLong();
-        final AtomicLong refused = new AtomicLong();
-        final AtomicLong failed = new AtomicLong();
-        final AtomicLong turnedBack = new AtomicLong();
-        final Queue<String> unanswered = new ConcurrentLinkedQueue<>();
-        volatile boolean over;
-    }
 
     @Override
     public void run(Figures figures, double part) throws Exception {
@@ -50,13 +28,7 @@
             }
             rig.servers.get(0).delay(SLOW_MS, SLOW_MS);
             Running first = rig.start(true);
-            Seen seen = new Seen();
-            List<Thread> clients = new ArrayList<>();
-            for (int i = 0; i < CLIENTS; i++) {
-                Thread client = new Thread(new Client(rig.listen, seen, i));
-                clients.add(client);
-                client.start();
-            }
+            NamedLoad load = new NamedLoad(rig, CLIENTS);
             TimeUnit.MILLISECONDS.sleep(3 * LOOK_MS);
             double usual = slowShare(rig);
             List<Double> starts = new ArrayList<>();
@@ -75,20 +47,14 @@
                 }
                 first = next;
             }
-            seen.over = true;
-            for (Thread client : clients) {
-                client.join();
-            }
-            long lost = seen.unanswered.stream().filter(name -> rig.servers.stream().anyMatch(s -> s.runs(name) > 0)).count();
-            long twice = rig.servers.stream().flatMap(s -> s.allRuns().keySet().stream()).distinct()
-                .filter(name -> name.startsWith("b") && rig.servers.stream().mapToInt(s -> s.runs(name)).sum() > 1).count();
+            NamedLoad.Audit audit = load.end();
             figures.put("replacements", count, "");
-            figures.put("requests served", seen.served.get(), "");
-            figures.put("refused", seen.refused.get(), "");
-            figures.hold("failed", seen.failed.get(), "", 0, 0);
-            figures.hold("turned back unheard", seen.turnedBack.get() + seen.unanswered.size() - lost, "", 0, Math.max(1, count / 50.0));
-            figures.hold("lost: ran, and no answer", lost, "", 0, 0);
-            figures.hold("bookings that ran twice", twice, "", 0, 0);
+            figures.put("requests served", audit.served(), "");
+            figures.put("refused", audit.refused(), "");
+            figures.hold("failed", audit.failed(), "", 0, 0);
+            figures.hold("turned back unheard", audit.turnedBack(), "", 0, Math.max(1, count / 50.0));
+            figures.hold("lost: ran, and no answer", audit.lost(), "", 0, 0);
+            figures.hold("bookings that ran twice", audit.twice(), "", 0, 0);
             figures.hold("start to ready, median", Figures.median(starts), "ms", 0, 6_000);
             figures.hold("start to ready, longest", starts.stream().mapToDouble(d -> d).max().orElse(0), "ms", 0, 6_000);
             figures.put("share of the slow server, usual", usual, "");
@@ -105,48 +71,4 @@
         return (double) (rig.servers.get(0).served() - slow)
             / Math.max(1, rig.servers.stream().mapToLong(StandInServer::served).sum() - all);
     }
-
-    /** One that asks again and again, on connections that it keeps for a while. */
-    private record Client(InetSocketAddress node, Seen seen, int number) implements Runnable {
-        @Override
-        public void run() {
-            int asked = 0;
-            while (!seen.over) {
-                try (Socket socket = new Socket()) {
-                    socket.setTcpNoDelay(true);
-                    socket.setSoTimeout(10_000);
-                    socket.connect(node);
-                    InputStream in = new BufferedInputStream(socket.getInputStream());
-                    for (int i = 0; i < PER_CONNECTION && !seen.over; i++) {
-                        if (!ask(socket, in, asked++)) {
-                            break;
-                        }
-                    }
-                } catch (ConnectException e) {
-                    seen.turnedBack.incrementAndGet();
-                } catch (IOException e) {
-                    // Counted where it happened.
-                }
-            }
-        }
-
-        private boolean ask(Socket socket, InputStream in, int asked) throws IOException {
-            boolean book = asked % 3 == 0;
-            String name = (book ? "b" : "r") + number + "-" + asked;
-            byte[] request = ((book ? "POST /book" : "GET /read") + " HTTP/1.1\r\nHost: app.svc\r\nX-Trace-Id: " + name
-                + "\r\nX-Effect: " + name + "\r\n" + (book ? "Content-Length: 0\r\n" : "") + "\r\n").getBytes(StandardCharsets.US_ASCII);
-            String head;
-            try {
-                socket.getOutputStream().write(request);
-                head = Load.head(in);
-                in.readNBytes(Load.length(head));
-            } catch (IOException e) {
-                seen.unanswered.add(name);
-                throw e;
-            }
-            String status = head.split(" ")[1];
-            (status.equals("200") ? seen.served : status.equals("503") ? seen.refused : seen.failed).incrementAndGet();
-            return !head.toLowerCase(java.util.Locale.ROOT).contains("connection: close");
-        }
-    }
 }
--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -67,10 +67,6 @@
 
     // ---- figures ----
 
-    public Tally tally() {
-        return tally;
-    }
-
     /** Requests that are taken and have no final answer yet. */
     public int unanswered() {
         return unanswered;
--- a/src/main/java/onyxpaddle/node/Tally.java
+++ b/src/main/java/onyxpaddle/node/Tally.java
@@ -13,11 +13,23 @@
     /** How a request ended for its caller: served, refused, failed. */
     public enum End { SUCCESS, BUSY, FAILURE }
 
+    /** A node whose classes a reload changes again and again must not grow for it. */
+    private static final int MOST_CLASSES = 4_000;
+
     private final Map<String, long[]> classes = new LinkedHashMap<>();
     private long attempts;
 
     public Tally(Collection<String> classNames) {
-        classNames.forEach(name -> classes.put(name, new long[End.values().length]));
+        know(classNames);
+    }
+
+    /** Counts these classes too from now on; those known before go on. Beyond {@value #MOST_CLASSES} none is added. */
+    public void know(Collection<String> classNames) {
+        for (String name : classNames) {
+            if (classes.size() < MOST_CLASSES) {
+                classes.computeIfAbsent(name, n -> new long[End.values().length]);
+            }
+        }
     }
 
     public void ended(String requestClass, End how) {
--- a/src/main/java/onyxpaddle/serve/Lifecycle.java
+++ b/src/main/java/onyxpaddle/serve/Lifecycle.java
@@ -6,6 +6,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -24,6 +25,7 @@
 import onyxpaddle.node.Dispatcher;
 import onyxpaddle.node.Log;
 import onyxpaddle.node.Sockets;
+import onyxpaddle.node.Tally;
 
 /**
  * A process from its start to its end, whatever it serves: the event loop, the operators' door, the node's state, the
@@ -47,6 +49,12 @@
         /** The pools by name, as they are now. */
         Map<String, Dispatcher> pools();
 
+        /** Pools of an earlier configuration that still have requests out. */
+        List<Dispatcher> leaving();
+
+        /** What the process has counted since its start. */
+        Tally tally();
+
         /** Answers what is taken, and calls {@code done} when nothing is left; {@code replaced}: another process listens. */
         void end(boolean replaced, Runnable done);
 
@@ -203,7 +211,7 @@
 
         @Override
         public String figures() {
-            return Exposition.of(work.pools().values(), reloads, failedReloads);
+            return Exposition.of(work.tally(), work.pools().values(), work.leaving(), reloads, failedReloads);
         }
 
         @Override
--- a/src/main/java/onyxpaddle/serve/Node.java
+++ b/src/main/java/onyxpaddle/serve/Node.java
@@ -20,6 +20,7 @@
 import onyxpaddle.node.Dispatcher;
 import onyxpaddle.node.Log;
 import onyxpaddle.node.Roster;
+import onyxpaddle.node.Tally;
 
 /** The platform's node: one listener, one pool whose servers discovery tells. */
 public final class Node implements Lifecycle.Work {
@@ -41,6 +42,7 @@
     private final Lifecycle life = new Lifecycle(this);
     private final Clock clock = life.clock;
     private final long startedAt = clock.now();
+    private final Tally tally = new Tally(List.of());
     private Dispatcher dispatcher;
     private HttpUpstream servers;
     private Discovery discovery;
@@ -89,8 +91,9 @@
     public void build() {
         EventLoop loop = life.loop;
         Budget budget = new Budget(config.sockets(), Runtime.getRuntime().maxMemory());
+        tally.know(PoolSettings.classNames(config.settings()));
         dispatcher = new Dispatcher(clock, loop, new RatioBalancer(config.settings(), config.seed()), config.settings().limits(),
-            PoolSettings.tally(config.settings()));
+            tally);
         PoolShare share = budget.pool();
         servers = new HttpUpstream(loop, life.allocator, clock, share, dispatcher, new PlatformAnswers(),
             Math.min(LONGEST_IDLE, (long) (IDLE_SHARE * config.keepalive())), config.settings().limits().connectTimeout(), MOST_IDLE);
@@ -123,6 +126,16 @@
         return Map.of("", dispatcher);
     }
 
+    @Override
+    public List<Dispatcher> leaving() {
+        return List.of();
+    }
+
+    @Override
+    public Tally tally() {
+        return tally;
+    }
+
     private Discovery discovery() {
         return new Discovery(life.loop, life.allocator, config.discovery(), config.settings().mustAskMembership(),
             config.known().seq(), roster -> {
--- a/src/main/java/onyxpaddle/serve/PoolSettings.java
+++ b/src/main/java/onyxpaddle/serve/PoolSettings.java
@@ -23,7 +23,6 @@
 import onyxpaddle.http.PlainRequests.Classes;
 import onyxpaddle.node.Addresses;
 import onyxpaddle.node.Roster;
-import onyxpaddle.node.Tally;
 import onyxpaddle.rpc.RpcCalls;
 import onyxpaddle.rpc.RpcUpstream;
 
@@ -96,8 +95,8 @@
         return classes;
     }
 
-    static Tally tally(Settings settings) {
-        return new Tally(settings.classes().stream().map(Balancing.RequestClass::name).toList());
+    static List<String> classNames(Settings settings) {
+        return settings.classes().stream().map(Balancing.RequestClass::name).toList();
     }
 
     static Roster roster(List<Server> servers) {
--- a/src/main/java/onyxpaddle/serve/PoolUnit.java
+++ b/src/main/java/onyxpaddle/serve/PoolUnit.java
@@ -33,6 +33,7 @@
 import onyxpaddle.node.InFlightLimit;
 import onyxpaddle.node.Log;
 import onyxpaddle.node.Roster;
+import onyxpaddle.node.Tally;
 import onyxpaddle.rpc.RpcCalls;
 import onyxpaddle.rpc.RpcCounts;
 import onyxpaddle.rpc.RpcUpstream;
@@ -49,7 +50,7 @@
 
     /** What a pool shares with the rest of the node; {@code files}: the thread that reads list files. */
     record Surroundings(EventLoop loop, ByteBufAllocator allocator, Clock clock, Budget budget,
-            ScheduledExecutorService files, String node) {
+            ScheduledExecutorService files, Tally tally, String node) {
     }
 
     final Dispatcher dispatcher;
@@ -70,10 +71,11 @@
         this.around = around;
         share = around.budget().pool();
         Settings settings = PoolSettings.of(pool, node);
+        around.tally().know(PoolSettings.classNames(settings));
         double highest = classes.stream().mapToDouble(RequestClass::worth).max().orElse(1);
         InFlightLimit limit = pool.inFlight() == 0 ? null : new InFlightLimit(pool.inFlight(), highest);
         dispatcher = new Dispatcher(around.clock(), around.loop(), new RatioBalancer(settings, seed), settings.limits(),
-            PoolSettings.tally(settings), limit);
+            around.tally(), limit);
         called = node.called(pool.name());
         upstream = new Upstreams(dispatcher, new HttpUpstream(around.loop(), around.allocator(), around.clock(), share,
             dispatcher, new PlainAnswers(around.node()), pool.idle(), pool.connectTimeout(), MOST_IDLE,
@@ -151,7 +153,7 @@
     }
 
     Target target() {
-        return new Target(dispatcher, share.bytes(), config.body());
+        return new Target(dispatcher, share.bytes(), config.body(), config.held());
     }
 
     RpcCalls.Target callTarget() {
--- a/src/main/java/onyxpaddle/serve/Sidecar.java
+++ b/src/main/java/onyxpaddle/serve/Sidecar.java
@@ -38,6 +38,7 @@
 import onyxpaddle.node.Dispatcher;
 import onyxpaddle.node.Front;
 import onyxpaddle.node.Log;
+import onyxpaddle.node.Tally;
 import onyxpaddle.route.ProcedureTable;
 import onyxpaddle.route.RouteTable;
 import onyxpaddle.rpc.RpcCalls;
@@ -70,6 +71,8 @@
     /** Of the listeners for others; and of those for what the application itself calls, which end after them. */
     private final NodeState inbound = life.state;
     private final NodeState outbound = new NodeState();
+    /** Of the process: a pool that a reload replaces takes no count along. */
+    private final Tally tally = new Tally(List.of());
     private final Map<String, PoolUnit> pools = new LinkedHashMap<>();
     private final Map<String, Door> doors = new LinkedHashMap<>();
     private final List<PoolUnit> leavingPools = new ArrayList<>();
@@ -149,6 +152,16 @@
         return dispatchers;
     }
 
+    @Override
+    public List<Dispatcher> leaving() {
+        return leavingPools.stream().map(pool -> pool.dispatcher).toList();
+    }
+
+    @Override
+    public Tally tally() {
+        return tally;
+    }
+
     // ---- change ----
 
     /** Reads the file again, off the event loop; a faulty one changes nothing and is told in full. */
@@ -289,7 +302,7 @@
                 pools.put(name, old);
             } else {
                 PoolUnit unit = new PoolUnit(pool, to, seeds.nextLong(),
-                    new PoolUnit.Surroundings(loop, allocator, clock, budget, files, to.name()));
+                    new PoolUnit.Surroundings(loop, allocator, clock, budget, files, tally, to.name()));
                 unit.start();
                 pools.put(name, unit);
             }
@@ -348,7 +361,7 @@
     }
 
     /** How many pools and fronts still end, for tests. */
-    int leaving() throws Exception {
+    int stillEnding() throws Exception {
         return loop.submit(() -> leavingPools.size() + leavingFronts.size()).get();
     }
 
--- a/src/main/java/onyxpaddle/sidecar/Derivation.java
+++ b/src/main/java/onyxpaddle/sidecar/Derivation.java
@@ -177,6 +177,7 @@
         line("    attempts: " + pool.attempts());
         line("    in-flight: " + pool.inFlight());
         line("    body: " + Units.sizeText(pool.body()));
+        line("    held: " + Units.sizeText(pool.held()));
         if (servers.stream().anyMatch(s -> s.rpc() != null) || !pool.rpc().equals(Rpc.USUAL)) {
             line("    rpc: {connections: " + pool.rpc().connections() + ", calls: " + pool.rpc().calls() + ", envelope: "
                 + pool.rpc().envelope() + "}");
--- a/src/main/java/onyxpaddle/sidecar/DescriptionReader.java
+++ b/src/main/java/onyxpaddle/sidecar/DescriptionReader.java
@@ -67,11 +67,13 @@
         Pool own = NodeConfigReader.settings("application", bounds, itself, null, null, limits, faults);
         Map<String, Served> serves = served(root, "serves", root.section("default"), root.has("default"));
         spoken(root, "serves", "port", "rpc-port");
+        fitsWhole(root, "serves", bounds, own);
         Map<String, Call> calls = new LinkedHashMap<>();
         root.named("calls").forEach((name, view) -> calls.put(name, call(name, view, inbound, inboundRpc)));
-        return new Description(file, root, root.text("application", Kind.LABEL, ""),
-            root.text("tenant", Kind.NAME, null), ports, inbound, inboundRpc,
-            NodeConfigReader.admin(root, faults), NodeConfigReader.handover(root, file.toAbsolutePath().getParent(), faults), limits, own, serves, others(root), calls);
+        HostPort admin = NodeConfigReader.admin(root, faults);
+        Path handover = NodeConfigReader.handover(root, file.toAbsolutePath().getParent(), faults);
+        return new Description(file, root, root.text("application", Kind.LABEL, ""), root.text("tenant", Kind.NAME, null),
+            ports, inbound, inboundRpc, admin, handover, limits, own, serves, others(root), calls);
     }
 
     private static HostPort here(int port) {
@@ -204,10 +206,18 @@
         circles(view, key, known, inbound, inboundRpc);
         reachable(view, key, known);
         Pool pool = NodeConfigReader.settings(name, view, servers, list, view.address("discovery"), limits, faults);
+        fitsWhole(view, "classes", view, pool);
         return new Call(name, view, new Ports(view.port("port"), view.port("rpc-port")), pool, sources == 0,
             served(view, "classes", view.section("default"), view.has("default")), others(view));
     }
 
+    /** Bodies of a pool that any procedure leads to are held whole. */
+    private void fitsWhole(View view, String classes, View bounds, Pool pool) {
+        if (view.named(classes).values().stream().anyMatch(c -> c.has("procedures"))) {
+            NodeConfigReader.fitsWhole(bounds, pool, limits, faults);
+        }
+    }
+
     /** That servers speak what the classes of a call are asked by. */
     private void reachable(View view, String key, List<Server> servers) {
         boolean http = view.has("default") || view.named("classes").values().stream().anyMatch(c -> c.has("paths"));
--- a/src/main/java/onyxpaddle/sidecar/DescriptionShape.java
+++ b/src/main/java/onyxpaddle/sidecar/DescriptionShape.java
@@ -35,10 +35,10 @@
         optional("rpc-port", plain(Kind.PORT), "none", "where it reaches it by MessagePack-RPC, on 127.0.0.1"),
         NodeShape.SERVER_LIST, NodeShape.FILE, NodeShape.DISCOVERY, CLASSES, OTHERS,
         NodeShape.CONNECT_TIMEOUT, NodeShape.KEEP_ALIVE, NodeShape.IDLE, NodeShape.ATTEMPTS, NodeShape.IN_FLIGHT,
-        NodeShape.BODY, NodeShape.RPC);
+        NodeShape.BODY, NodeShape.HELD, NodeShape.RPC);
 
     private static final Section LIMITS = section(NodeShape.MEMORY, NodeShape.DESCRIPTORS, NodeShape.IN_FLIGHT,
-        NodeShape.BODY, NodeShape.CONNECT_TIMEOUT, NodeShape.KEEP_ALIVE, NodeShape.IDLE, NodeShape.RPC);
+        NodeShape.BODY, NodeShape.HELD, NodeShape.CONNECT_TIMEOUT, NodeShape.KEEP_ALIVE, NodeShape.IDLE, NodeShape.RPC);
 
     static final Section ALL = section(
         required("application", plain(Kind.LABEL), "its name, on this machine and to those who call it"),
--- /dev/null
+++ b/src/test/java/onyxpaddle/serve/FiguresTest.java
@@ -0,0 +1,117 @@
+package onyxpaddle.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.TimeUnit;
+import onyxpaddle.config.NodeConfig;
+import onyxpaddle.serve.Loopback.Client;
+import onyxpaddle.serve.Loopback.FakeServer;
+import onyxpaddle.standin.RpcCaller;
+import onyxpaddle.standin.StandInRpcServer;
+import org.junit.jupiter.api.Test;
+
+/** The figures are what callers and servers counted, over crashes, callers that leave, both protocols and reloads. */
+class FiguresTest {
+    private static final String BOOK = "POST /visits HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+
+    private static NodeConfig config(String http, String rpc, int attempts) {
+        return SidecarRig.config("""
+            version: 1
+            name: rig
+            admin: "127.0.0.1:0"
+            listeners:
+              in: {address: "127.0.0.1:0"}
+              calls: {address: "127.0.0.1:0", protocol: messagepack-rpc}
+            classes:
+              book: {effect: unsafe, deadline: 10 s}
+              read: {effect: safe, deadline: 10 s}
+            pools:
+              app: {servers: ["%s"], attempts: %d}
+              records: {servers: [{id: r, rpc: "%s"}]}
+            routes:
+              - {name: book, listener: in, path: /visits, pool: app, class: book}
+            procedures:
+              - {name: read, listener: calls, procedure: read, pool: records, class: read}
+            """.formatted(http, attempts, rpc));
+    }
+
+    private static long figure(Sidecar node, String series) throws Exception {
+        try (Client operator = new Client(node.adminAddress())) {
+            String figures = operator.say("GET /metrics HTTP/1.1\r\n\r\n").hear();
+            return Long.parseLong(figures.lines().filter(line -> line.startsWith(series + " ")).findFirst()
+                .orElseThrow(() -> new AssertionError(series + " is not in\n" + figures)).substring(series.length() + 1));
+        }
+    }
+
+    private static void await(Sidecar node, String series, long value) throws Exception {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Loopback.PATIENCE_MS);
+        while (figure(node, series) != value) {
+            assertTrue(System.nanoTime() < end, () -> series + " is not " + value);
+        }
+    }
+
+    private static String calls(String name, String how) {
+        return "svc_calls_total{tier=\"" + name + "\",code=\"" + how + "\"}";
+    }
+
+    private static void book(Sidecar node, FakeServer box, String answer, String status) throws Exception {
+        try (Client client = new Client(node.address("in"))) {
+            box.answers.add(answer);
+            assertTrue(client.say(BOOK).hear().startsWith(status));
+            box.heard();
+        }
+    }
+
+    @Test
+    void holdOverCrashesCallersThatLeaveBothProtocolsAndReloads() throws Exception {
+        try (FakeServer box = new FakeServer("box"); StandInRpcServer records = new StandInRpcServer("records", 0, new onyxpaddle.standin.Ledger())) {
+            String rpc = "127.0.0.1:" + records.address().getPort();
+            Sidecar node = Sidecar.start(config(box.address(), rpc, 3));
+            for (int i = 0; i < 7; i++) {
+                book(node, box, Loopback.ok("fine"), "200");
+            }
+            for (int i = 0; i < 3; i++) {
+                book(node, box, FakeServer.BREAK, "502");
+            }
+            try (RpcCaller caller = new RpcCaller(node.address("calls"))) {
+                for (int i = 0; i < 5; i++) {
+                    assertTrue(caller.ask("read").ok());
+                }
+            }
+            assertEquals(7, figure(node, calls("book", "success")));
+            assertEquals(3, figure(node, calls("book", "failure")));
+            assertEquals(5, figure(node, calls("read", "success")));
+            assertEquals(15, figure(node, "svc_backend_calls_total"));
+            // Callers that leave: what is in flight goes with them.
+            for (int i = 0; i < 4; i++) {
+                try (Client leaves = new Client(node.address("in"))) {
+                    leaves.say(BOOK);
+                    box.heard();
+                }
+            }
+            await(node, "svc_inflight", 0);
+            for (int i = 0; i < 4; i++) {
+                box.answers.add(Loopback.ok("for nobody"));
+            }
+            // A pool that changes starts anew in all but its counts, and what it still has out is in flight.
+            try (Client busy = new Client(node.address("in"))) {
+                busy.say(BOOK);
+                box.heard();
+                assertEquals(1, figure(node, "svc_inflight"));
+                node.change(config(box.address(), rpc, 2)).get(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS);
+                assertEquals(1, figure(node, "svc_inflight"));
+                box.answers.add(Loopback.ok("taken before"));
+                assertEquals("200 taken before", busy.hear());
+            }
+            book(node, box, Loopback.ok("after"), "200");
+            await(node, "svc_inflight", 0);
+            assertEquals(9, figure(node, calls("book", "success")));
+            assertEquals(3, figure(node, calls("book", "failure")));
+            assertEquals(5, figure(node, calls("read", "success")));
+            assertEquals(21, figure(node, "svc_backend_calls_total"));
+            assertEquals(2, figure(node, "svc_hosts_listed"));
+            node.stop();
+        }
+    }
+}
