--- a/src/main/java/onyxpaddle/Balancing.java
+++ b/src/main/java/onyxpaddle/Balancing.java
@@ -208,7 +208,7 @@
     /**
      * How a server stands with a node, for on-call staff.
      *
-     * @param doubted listed by the file the process was started with, and not by what the process before it knew
+     * @param doubted listed by the file the process was started with, against what the process before it knew
      * @param chance the part of its draws that failures leave it, 0 to 1
      * @param mean its round trips against what is usual for their class; 0 before the first
      * @param out attempts that are with it now
--- a/src/main/java/onyxpaddle/RatioBalancer.java
+++ b/src/main/java/onyxpaddle/RatioBalancer.java
@@ -76,8 +76,8 @@
     private final Map<String, ServerMemory> remembered = new HashMap<>();
     /** The process before this one is known to have had no other servers than those remembered. */
     private boolean rememberedAll;
-    /** Discovery has told a whole list. */
-    private boolean heardAll;
+    /** Discovery has told a list, or what has changed since the one that the process was started with. */
+    private boolean heard;
     /** The servers that may be sent to, in an order that all nodes share; and from this node's place on. */
     private final List<Server> ready = new ArrayList<>();
     private final List<Server> around = new ArrayList<>();
@@ -172,9 +172,12 @@
             news.entries().forEach(e -> before.remove(e.server()));
             before.keySet().forEach(servers::remove);
         }
-        heardAll |= news.kind() == ListKind.ALL;
-        news.entries().forEach(entry -> applyEntry(entry, news.kind() != ListKind.REMEMBERED));
-        if (heardAll) {
+        news.entries().forEach(this::applyEntry);
+        if (news.kind() != ListKind.REMEMBERED && !heard) {
+            heard = true;
+            servers.values().forEach(server -> server.doubted = false);
+        }
+        if (news.kind() == ListKind.ALL) {
             remembered.clear();
         }
         listReady();
@@ -218,8 +221,7 @@
         chance = chance.length < ready.size() ? new double[ready.size() * 2] : chance;
     }
 
-    /** {@code news}: from discovery, and not from the list that the process was started with. */
-    private void applyEntry(ServerEntry entry, boolean news) {
+    private void applyEntry(ServerEntry entry) {
         if (entry.state() == ServerState.GONE) {
             servers.remove(entry.server());
             return;
@@ -232,7 +234,6 @@
             servers.put(entry.server(), server);
             remind(server);
         }
-        server.doubted &= !news;
         server.state = entry.state();
         server.size = entry.weight() > 0 ? entry.weight() : 1;
     }
@@ -297,11 +298,11 @@
 
     /**
      * A list from before the start may be older than what the process before this one knew: a server that had
-     * left that one's list, drains, or has started again since, gets nothing before discovery has named it.
+     * left that one's list, drains, or has started again since, gets nothing before discovery has spoken.
      */
     private void remind(Server server) {
         ServerMemory memory = remembered.remove(server.id);
-        if (!heardAll) {
+        if (!heard) {
             server.doubted = memory == null ? rememberedAll
                 : memory.leaving() && memory.startedAt() >= server.startedAt
                     || memory.startedAt() > server.startedAt;
@@ -837,7 +838,7 @@
         int count;
         int next;
         boolean isColdListed;
-        /** Gets nothing until discovery names it: see {@link #remind}. */
+        /** Gets nothing until discovery has spoken: see {@link #remind}. */
         boolean doubted;
         long sampledAt;
         long heardAt;
--- a/src/test/java/onyxpaddle/serve/SidecarInServiceTest.java
+++ b/src/test/java/onyxpaddle/serve/SidecarInServiceTest.java
@@ -168,6 +168,44 @@
         }
     }
 
+    @Test
+    void aReloadLeavesADrainedNodeDrainedItsNewListenersToo(@TempDir Path folder) throws Exception {
+        try (StandInServer one = new StandInServer("one", 0)) {
+            String server = "address: \"" + one.hostPort() + "\"";
+            Sidecar node = Sidecar.start(config(folder, 0, 0, server));
+            assertEquals(0, command(node, "drain").code());
+            node.change(config(folder, freePort(), freePort(), server)).get();
+            assertEquals(new Said(1, "no\n", ""), command(node, "ready"));
+            try (Client client = new Client(node.address("in"))) {
+                assertTrue(client.say("GET /.lupinmount/ready HTTP/1.1\r\nHost: a\r\n\r\n").hear().startsWith("503"));
+            }
+            assertEquals(0, command(node, "undrain").code());
+            try (Client client = new Client(node.address("in"))) {
+                assertTrue(client.say(GET).hear().startsWith("200 one "));
+            }
+            node.stop();
+        }
+    }
+
+    @Test
+    void aDrainWithNoServerKnownEndsWithAnUndrainAndNoYesUntilThereIsOne() throws Exception {
+        try (StandInServer one = new StandInServer("one", 0)) {
+            Sidecar node = Sidecar.start(SidecarRig.config(SidecarRig.simple("", one).replace("servers: [" + one.hostPort() + "]",
+                "discovery: \"127.0.0.1:" + freePort() + "\"").replace("listeners:", "admin: \"127.0.0.1:0\"\nlisteners:")));
+            assertEquals(1, command(node, "ready").code());
+            assertEquals(0, command(node, "drain").code());
+            assertEquals(1, command(node, "ready").code());
+            assertEquals(0, command(node, "undrain").code());
+            assertEquals(1, command(node, "ready").code());
+            Thread end = new Thread(node::drain);
+            end.start();
+            end.join(Loopback.PATIENCE_MS);
+            assertFalse(end.isAlive());
+            assertEquals(1, command(node, "undrain").code(), "an end is not taken back");
+            node.stop();
+        }
+    }
+
     @Test
     void theTreeOfCommandsTellsItsUse() {
         for (String[] args : new String[][] {{"--help"}, {"--version"}, {"serve", "--help"}, {"measure", "--help"}, {"node", "--help"},
