--- /dev/null
+++ b/src/main/java/onyxpaddle/standin/StandInBgpPeer.java
@@ -0,0 +1,298 @@
+package onyxpaddle.standin;
+
+import java.io.DataInputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/**
+ * A router by BGP as a speaker's peer, over blocking sockets with a codec of its own: it takes one session after the other, keeps a
+ * routing table with the time of each change, and counts what breaks the RFCs. By script it refuses, stays silent, stops reading, sends
+ * any bytes, breaks off, or dials itself.
+ */
+public final class StandInBgpPeer implements AutoCloseable {
+    private static final byte[] MARKER = HexFormat.of().parseHex("ff".repeat(16));
+
+    /** One change of the table: a prefix that came, with its attributes as hex, or went. */
+    public record Change(long at, String prefix, boolean announced, String attributes) {
+    }
+
+    private final ServerSocket listener;
+    private final int as;
+    private final int identifier;
+    private final int holdTime;
+    private final Map<String, String> table = new ConcurrentHashMap<>();
+    private final List<Change> changes = new CopyOnWriteArrayList<>();
+    private final List<String> faults = new CopyOnWriteArrayList<>();
+    private final List<String> notifications = new CopyOnWriteArrayList<>();
+    private volatile Socket session;
+    private volatile boolean established;
+    private volatile boolean refuses;
+    private volatile boolean silent;
+    private volatile boolean reads = true;
+    private volatile int sessions;
+    private volatile int messages;
+
+    /** Listens on this address of the loopback, a port that the system chooses. */
+    public StandInBgpPeer(String host, int as, int identifier, int holdTime) throws IOException {
+        this.as = as;
+        this.identifier = identifier;
+        this.holdTime = holdTime;
+        listener = new ServerSocket(0, 16, InetAddress.getByName(host));
+        daemon(() -> {
+            while (true) {
+                Socket socket = listener.accept();
+                if (refuses) {
+                    socket.close();
+                } else {
+                    daemon(() -> serve(socket));
+                }
+            }
+        });
+    }
+
+    private interface Work {
+        void run() throws IOException;
+    }
+
+    private static void daemon(Work work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (IOException e) {
+                // The connection or the peer has ended.
+            }
+        }, "bgp-peer");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    public InetSocketAddress address() {
+        return (InetSocketAddress) listener.getLocalSocketAddress();
+    }
+
+    // ---- script ----
+
+    /** From now on connections are closed at once, or taken again. */
+    public void refuses(boolean on) {
+        refuses = on;
+    }
+
+    /** From now on it sends no OPEN, and nothing after it. */
+    public void silent(boolean on) {
+        silent = on;
+    }
+
+    public void reads(boolean on) {
+        reads = on;
+    }
+
+    /** Breaks the session off. */
+    public void breakOff() throws IOException {
+        Socket socket = session;
+        if (socket != null) {
+            socket.close();
+        }
+    }
+
+    /** Dials the speaker from the own address and serves that connection as any other. */
+    public void dial(InetSocketAddress speaker) throws IOException {
+        Socket socket = new Socket();
+        socket.bind(new InetSocketAddress(listener.getInetAddress(), 0));
+        socket.connect(speaker);
+        daemon(() -> serve(socket));
+    }
+
+    /** Sends a message with this type and body, in hex, on the session. */
+    public void send(int type, String body) throws IOException {
+        send(session, type, HexFormat.of().parseHex(body.replace(" ", "")));
+    }
+
+    /** Sends these bytes as they are. */
+    public void raw(byte[] bytes) throws IOException {
+        session.getOutputStream().write(bytes);
+    }
+
+    // ---- what it knows ----
+
+    public Map<String, String> table() {
+        return table;
+    }
+
+    public List<Change> changes() {
+        return changes;
+    }
+
+    /** What broke the RFCs. */
+    public List<String> faults() {
+        return faults;
+    }
+
+    /** Codes and subcodes that the speaker has sent, such as {@code 6/2}. */
+    public List<String> notifications() {
+        return notifications;
+    }
+
+    public boolean established() {
+        return established;
+    }
+
+    public int sessions() {
+        return sessions;
+    }
+
+    public int messages() {
+        return messages;
+    }
+
+    // ---- one session ----
+
+    private static void send(Socket socket, int type, byte[] body) throws IOException {
+        ByteBuffer out = ByteBuffer.allocate(19 + body.length).put(MARKER).putShort((short) (19 + body.length)).put((byte) type).put(body);
+        synchronized (socket) {
+            socket.getOutputStream().write(out.array());
+        }
+    }
+
+    private byte[] open() {
+        ByteBuffer out = ByteBuffer.allocate(10 + 2 + 14).put((byte) 4).putShort((short) as).putShort((short) holdTime).putInt(identifier);
+        out.put((byte) 16).put((byte) 2).put((byte) 14);
+        out.put(HexFormat.of().parseHex("010400010001")).put((byte) 2).put((byte) 0).put((byte) 65).put((byte) 4).putInt(as);
+        return out.array();
+    }
+
+    private void serve(Socket socket) throws IOException {
+        try (socket) {
+            session = socket;
+            if (!silent) {
+                send(socket, 1, open());
+            }
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            boolean opened = false;
+            while (true) {
+                while (!reads) {
+                    Thread.sleep(5);
+                }
+                byte[] head = new byte[19];
+                in.readFully(head);
+                int length = (head[16] & 0xff) << 8 | head[17] & 0xff;
+                if (!HexFormat.of().formatHex(head, 0, 16).equals("ff".repeat(16)) || length < 19 || length > 4096) {
+                    faults.add("header " + HexFormat.of().formatHex(head));
+                    return;
+                }
+                byte[] body = in.readNBytes(length - 19);
+                messages++;
+                int type = head[18];
+                if (type == 1 && !opened) {
+                    opened = true;
+                    checkOpen(body);
+                    if (!silent) {
+                        send(socket, 4, new byte[0]);
+                    }
+                } else if (type == 4 && opened && body.length == 0) {
+                    if (!established || session != socket) {
+                        sessions++;
+                        session = socket;
+                        established = true;
+                    }
+                    if (!silent) {
+                        send(socket, 4, new byte[0]);
+                    }
+                } else if (type == 2 && established) {
+                    update(body);
+                } else if (type == 3) {
+                    notifications.add(body[0] + "/" + body[1]);
+                    return;
+                } else {
+                    faults.add("message " + type + " out of place");
+                }
+            }
+        } catch (EOFException e) {
+            // It has closed.
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            if (session == socket) {
+                established = false;
+                table.clear();
+            }
+        }
+    }
+
+    private void checkOpen(byte[] body) {
+        if (body.length < 10 || body[0] != 4 || body[9] != body.length - 10) {
+            faults.add("OPEN " + HexFormat.of().formatHex(body));
+        }
+    }
+
+    private void update(byte[] body) {
+        ByteBuffer in = ByteBuffer.wrap(body);
+        ByteBuffer withdrawn = slice(in, in.getShort() & 0xffff);
+        ByteBuffer attributes = slice(in, in.getShort() & 0xffff);
+        String text = HexFormat.of().formatHex(body, attributes.arrayOffset() + attributes.position(),
+            attributes.arrayOffset() + attributes.limit());
+        while (withdrawn.hasRemaining()) {
+            String prefix = prefix(withdrawn);
+            if (table.remove(prefix) == null) {
+                faults.add("withdraws " + prefix + ", which it never announced");
+            }
+            changes.add(new Change(System.nanoTime(), prefix, false, ""));
+        }
+        boolean announces = in.hasRemaining();
+        while (in.hasRemaining()) {
+            String prefix = prefix(in);
+            table.put(prefix, text);
+            changes.add(new Change(System.nanoTime(), prefix, true, text));
+        }
+        if (announces) {
+            checkAttributes(attributes);
+        }
+    }
+
+    /** ORIGIN, AS_PATH and NEXT_HOP once each, with their flags; LOCAL_PREF from the own AS alone. */
+    private void checkAttributes(ByteBuffer in) {
+        int seen = 0;
+        while (in.remaining() >= 3) {
+            int flags = in.get() & 0xff;
+            int type = in.get() & 0xff;
+            int length = (flags & 0x10) != 0 ? in.getShort() & 0xffff : in.get() & 0xff;
+            if (length > in.remaining() || type < 32 && (seen & 1 << type) != 0 || type <= 3 && (flags & 0xe0) != 0x40) {
+                faults.add("attribute " + type + " with flags " + flags + " and length " + length);
+                return;
+            }
+            seen |= type < 32 ? 1 << type : 0;
+            in.position(in.position() + length);
+        }
+        if ((seen & 0b1110) != 0b1110 || in.hasRemaining()) {
+            faults.add("attributes " + seen);
+        }
+    }
+
+    private static ByteBuffer slice(ByteBuffer in, int length) {
+        ByteBuffer part = in.duplicate().limit(in.position() + length);
+        in.position(in.position() + length);
+        return part;
+    }
+
+    private static String prefix(ByteBuffer in) {
+        int bits = in.get() & 0xff;
+        byte[] address = new byte[4];
+        in.get(address, 0, (bits + 7) / 8);
+        return (address[0] & 0xff) + "." + (address[1] & 0xff) + "." + (address[2] & 0xff) + "." + (address[3] & 0xff) + "/" + bits;
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        breakOff();
+    }
+}
