A node by file announces its services by BGP while they serve, and not when drained

Change: section bgp with its checks (reserved numbers, hold times of one and two seconds, the same router or prefix twice, a passive peer without a listener, a prefix with bits behind its length, a pool that is not there); serve.Announcing, which looks at the pools four times a second and tells the speaker how each address stands, by the one state that operators drain; bgp check and bgp show (GET /bgp); docs/bgp.md, deploy/bgp, bin/measure bgp. The stand-in router tells a change before it shows it, and knows which of two sessions is kept: both let tests fail now and then.

--- a/src/main/java/onyxpaddle/admin/AdminCalls.java
+++ b/src/main/java/onyxpaddle/admin/AdminCalls.java
@@ -11,6 +11,9 @@
     /** How each server of each pool stands, as JSON. */
     String servers();
 
+    /** What is announced by BGP and to whom, as JSON; null where nothing is. */
+    String bgp();
+
     /** Empties the node; false where that can't be. */
     boolean drain();
 
--- a/src/main/java/onyxpaddle/admin/AdminDoor.java
+++ b/src/main/java/onyxpaddle/admin/AdminDoor.java
@@ -122,7 +122,7 @@
         QueryStringDecoder query = new QueryStringDecoder(uri, StandardCharsets.UTF_8, true, MOST_PARAMETERS);
         String path = query.rawPath();
         HttpMethod wanted = switch (path) {
-            case "/ready", "/metrics", "/servers" -> HttpMethod.GET;
+            case "/ready", "/metrics", "/servers", "/bgp" -> HttpMethod.GET;
             case "/drain", "/undrain", "/servers/disable", "/servers/enable" -> HttpMethod.POST;
             default -> null;
         };
@@ -135,6 +135,8 @@
             case "/ready" -> Result.of(calls.ready());
             case "/metrics" -> new Result(HttpResponseStatus.OK, Exposition.TYPE, calls.figures());
             case "/servers" -> new Result(HttpResponseStatus.OK, "application/json", calls.servers());
+            case "/bgp" -> calls.bgp() == null ? Result.of(HttpResponseStatus.NOT_FOUND)
+                : new Result(HttpResponseStatus.OK, "application/json", calls.bgp());
             case "/drain" -> Result.of(calls.drain());
             case "/undrain" -> Result.of(calls.undrain());
             default -> byHand(query.parameters().getOrDefault("id", List.of()), path.endsWith("/disable"));
--- a/src/main/java/onyxpaddle/bgp/AnnouncePolicy.java
+++ b/src/main/java/onyxpaddle/bgp/AnnouncePolicy.java
@@ -103,6 +103,11 @@
         return manner.name().toLowerCase(java.util.Locale.ROOT);
     }
 
+    /** What it announces where it does. */
+    public List<Prefix> prefixes() {
+        return terms.prefixes();
+    }
+
     /** UPDATEs sent so far, to all peers. */
     public long updates() {
         return updates;
--- a/src/main/java/onyxpaddle/bgp/ServiceHealth.java
+++ b/src/main/java/onyxpaddle/bgp/ServiceHealth.java
@@ -1,5 +1,8 @@
 package onyxpaddle.bgp;
 
+import java.util.Comparator;
+import java.util.List;
+
 /**
  * Whether a pool can really serve, by what the node itself sees of it; it sends no probes, does no I/O and is handed the
  * time. An idle pool is not a sick one: without enough requests in the window only its servers speak for it.
@@ -42,6 +45,12 @@
         public static final Terms USUAL = new Terms(0.9, 0.3, 0.05, 20, 10 * SECOND, 5 * SECOND, SECOND / 2);
     }
 
+    /** What several pools make of an address that needs all of them, or any. */
+    public static Verdict combined(List<Verdict> pools, boolean any) {
+        Comparator<Verdict> order = Comparator.comparing(Verdict::status);
+        return pools.stream().min(any ? order : order.reversed()).orElse(new Verdict(Status.DOWN, "no pool", 0));
+    }
+
     private static final int PARTS = 10;
 
     private final Terms terms;
--- a/src/main/java/onyxpaddle/bgp/Speaker.java
+++ b/src/main/java/onyxpaddle/bgp/Speaker.java
@@ -72,6 +72,9 @@
 
     /** Takes connections of configured peers; others are closed at once. */
     public ChannelFuture listen(InetSocketAddress address) {
+        if (listener != null) {
+            listener.close();
+        }
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, 16)
             .option(ChannelOption.SO_REUSEADDR, true)
@@ -144,6 +147,11 @@
         return addresses.containsKey(address) && addresses.get(address).announced();
     }
 
+    /** Its addresses by name. */
+    public Map<String, AnnouncePolicy> addresses() {
+        return java.util.Collections.unmodifiableMap(addresses);
+    }
+
     public List<PeerStatus> status() {
         List<PeerStatus> all = new ArrayList<>();
         peers.values().forEach(link -> all.add(link.status()));
--- a/src/main/java/onyxpaddle/command/NodeCommand.java
+++ b/src/main/java/onyxpaddle/command/NodeCommand.java
@@ -4,29 +4,21 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
-import java.net.ConnectException;
-import java.net.URI;
 import java.net.URLEncoder;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
 import onyxpaddle.config.HostPort;
-import picocli.CommandLine;
 import picocli.CommandLine.Command;
-import picocli.CommandLine.ITypeConverter;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.ScopeType;
 import picocli.CommandLine.Spec;
-import picocli.CommandLine.TypeConversionException;
 
 /** What on-call staff ask of a running node, at its operators' door. */
 @Command(name = "node", mixinStandardHelpOptions = true, synopsisSubcommandLabel = "COMMAND",
@@ -35,13 +27,10 @@
     exitCodeList = {"0:yes, or done", "1:no, or no answer", "64:wrong usage"},
     footer = "%nExample: lupinmount node ready --admin 127.0.0.1:9800")
 final class NodeCommand implements Callable<Integer> {
-    /** The door answers within a second; a busy machine may be slower. */
-    private static final Duration PATIENCE = Duration.ofSeconds(5);
-
     @Spec
     private CommandSpec spec;
 
-    @Option(names = "--admin", paramLabel = "ADDRESS", converter = Address.class, scope = ScopeType.INHERIT,
+    @Option(names = "--admin", paramLabel = "ADDRESS", converter = Door.Address.class, scope = ScopeType.INHERIT,
         description = "where the node listens for operators; without it what $GW_ADMIN says")
     private HostPort admin;
 
@@ -130,29 +119,6 @@
     }
 
     private HttpResponse<String> ask(String method, String path) throws IOException, InterruptedException {
-        String told = System.getenv("GW_ADMIN");
-        HostPort at = admin != null || told == null ? admin : new Address().convert(told);
-        if (at == null) {
-            throw new CommandLine.ParameterException(spec.commandLine(), "where? --admin ADDRESS, or $GW_ADMIN");
-        }
-        HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(PATIENCE).build();
-        try {
-            return client.send(HttpRequest.newBuilder(URI.create("http://" + at + path)).timeout(PATIENCE)
-                .method(method, HttpRequest.BodyPublishers.noBody()).build(), HttpResponse.BodyHandlers.ofString());
-        } catch (IOException e) {
-            throw new IOException(at + " does not answer: " + (e instanceof ConnectException ? "nothing listens there"
-                : e.getMessage() == null ? e : e.getMessage()), e);
-        }
-    }
-
-    static final class Address implements ITypeConverter<HostPort> {
-        @Override
-        public HostPort convert(String text) {
-            HostPort address = HostPort.parse(text);
-            if (address == null) {
-                throw new TypeConversionException("`" + text + "` is no address; such as 127.0.0.1:9800");
-            }
-            return address;
-        }
+        return Door.ask(spec, admin, method, path);
     }
 }
--- a/src/main/java/onyxpaddle/config/NodeConfig.java
+++ b/src/main/java/onyxpaddle/config/NodeConfig.java
@@ -13,8 +13,9 @@
  *
  * @param admin where operators call; null for no door
  * @param handover the folder in which processes of this node meet; null where none takes another's place
+ * @param bgp what is announced; null for nothing
  */
-public record NodeConfig(String name, String tenant, Limits limits, HostPort admin, Path handover, Map<String, Listener> listeners,
+public record NodeConfig(String name, String tenant, Limits limits, HostPort admin, Path handover, BgpConfig bgp, Map<String, Listener> listeners,
         Map<String, RequestClass> classes, Map<String, Pool> pools, List<Route> routes,
         List<Procedure> procedures) {
     /** What effect a repeat of a request may have. */
@@ -109,7 +110,7 @@
 
     /** The same with another address for operators, as for a second process beside the first. */
     public NodeConfig withAdmin(HostPort other) {
-        return new NodeConfig(name, tenant, limits, other, handover, listeners, classes, pools, routes, procedures);
+        return new NodeConfig(name, tenant, limits, other, handover, bgp, listeners, classes, pools, routes, procedures);
     }
 
     /** The classes that a pool's routes and procedures name. */
--- a/src/main/java/onyxpaddle/config/NodeConfigReader.java
+++ b/src/main/java/onyxpaddle/config/NodeConfigReader.java
@@ -90,7 +90,8 @@
             unused("classes", used, "no route gives its requests this class");
         }
         NodeConfig config = new NodeConfig(root.text("name", Shape.Kind.NAME, ""), root.text("tenant", Shape.Kind.NAME, null),
-            limits, admin(root, faults), handover(root, folder, faults), listeners, classes, pools, routes, procedures);
+            limits, admin(root, faults), handover(root, folder, faults),
+            new BgpReader(root, faults).all(pools.keySet()), listeners, classes, pools, routes, procedures);
         pools.forEach((name, pool) -> {
             View at = root.named("pools").get(name);
             ProtocolCheck.check(config, pool, at, known.get(name), faults);
--- a/src/main/java/onyxpaddle/config/NodeShape.java
+++ b/src/main/java/onyxpaddle/config/NodeShape.java
@@ -140,7 +140,7 @@
         required("name", plain(Kind.NAME), "the node's name"),
         optional("tenant", plain(Kind.NAME), "none", "whose requests these are"),
         optional("limits", section(MEMORY, DESCRIPTORS), "see its keys", "what the node may hold"),
-        ADMIN, HANDOVER,
+        ADMIN, HANDOVER, BgpShape.BGP,
         required("listeners", new MapOf(Kind.NAME, LISTENER, false), "where callers connect"),
         required("classes", new MapOf(Kind.NAME, CLASS, false), "the classes of requests"),
         required("pools", new MapOf(Kind.NAME, POOL, false), "sets of servers"),
--- a/src/main/java/onyxpaddle/config/Shape.java
+++ b/src/main/java/onyxpaddle/config/Shape.java
@@ -23,6 +23,12 @@
         COUNT("a whole number"),
         NUMBER("a number"),
         FLAG("`true` or `false`"),
+        /** An IP address without a port, in digits. */
+        IP("an IP address in digits, such as `10.0.0.1`"),
+        /** An address and a length in bits, with no bit set behind it (RFC 4271, 4.3). */
+        PREFIX("an address and its length, such as `10.9.8.7/32`"),
+        /** Two halves of 16 bits (RFC 1997). */
+        COMMUNITY("a community, such as `65001:20`"),
         /** The start of a URL's path. */
         PATH("a path from its first slash on, such as `/slots`"),
         METHOD("an HTTP method in capitals, such as `GET`"),
--- a/src/main/java/onyxpaddle/config/ShapeCheck.java
+++ b/src/main/java/onyxpaddle/config/ShapeCheck.java
@@ -155,6 +155,9 @@
             case COUNT -> bounded(text, WHOLE, plain.least(), plain.most(), shown, "whole number");
             case NUMBER -> bounded(text, NUMBER, plain.least(), plain.most(), shown, "number");
             case ADDRESS -> HostPort.parse(text) == null ? "is no address: " + shown : null;
+            case IP -> Ip.parse(text) == null ? "is no IP address: " + shown : null;
+            case PREFIX -> Ip.prefix(text) == null ? "is no prefix, or has bits behind its length: " + shown : null;
+            case COMMUNITY -> Ip.community(text) == null ? "is no community: " + shown : null;
             case SPAN -> amount(Units.span(text), plain, shown, "time");
             case SIZE -> amount(Units.size(text), plain, shown, "size");
             case FLAG -> text.equals("true") || text.equals("false") ? null : "is neither true nor false: " + shown;
--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -34,6 +34,8 @@
     private Runnable onSubscribe = () -> { };
     private boolean delivering;
     private int unanswered;
+    /** Of this pool, by {@link Tally.End}; the tally has them by class. */
+    private final long[] ends = new long[Tally.End.values().length];
 
     /** {@code loop}: the one thread on which everything here happens. */
     public Dispatcher(Clock clock, ScheduledExecutorService loop, RatioBalancer module, Limits limits, Tally tally) {
@@ -72,6 +74,11 @@
         return unanswered;
     }
 
+    /** How many requests of this pool have ended so. */
+    public long ended(Tally.End how) {
+        return ends[how.ordinal()];
+    }
+
     /** The servers on the list, and those of them that the module avoids now. */
     public Fleet fleet() {
         return module.fleet(clock.now());
@@ -103,11 +110,12 @@
 
     /** A front answered a request of this pool before it was taken. */
     public void turnedAway(Terms terms, Tally.End how) {
+        ends[how.ordinal()]++;
         tally.ended(terms.requestClass().name(), how);
     }
 
     private void count(Exchange x, Tally.End how) {
-        tally.ended(x.terms.requestClass().name(), how);
+        turnedAway(x.terms, how);
     }
 
     // ---- what happens ----
--- a/src/main/java/onyxpaddle/serve/Lifecycle.java
+++ b/src/main/java/onyxpaddle/serve/Lifecycle.java
@@ -52,6 +52,9 @@
         /** Pools of an earlier configuration that still have requests out. */
         List<Dispatcher> leaving();
 
+        /** What is announced by BGP, as JSON; null where nothing is. */
+        String announced();
+
         /** What the process has counted since its start. */
         Tally tally();
 
@@ -219,6 +222,11 @@
             return ServerReport.of(work.pools());
         }
 
+        @Override
+        public String bgp() {
+            return work.announced();
+        }
+
         @Override
         public boolean drain() {
             Log.line("an operator empties the node");
--- a/src/main/java/onyxpaddle/serve/Node.java
+++ b/src/main/java/onyxpaddle/serve/Node.java
@@ -131,6 +131,11 @@
         return List.of();
     }
 
+    @Override
+    public String announced() {
+        return null;
+    }
+
     @Override
     public Tally tally() {
         return tally;
--- a/src/main/java/onyxpaddle/serve/Sidecar.java
+++ b/src/main/java/onyxpaddle/serve/Sidecar.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import onyxpaddle.config.BgpConfig;
 import onyxpaddle.config.Fault;
 import onyxpaddle.config.Faults;
 import onyxpaddle.config.HostPort;
@@ -79,6 +80,8 @@
     private final List<Front> leavingFronts = new ArrayList<>();
     private final NodeConfig first;
     private NodeConfig config;
+    /** Null as long as nothing is to be announced. */
+    private Announcing announcing;
     private Future<?> reaping;
     private long requests;
     /** The change that is under way, and the newest that waits for it. */
@@ -157,6 +160,11 @@
         return leavingPools.stream().map(pool -> pool.dispatcher).toList();
     }
 
+    @Override
+    public String announced() {
+        return announcing == null ? null : announcing.report();
+    }
+
     @Override
     public Tally tally() {
         return tally;
@@ -286,11 +294,21 @@
             door.front().retire();
             leavingFronts.add(door.front());
         }
+        announce(to);
         if (reaping == null) {
             reaping = loop.scheduleWithFixedDelay(this::reap, REAP_MS, REAP_MS, TimeUnit.MILLISECONDS);
         }
     }
 
+    private void announce(NodeConfig to) {
+        if (announcing == null && to.bgp() != null) {
+            announcing = new Announcing(life, () -> pools, () -> leavingPools, seeds.nextLong());
+        }
+        if (announcing != null) {
+            announcing.use(to.bgp() != null ? to.bgp() : new BgpConfig(0, 0, null, Map.of(), Map.of()));
+        }
+    }
+
     private void commitPools(NodeConfig to) {
         Map<String, PoolUnit> before = new HashMap<>(pools);
         pools.clear();
@@ -377,7 +395,8 @@
      * Beside a process that listens in this one's place both end at once: the application's calls have another way.
      */
     @Override
-    public void end(boolean replaced, Runnable done) {
+    public void end(boolean replaced, Runnable ended) {
+        Runnable done = announcing == null ? ended : () -> announcing.end(ended);
         if (replaced) {
             int[] sides = {2};
             Runnable side = () -> {
--- a/src/main/java/onyxpaddle/standin/StandInBgpPeer.java
+++ b/src/main/java/onyxpaddle/standin/StandInBgpPeer.java
@@ -172,7 +172,9 @@
 
     private void serve(Socket socket) throws IOException {
         try (socket) {
-            session = socket;
+            if (!established) {
+                session = socket;
+            }
             if (!silent) {
                 send(socket, 1, open());
             }
@@ -200,6 +202,8 @@
                     }
                 } else if (type == 4 && opened && body.length == 0) {
                     if (!established || session != socket) {
+                        // Where both sides have dialled, the last one that the speaker confirms is the one it keeps.
+                        table.clear();
                         sessions++;
                         session = socket;
                         established = true;
@@ -242,16 +246,17 @@
             attributes.arrayOffset() + attributes.limit());
         while (withdrawn.hasRemaining()) {
             String prefix = prefix(withdrawn);
+            // A change is told before it shows in the table, so that who has seen the one finds the other.
+            changes.add(new Change(System.nanoTime(), prefix, false, ""));
             if (table.remove(prefix) == null) {
                 faults.add("withdraws " + prefix + ", which it never announced");
             }
-            changes.add(new Change(System.nanoTime(), prefix, false, ""));
         }
         boolean announces = in.hasRemaining();
         while (in.hasRemaining()) {
             String prefix = prefix(in);
-            table.put(prefix, text);
             changes.add(new Change(System.nanoTime(), prefix, true, text));
+            table.put(prefix, text);
         }
         if (announces) {
             checkAttributes(attributes);
--- a/src/test/java/onyxpaddle/sidecar/MutatedKeysTest.java
+++ b/src/test/java/onyxpaddle/sidecar/MutatedKeysTest.java
@@ -52,6 +52,7 @@
         Case.all("good-descriptions.txt").forEach(c -> all.add(new Example(c.name(), c.applied(base), DescriptionShape.ALL)));
         all.add(new Example("booking", Files.readString(Path.of("deploy/examples/booking.yaml")), DescriptionShape.ALL));
         all.add(new Example("records", Files.readString(Path.of("deploy/examples/records.yaml")), DescriptionShape.ALL));
+        all.add(new Example("announced", Files.readString(Path.of("deploy/bgp/booking.node.yaml")), NodeShape.NODE));
         all.add(new Example("configuration of procedures", Case.resource("procedures.yaml"), NodeShape.NODE));
         all.add(new Example("configuration", Case.resource("configuration.yaml"), NodeShape.NODE));
         return all.stream();
