--- a/src/main/java/onyxpaddle/standin/StandInBgpPeer.java
+++ b/src/main/java/onyxpaddle/standin/StandInBgpPeer.java
@@ -41,6 +41,7 @@
     private volatile boolean reads = true;
     private volatile int sessions;
     private volatile int messages;
+    private volatile int opens;
 
     /** Listens on this address of the loopback, a port that the system chooses. */
     public StandInBgpPeer(String host, int as, int identifier, int holdTime) throws IOException {
@@ -150,6 +151,11 @@
         return sessions;
     }
 
+    /** OPENs that the speaker has sent, over all connections. */
+    public int opens() {
+        return opens;
+    }
+
     public int messages() {
         return messages;
     }
@@ -197,6 +203,7 @@
                 if (type == 1 && !opened) {
                     opened = true;
                     checkOpen(body);
+                    opens++;
                     if (!silent) {
                         send(socket, 4, new byte[0]);
                     }
--- a/src/test/java/onyxpaddle/bgp/SpeakerTest.java
+++ b/src/test/java/onyxpaddle/bgp/SpeakerTest.java
@@ -11,7 +11,9 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.HexFormat;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -159,19 +161,72 @@
         assertTrue(peer.notifications().stream().filter(n -> n.equals("6/3")).count() >= 5, peer.notifications().toString());
     }
 
+    private static byte[] message(int type, String body) {
+        byte[] bytes = HexFormat.of().parseHex(body.replace(" ", ""));
+        return HexFormat.of().parseHex("ff".repeat(16) + "%04x%02x".formatted(19 + bytes.length, type) + HexFormat.of().formatHex(bytes));
+    }
+
+    /** RFC 4271, 6.1, 6.3 and 6.6, in Established; each session begins anew after it. */
     @Test
     void whatIsNoMessageIsToldAndTheSessionBeginsAnew() throws Exception {
         add(terms(peer, "router", 65002, 100));
-        String[][] faults = {{"0000000000000000000000000000000000130400", "1/1"}, {"ff".repeat(16) + "001209", "1/3"},
-            {"ff".repeat(16) + "ffff02", "1/2"}, {"ff".repeat(16) + "001c0200000000" + "21" + "0a090807", "3/10"},
-            {"ff".repeat(16) + "001d01" + "04fdea001e0a00000200", "5/3"}};
-        for (int i = 0; i < faults.length; i++) {
-            int session = i + 1;
-            await("no session", () -> peer.sessions() == session && peer.established());
-            peer.raw(HexFormat.of().parseHex(faults[i][0]));
-            int told = i + 1;
-            await("nothing told of " + faults[i][0], () -> peer.notifications().size() == told);
-            assertEquals(faults[i][1], peer.notifications().get(i));
+        byte[] unmarked = message(4, "");
+        unmarked[0] = 0;
+        Map<String, byte[]> faults = new LinkedHashMap<>();
+        faults.put("1/1", unmarked);
+        faults.put("1/2", HexFormat.of().parseHex("ff".repeat(16) + "ffff02"));
+        faults.put("1/3", message(9, ""));
+        faults.put("3/1", message(2, "0009 0000"));
+        faults.put("3/2", message(2, "0000 0003 406300"));
+        faults.put("3/9", message(2, "0000 0004 800f0100"));
+        faults.put("3/10", message(2, "0000 0000 21 0a090807"));
+        faults.put("5/3", message(1, "04 fdea 001e 0a000002 00"));
+        faults.put("7/1", message(5, "0001 00 01 00"));
+        int session = 0;
+        for (Map.Entry<String, byte[]> fault : faults.entrySet()) {
+            int count = ++session;
+            await("no session before " + fault.getKey(), () -> peer.sessions() == count && peer.established());
+            peer.raw(fault.getValue());
+            await("nothing told of " + fault.getKey(), () -> peer.notifications().size() == count);
+            assertEquals(fault.getKey(), peer.notifications().get(count - 1));
+        }
+    }
+
+    /** RFC 4271, 6.2 and 6.6, before the session stands. */
+    @Test
+    void anOpenAtFaultAndMessagesOutOfPlaceAreTold() throws Exception {
+        peer.silent(true);
+        add(terms(peer, "router", 65002, 100));
+        Map<String, byte[]> faults = new LinkedHashMap<>();
+        faults.put("2/0", message(1, "04 fdea 001e 0a000002 05"));
+        faults.put("2/1", message(1, "03 fdea 001e 0a000002 00"));
+        faults.put("2/2", message(1, "04 fdeb 001e 0a000002 00"));
+        faults.put("2/3", message(1, "04 fdea 001e 00000000 00"));
+        faults.put("2/4", message(1, "04 fdea 001e 0a000002 02 0100"));
+        faults.put("2/6", message(1, "04 fdea 0002 0a000002 00"));
+        faults.put("5/1", message(4, ""));
+        faults.put("5/2", HexFormat.of().parseHex(HexFormat.of().formatHex(message(1, "04 fdea 001e 0a000002 00"))
+            + HexFormat.of().formatHex(message(2, "0000 0000"))));
+        int count = 0;
+        for (Map.Entry<String, byte[]> fault : faults.entrySet()) {
+            int told = ++count;
+            await("no OPEN before " + fault.getKey(), () -> state() == State.OPEN_SENT && peer.opens() == told);
+            peer.raw(fault.getValue());
+            await("nothing told of " + fault.getKey(), () -> peer.notifications().size() == told);
+            assertEquals(fault.getKey(), peer.notifications().get(told - 1));
+        }
+    }
+
+    /** RFC 4271, 6.5. */
+    @Test
+    void aPeerThatFallsSilentIsToldAfterTheHoldTime() throws Exception {
+        try (StandInBgpPeer brief = new StandInBgpPeer("127.0.0.1", 65002, 8, 3)) {
+            add(terms(brief, "brief", 65002, 100));
+            await("no session", brief::established);
+            brief.silent(true);
+            long since = System.nanoTime();
+            await("not told", () -> brief.notifications().contains("4/0"));
+            assertTrue(System.nanoTime() - since >= 1_500 * MS, "no sooner than the hold time allows");
         }
     }
 
