--- a/src/main/java/onyxpaddle/bgp/AnnouncePolicy.java
+++ b/src/main/java/onyxpaddle/bgp/AnnouncePolicy.java
@@ -126,7 +126,7 @@
 
     /** How much longer it is not announced, whatever comes. */
     public long leftOfHold(long now) {
-        return Math.max(0, holdUntil - now);
+        return holdUntil <= now ? 0 : holdUntil - now;
     }
 
     /** All of its state at a time, in hundredths of a second and of an update, for tests that explore it. */
--- a/src/test/java/onyxpaddle/bgp/AnnouncePolicyTest.java
+++ b/src/test/java/onyxpaddle/bgp/AnnouncePolicyTest.java
@@ -46,6 +46,7 @@
     @Test
     void eachStateIsSaidInItsOwnManner() {
         AnnouncePolicy policy = new AnnouncePolicy(terms(false, false, 10), 0);
+        assertEquals(0, policy.leftOfHold(1_900_000_000L * S), "by any clock");
         assertEquals(List.of(), policy.up(OUTER, 0), "nothing before the service is seen");
         policy.up(INNER, 0);
         List<Order> up = policy.stands(UP, S);
