The stand-in router keeps a table a connection, so that two at once don't wipe each other

Cause: SpeakerTest.bothSidesDialAtOnceAndOneSessionStands failed once in a whole mvn -B verify. The stand-in had one table and one flag for both connections of a collision: where its thread for the one that was given up ran late, it took the session over and then ended it. Ruled out: the speaker, whose state stood established.

Change: a table for each connection that the speaker has confirmed; a session stands while there is one.

Measured: SpeakerTest and AnnouncingTest pass.

--- a/src/main/java/onyxpaddle/standin/StandInBgpPeer.java
+++ b/src/main/java/onyxpaddle/standin/StandInBgpPeer.java
@@ -30,12 +30,12 @@
     private final int as;
     private final int identifier;
     private final int holdTime;
-    private final Map<String, String> table = new ConcurrentHashMap<>();
+    /** By each connection that the speaker has confirmed: where both sides have dialled there are two for a moment. */
+    private final Map<Socket, Map<String, String>> tables = new ConcurrentHashMap<>();
     private final List<Change> changes = new CopyOnWriteArrayList<>();
     private final List<String> faults = new CopyOnWriteArrayList<>();
     private final List<String> notifications = new CopyOnWriteArrayList<>();
     private volatile Socket session;
-    private volatile boolean established;
     private volatile boolean refuses;
     private volatile boolean silent;
     private volatile boolean reads = true;
@@ -126,7 +126,9 @@
     // ---- what it knows ----
 
     public Map<String, String> table() {
-        return table;
+        Map<String, String> all = new ConcurrentHashMap<>();
+        tables.values().forEach(all::putAll);
+        return all;
     }
 
     public List<Change> changes() {
@@ -144,7 +146,7 @@
     }
 
     public boolean established() {
-        return established;
+        return !tables.isEmpty();
     }
 
     public int sessions() {
@@ -178,7 +180,7 @@
 
     private void serve(Socket socket) throws IOException {
         try (socket) {
-            if (!established) {
+            if (!established()) {
                 session = socket;
             }
             if (!silent) {
@@ -208,18 +210,15 @@
                         send(socket, 4, new byte[0]);
                     }
                 } else if (type == 4 && opened && body.length == 0) {
-                    if (!established || session != socket) {
-                        // Where both sides have dialled, the last one that the speaker confirms is the one it keeps.
-                        table.clear();
+                    if (tables.putIfAbsent(socket, new ConcurrentHashMap<>()) == null) {
                         sessions++;
                         session = socket;
-                        established = true;
                     }
                     if (!silent) {
                         send(socket, 4, new byte[0]);
                     }
-                } else if (type == 2 && established) {
-                    update(body);
+                } else if (type == 2 && tables.containsKey(socket)) {
+                    update(body, tables.get(socket));
                 } else if (type == 3) {
                     notifications.add(body[0] + "/" + body[1]);
                     return;
@@ -232,10 +231,8 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } finally {
-            if (session == socket) {
-                established = false;
-                table.clear();
-            }
+            tables.remove(socket);
+            tables.keySet().stream().findFirst().ifPresent(left -> session = left);
         }
     }
 
@@ -245,7 +242,7 @@
         }
     }
 
-    private void update(byte[] body) {
+    private void update(byte[] body, Map<String, String> table) {
         ByteBuffer in = ByteBuffer.wrap(body);
         ByteBuffer withdrawn = slice(in, in.getShort() & 0xffff);
         ByteBuffer attributes = slice(in, in.getShort() & 0xffff);
