Cold servers earn credit by time, so that a tier in which all are cold is served

From 9 s on the first tier refused 97 of 100, with 0.02 attempts for a request, no connection failing. Logged each half second at every node: all first-tier servers warm and sound, admission limit at 1.0; behind them 2 to 7 servers listed, every one cold, none with credit for a call, credits standing still.

Ruled out: the lists (each node had the change within its notice), refused connections (a handful), a hung node, the admission limit by itself (it sank since each request behind it timed out).

Cause: RatioBalancer.earnCredit and onArrival. Where every server is cold each arrival earned 0.7 x ramp of one call over all servers together, less than the one it needs. Requests overstayed, the tier above sank its limit, fewer arrived, less was earned: stuck until a server turned warm by chance. Where one is warm, it served as much as it was sent, the rest nothing.

Change: a node keeps what a warm server carried of its calls a second (CarriedRate, served calls only, so all nodes together hold at most what a server can do). A cold one earns two thirds of the rule's multiple of that, by time, scaled to its present capacity. Before any warm server has served this node: by arrivals, as before, also by time.

--- a/src/main/java/onyxpaddle/RatioBalancer.java
+++ b/src/main/java/onyxpaddle/RatioBalancer.java
@@ -42,8 +42,15 @@
     /** Further attempts of possibly-run requests, as a share of arrivals: tiers multiply them. */
     private static final double RETRY_SHARE = 0.1;
     private static final double MOST_RETRIES_SAVED = 10;
-    /** How much of a warm server's served calls, scaled by its present capacity, a cold one is sent. */
-    private static final double COLD_SHARE = 1.0;
+    /**
+     * How much of what a warm server carries, scaled by its present capacity, a cold one is sent at most: as
+     * part of the rule's multiple. Summed over all nodes it stays under that also where warm ones did all
+     * they can.
+     */
+    private static final double COLD_PART = 2.0 / 3;
+    /** The same by arrivals, while no warm server has served this node a call. */
+    private static final double COLD_PART_UNKNOWN = 0.7;
+    private static final double MOST_CREDIT = 2;
     /** Share of late outcomes at which the number of requests let in at once stays as it is. */
     private static final double LATE_SHARE = 0.12;
     /** Share of the aim after which a round trip counts as late for admission. */
@@ -82,6 +89,9 @@
     private final List<Server> ready = new ArrayList<>();
     private final List<Server> around = new ArrayList<>();
     private final List<Server> cold = new ArrayList<>();
+    private final CarriedRate carried = new CarriedRate();
+    private final CarriedRate arrived = new CarriedRate();
+    private double meanSize = 1;
     private final Map<String, ClassUse> classes = new HashMap<>();
     private final ClassUse unknownClass;
     private final Map<String, Request> requests = new HashMap<>();
@@ -213,6 +223,7 @@
             }
         }
         ready.sort(Comparator.<Server>comparingInt(s -> s.place).thenComparing(s -> s.id));
+        meanSize = ready.stream().mapToDouble(server -> server.size).average().orElse(1);
         around.clear();
         around.addAll(ready);
         if (admitLimit == FIRST_LIMIT) {
@@ -350,7 +361,8 @@
         server.zoneFailures.clear();
         r.use.learn(r.cost, latency);
         if (!server.isColdListed) {
-            earnCredit(1.0 / Math.max(1, ready.size() - cold.size()));
+            cold.removeIf(other -> !isCold(other));
+            carried.add(now, 1.0 / Math.max(1, ready.size() - cold.size()));
         }
     }
 
@@ -450,8 +462,11 @@
     }
 
     private boolean mayTake(Request r, Server server) {
-        if (server.isColdListed && server.credit < 1 && isCold(server)) {
-            return false;
+        if (server.isColdListed && isCold(server)) {
+            earnCredit(server);
+            if (server.credit < 1) {
+                return false;
+            }
         }
         Attempt anchor = r.anchor;
         return anchor == null || r.use.about.effect() != Effect.KEYED || switch (r.use.about.group()) {
@@ -480,22 +495,17 @@
     }
 
     /**
-     * Every call that warm servers served earns each cold one its part of a call: what a warm one of its size
-     * carries, scaled to its present capacity. Summed over all nodes that stays under the rule's multiple.
+     * With time a cold server earns its part of what a warm one of its size carries, scaled to its present
+     * capacity. By time and not by calls: calls that find no server earn nothing, and then fewer are sent.
      */
-    private void earnCredit(double calls) {
-        if (cold.isEmpty()) {
-            return;
-        }
-        cold.removeIf(server -> !isCold(server));
-        double meanSize = 0;
-        for (Server server : ready) {
-            meanSize += server.size / ready.size();
-        }
-        for (Server server : cold) {
-            double earned = COLD_SHARE * calls * rampNow(server) * server.size / meanSize;
-            server.credit = Math.min(2, server.credit + earned);
-        }
+    private void earnCredit(Server server) {
+        double perSecond = carried.perSecond() > 0
+            ? COLD_PART * settings.rules().fallMultiple() * carried.perSecond()
+            : COLD_PART_UNKNOWN * arrived.perSecond();
+        double seconds = server.creditAt == 0 ? 0 : (now - server.creditAt) / 1e9;
+        double earned = perSecond * seconds * rampNow(server) * server.size / meanSize;
+        server.creditAt = now;
+        server.credit = Math.min(MOST_CREDIT, server.credit + earned);
     }
 
     // ---- dispatch and further attempts ----
@@ -509,9 +519,7 @@
         requests.put(r.id, r);
         usualRank = usualRank == 0 ? r.rank : usualRank + ClassUse.STEP * (r.rank - usualRank);
         retriesSaved = Math.min(MOST_RETRIES_SAVED, retriesSaved + RETRY_SHARE);
-        if (cold.size() == ready.size()) {
-            earnCredit(0.7 / Math.max(1, ready.size()));
-        }
+        arrived.add(now, 1.0 / Math.max(1, ready.size()));
         admit(r);
     }
 
@@ -827,7 +835,9 @@
         final double[] window = new double[WINDOW];
         ServerState state;
         double size;
+        /** Calls that it may be sent while it is cold, and when that was last reckoned. */
         double credit;
+        long creditAt;
         final Failures failures = new Failures();
         final Failures full = new Failures(FULL_FADE, MOST_FULL);
         final Failures zoneFailures;
--- a/src/test/java/onyxpaddle/ColdServerTest.java
+++ b/src/test/java/onyxpaddle/ColdServerTest.java
@@ -25,6 +25,17 @@
         return calls;
     }
 
+    /** Has all that the actions send served at once; returns how much that was. */
+    private static int endAll(Node node, List<Action> actions) {
+        int calls = 0;
+        for (Action action : actions) {
+            if (action instanceof Send send) {
+                calls += 1 + endAll(node, node.end(send.request(), 0, send.server(), Outcome.OK, 50 * MS));
+            }
+        }
+        return calls;
+    }
+
     private static Node node(int warm, int cold) {
         Node node = Node.plain();
         List<ServerEntry> entries = new ArrayList<>();
@@ -53,7 +64,13 @@
 
     @Test
     void limitHoldsWhereEveryListedServerIsCold() {
-        int calls = coldCalls(node(0, 10), 100, 1);
+        Node node = node(0, 10);
+        int calls = 0;
+        for (int i = 0; i < 100; i++) {
+            calls += endAll(node, node.arrive("r" + i, "read"));
+            node.now += 10 * MS;
+            calls += endAll(node, node.handle(new Timer("due")));
+        }
         assertTrue(calls > 0 && calls <= 40, calls + " calls in the first second");
     }
 
