In a large fleet cold servers earn from the nodes that draw from them

Ruled out: the rule's budget (used to 0.55 at most) and the draw's ramp. Cause: RatioBalancer.earnCredit reckons what a warm server carries over all listed servers, but a node draws from 12 of 120, and only the 6 nodes that draw from a server send to it. Change: times listed over drawn from, by the last draw; over the drawn ones alone it would be too much where all are cold, as every node then draws from all.

Ruled out by counting, and not built: a subset by rendezvous hashing or by a ring of hashes in place of the slice by rank (docs/design/0006): at 14 x 60 it would spare 3 of 100 servers' history when six in ten are replaced, and load the fullest server 2.1 or 1.4 times the mean.

--- a/src/main/java/onyxpaddle/RatioBalancer.java
+++ b/src/main/java/onyxpaddle/RatioBalancer.java
@@ -92,6 +92,8 @@
     private final CarriedRate carried = new CarriedRate();
     private final CarriedRate arrived = new CarriedRate();
     private double meanSize = 1;
+    /** How many servers the last draw was from. */
+    private int lastSpan = 1;
     private final Map<String, ClassUse> classes = new HashMap<>();
     private final ClassUse unknownClass;
     private final Map<String, Request> requests = new HashMap<>();
@@ -415,6 +417,7 @@
             best = server.count > 0 ? Math.min(best, server.mean()) : best;
         }
         best = best == Double.MAX_VALUE ? 1 : best;
+        lastSpan = span;
         double sum = weigh(r, best, span, true);
         if (sum <= 0) {
             span = ready.size();
@@ -503,7 +506,9 @@
             ? COLD_PART * settings.rules().fallMultiple() * carried.perSecond()
             : COLD_PART_UNKNOWN * arrived.perSecond();
         double seconds = server.creditAt == 0 ? 0 : (now - server.creditAt) / 1e9;
-        double earned = perSecond * seconds * rampNow(server) * server.size / meanSize;
+        // Only the nodes that draw from it send it anything: each stands for more than its part of all nodes.
+        double drawnFrom = Math.max(1, (double) ready.size() / Math.max(1, lastSpan));
+        double earned = perSecond * drawnFrom * seconds * rampNow(server) * server.size / meanSize;
         server.creditAt = now;
         server.credit = Math.min(MOST_CREDIT, server.credit + earned);
     }
--- a/src/test/java/onyxpaddle/ColdFleetTest.java
+++ b/src/test/java/onyxpaddle/ColdFleetTest.java
@@ -16,6 +16,8 @@
 class ColdFleetTest {
     private static final int SERVERS = 8;
     private static final int NODES = 6;
+    private static final int MANY_SERVERS = 120;
+    private static final int MANY_NODES = 60;
     /** What a warm server can do in a second; the rule's figures are those of {@link Node#settings}. */
     private static final double CAPACITY = 40;
     private static final double LOAD = 0.5 * CAPACITY * SERVERS;
@@ -34,11 +36,11 @@
         return CAPACITY * (0.2 + 0.8 * age);
     }
 
-    private Herd herd(long seed) {
-        Herd herd = new Herd(deepTier(), NODES, seed,
+    private Herd herd(int nodes, int servers, long seed) {
+        Herd herd = new Herd(deepTier(), nodes, seed,
             (node, server, now) -> new Herd.Servers.Reply(Outcome.OK, 50 * MS));
         List<ServerEntry> first = new ArrayList<>();
-        for (int i = 0; i < SERVERS; i++) {
+        for (int i = 0; i < servers; i++) {
             started.put("s" + i, 0L);
             first.add(Herd.entry("s" + i, ServerState.READY, 0));
         }
@@ -48,7 +50,7 @@
 
     /** Every half second one server goes and a new one comes; nobody lives for longer than four seconds. */
     private Herd churn(long seed) {
-        Herd herd = herd(seed);
+        Herd herd = herd(NODES, SERVERS, seed);
         long begin = herd.now + 10 * SECOND;
         for (int i = 0; i < 80; i++) {
             long at = begin + i * SECOND / 2;
@@ -75,7 +77,7 @@
     @ParameterizedTest
     @ValueSource(longs = {4, 5})
     void fleetThatIsReplacedWithin7SecondsIsNotPushedOver(long seed) {
-        Herd herd = herd(seed);
+        Herd herd = herd(NODES, SERVERS, seed);
         long begin = herd.now + 10 * SECOND;
         for (int i = 0; i < SERVERS * 6 / 10; i++) {
             long at = begin + i * 7 * SECOND / 5;
@@ -90,6 +92,32 @@
         coldOnesStayWithinTheRule(herd);
     }
 
+    /** A third of a large fleet comes back at once, before nodes of which each draws from a tenth of the servers. */
+    @ParameterizedTest
+    @ValueSource(longs = {6, 7})
+    void zoneThatComesBackColdGetsItsPartOfTheCallsFromManyNodes(long seed) {
+        Herd herd = herd(MANY_NODES, MANY_SERVERS, seed);
+        long back = herd.now + 12 * SECOND;
+        List<ServerEntry> zone = new ArrayList<>();
+        for (int i = 0; i < MANY_SERVERS / 3; i++) {
+            started.put("z" + i, back);
+            zone.add(Herd.entry("z" + i, ServerState.READY, back));
+            herd.tell(back - 4 * SECOND, SECOND, new Membership(ListKind.CHANGES,
+                List.of(Herd.entry("s" + i, ServerState.GONE, 0))));
+        }
+        herd.tell(back, 2 * SECOND, new Membership(ListKind.CHANGES, zone));
+        long end = back + 9 * SECOND;
+        double load = 0.4 * CAPACITY * MANY_SERVERS;
+        herd.load("read", load, SECOND, end);
+        herd.run(end + 2 * SECOND);
+        long late = herd.sent.stream()
+            .filter(s -> s.at() > back + 3 * SECOND && s.at() < end && s.server().startsWith("z")).count();
+        // Their share, were they warm, is load / servers for each; half of it is their capacity at that age.
+        double share = late / (load * 6 / 3);
+        assertTrue(share > 0.4, "cold servers get " + share + " of an even share");
+        coldOnesStayWithinTheRule(herd);
+    }
+
     /** The budget of rule 4 over every window of its length that ends with a send to a cold server. */
     private void coldOnesStayWithinTheRule(Herd herd) {
         Map<String, List<Long>> sends = new HashMap<>();
