Calls to discovery come back spread, and no empty or older list replaces the one held

Need: what discovery does to one node it does to all. Read in Discovery, then caused: (a) after the first failure of a call the pause was 0, so where discovery restarts or breaks off all answers, all nodes call again in that moment; (b) a whole list with no server was taken, and the node answered 503 to all from then on; (c) a whole list older than the one held was taken, by which a draining server would be sent to again (rule 3).

Lines at fault: failed() with AT_ONCE, answered() with no look at a whole list's version or size.

Change: what is asked, what counts and when to call again is decided by ListWatch, without I/O. Pauses are drawn from their whole span, 0.1 s doubling to 1 s, so rule 3's 6 s hold beside a silent call. An empty whole list never replaces one with servers; an older one does when it is said twice in a row, as a discovery that begins its numbers anew does.

The socket test with empty lists gets 503 from the code before, 200 now.

--- a/src/main/java/onyxpaddle/membership/Discovery.java
+++ b/src/main/java/onyxpaddle/membership/Discovery.java
@@ -47,9 +47,6 @@
     private static final int LARGEST_ANSWER = 2 << 20;
     /** Between calls that tell nothing and come back at once; within the 200 ms that a watch goes on. */
     private static final int PAUSE_MS = 100;
-    private static final int LONGEST_RETRY_MS = 1000;
-    /** Failed calls in a row up to which the next goes out at once: an answer that broke off is likely whole the next time. */
-    private static final int AT_ONCE = 1;
 
     private final EventLoop loop;
     private final Bootstrap bootstrap;
@@ -65,17 +62,13 @@
     private long calledAt;
     /** When the first byte of the answer at hand came; 0 before. */
     private long beganAt;
-    private long seq;
-    /** The version held is in doubt: the next call asks for the whole list. */
-    private boolean lost;
-    private boolean heard;
-    private int failures;
+    private final ListWatch watch;
 
-    public Discovery(EventLoop loop, ByteBufAllocator allocator, InetSocketAddress address, boolean asked, long seq,
+    public Discovery(EventLoop loop, ByteBufAllocator allocator, InetSocketAddress address, boolean asked, Roster known,
             Consumer<Roster> onList, Runnable onRefused) {
         this.loop = loop;
         this.asked = asked;
-        this.seq = seq;
+        this.watch = new ListWatch(known.seq(), !known.hosts().isEmpty(), ThreadLocalRandom.current());
         this.onList = onList;
         this.onRefused = onRefused;
         host = address.getAddress().getHostAddress() + ":" + address.getPort();
@@ -104,7 +97,7 @@
      * at once, also where the module asks: what it has to tell counts as told soon after the change.
      */
     public void startAnew() {
-        lost = true;
+        watch.anew();
         call();
     }
 
@@ -154,13 +147,13 @@
 
     private void write() {
         // The first call doesn't wait for news: a node that starts is of use once it knows that its list is not old.
-        String uri = "/v1/endpoints" + (lost ? "" : "?after=" + seq + "&wait_ms=" + (heard ? WAIT_MS : 0));
+        int wait = watch.asksForAll() || !watch.heard() ? 0 : WAIT_MS;
+        String uri = "/v1/endpoints" + (watch.asksForAll() ? "" : "?after=" + watch.seq() + "&wait_ms=" + wait);
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri,
             Unpooled.EMPTY_BUFFER);
         request.headers().set(HttpHeaderNames.HOST, host);
         Channel on = channel;
         beganAt = 0;
-        int wait = lost || !heard ? 0 : WAIT_MS;
         timeout = loop.schedule(() -> failed(on, "no answer"), wait + ANSWER_LATE_MS, TimeUnit.MILLISECONDS);
         on.writeAndFlush(request);
     }
@@ -174,15 +167,14 @@
         stopTimeout();
         channel = null;
         on.close();
-        if (failures++ == 0) {
+        if (watch.failures() == 0) {
             Log.line("discovery: " + why);
         }
+        int pause = watch.failed();
         if (asked) {
             onRefused.run();
         } else {
-            // Spread, so that nodes whose calls broke off together do not come back together.
-            int pause = failures <= AT_ONCE ? 0 : Math.min(LONGEST_RETRY_MS, PAUSE_MS << Math.min(4, failures - 2));
-            later(pause / 2 + ThreadLocalRandom.current().nextInt(pause / 2 + 1));
+            later(pause);
         }
     }
 
@@ -211,24 +203,20 @@
         try {
             roster = RosterJson.parse(ByteBufUtil.getBytes(response.content()));
         } catch (IOException e) {
-            lost = true;
+            watch.unreadable();
             failed(on, "not a list");
             return;
         }
-        if (!roster.whole() && (lost || roster.seq() < seq)) {
-            // Changes to a list that is not the one held say nothing; only a whole list does.
-            lost = true;
-            failed(on, "changes to a list that is not held");
+        int failures = watch.failures();
+        String fault = watch.judge(roster.whole(), roster.seq(), roster.hosts().isEmpty());
+        if (fault != null) {
+            failed(on, fault);
             return;
         }
         stopTimeout();
         if (failures > 0) {
             Log.line("discovery: answers again after " + failures + " failed calls");
         }
-        failures = 0;
-        lost = false;
-        heard = true;
-        seq = roster.seq();
         if (!HttpUtil.isKeepAlive(response)) {
             channel = null;
             on.close();
--- a/src/main/java/onyxpaddle/serve/Node.java
+++ b/src/main/java/onyxpaddle/serve/Node.java
@@ -143,7 +143,7 @@
 
     private Discovery discovery() {
         return new Discovery(life.loop, life.allocator, config.discovery(), config.settings().mustAskMembership(),
-            config.known().seq(), roster -> {
+            config.known(), roster -> {
                 heard = true;
                 apply(roster, roster.whole() ? ListKind.ALL : ListKind.CHANGES);
             }, () -> dispatcher.membership(ListKind.REFUSED, List.of()));
--- a/src/test/java/onyxpaddle/serve/BrokenListsTest.java
+++ b/src/test/java/onyxpaddle/serve/BrokenListsTest.java
@@ -13,14 +13,11 @@
 import java.util.concurrent.TimeUnit;
 import onyxpaddle.serve.Loopback.Client;
 import onyxpaddle.serve.Loopback.FakeServer;
-import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Lists that break off, stall or lie about their length: what was not read whole does not count, and is asked for again. */
 class BrokenListsTest {
-    private static final String CALL = "GET /v1/endpoints?after=1&wait_ms=";
-
     /** Answers call after call as its script says; {@code -} holds the answer back for good. */
     private static final class Flaky extends Loopback.Peer {
         final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
@@ -88,15 +85,17 @@
         }
     }
 
-    @Test
-    void whatIsHeldServesOnWhileListsBreakOff() throws Exception {
+    @ParameterizedTest
+    @ValueSource(strings = {"half", "empty"})
+    void whatIsHeldServesOnWhileListsAreOfNoUse(String fault) throws Exception {
         try (FakeServer known = new FakeServer("s1")) {
-            String half = Loopback.ok(Loopback.list(2)).substring(0, 60);
-            try (Flaky discovery = new Flaky(List.of(half + "!", half + "!", half + "!", "-"))) {
+            String empty = Loopback.ok(Loopback.list(2));
+            String bad = fault.equals("half") ? empty.substring(0, 60) + "!" : empty;
+            try (Flaky discovery = new Flaky(List.of(bad, bad, bad, "-"))) {
                 Node node = node(discovery, known);
                 try (Client client = new Client(node.address())) {
                     for (int i = 0; i < 4; i++) {
-                        assertTrue(discovery.calls.poll(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS).startsWith(CALL));
+                        assertTrue(discovery.calls.poll(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS).startsWith("GET /v1/endpoints"));
                     }
                     known.answers.add(Loopback.ok("known"));
                     assertEquals("200 known", client.say(Loopback.request("r1", "read")).hear());
