Two calls to discovery that break off or are silent are made good within rule 3's time

A trace of each call: a watch fell silent, was given up after 2.8 s, and the next dial came 1.3 to 1.9 s later, as discovery is asked there and the module paused as for an overbooked one, 1 to 2 s, then 2 to 4 s. Two silent calls and two pauses take up to 9 s; told counts after 6.

Ruled out: a discovery that stops calling for good (n0's log ends at its failure; the trace shows each call), lists taken in part. Lines at fault: Discovery.failed, which told the module of every failure alike; RatioBalancer.onMembership's pause fits a 503.

Change: where discovery is asked, the first two calls in a row that are silent or break off are made good by ListWatch's short pauses (0.1 s, 0.2 s at most). Calls that are turned away, and later failures, still get the module's long pauses, so that all nodes together do not run an overbooked discovery over.

--- a/src/main/java/onyxpaddle/membership/Discovery.java
+++ b/src/main/java/onyxpaddle/membership/Discovery.java
@@ -47,6 +47,12 @@
     private static final int LARGEST_ANSWER = 2 << 20;
     /** Between calls that tell nothing and come back at once; within the 200 ms that a watch goes on. */
     private static final int PAUSE_MS = 100;
+    /**
+     * Failed calls in a row, silent or broken off, that are made good at once where discovery is asked; from then on, and
+     * where it turns a call away, the module says when. Guards against rule 3's time, in which two silent calls just fit,
+     * being spent on a pause; does harm where silence is how an overbooked discovery fails: two calls too many a node.
+     */
+    private static final int SOON = 2;
 
     private final EventLoop loop;
     private final Bootstrap bootstrap;
@@ -140,7 +146,7 @@
             } else if (f.isSuccess()) {
                 write();
             } else {
-                failed(dial.channel(), "cannot connect");
+                failed(dial.channel(), "cannot connect", true);
             }
         });
     }
@@ -158,8 +164,12 @@
         on.writeAndFlush(request);
     }
 
-    /** Ends a call that brought nothing; what is held stays valid. */
     private void failed(Channel on, String why) {
+        failed(on, why, false);
+    }
+
+    /** Ends a call that brought nothing; what is held stays valid. {@code turnedAway}: discovery has too much to do. */
+    private void failed(Channel on, String why, boolean turnedAway) {
         if (!calling || on != channel) {
             return;
         }
@@ -171,7 +181,7 @@
             Log.line("discovery: " + why);
         }
         int pause = watch.failed();
-        if (asked) {
+        if (asked && (turnedAway || watch.failures() > SOON)) {
             onRefused.run();
         } else {
             later(pause);
@@ -196,7 +206,7 @@
             return;
         }
         if (response.status().code() != 200 || response.decoderResult().isFailure()) {
-            failed(on, "answered " + response.status().code());
+            failed(on, "answered " + response.status().code(), response.status().code() != 200);
             return;
         }
         Roster roster;
--- a/src/test/java/onyxpaddle/serve/BrokenListsTest.java
+++ b/src/test/java/onyxpaddle/serve/BrokenListsTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import onyxpaddle.serve.Loopback.Client;
 import onyxpaddle.serve.Loopback.FakeServer;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -106,4 +107,32 @@
             }
         }
     }
+
+    /** Where discovery is asked, calls that broke off are made good within rule 3's time, not by the pauses of an overbooked one. */
+    @Test
+    void askedDiscoveryIsCalledAgainSoonAfterItBrokeOff() throws Exception {
+        try (FakeServer before = new FakeServer("s1"); FakeServer after = new FakeServer("s2")) {
+            String whole = Loopback.ok(Loopback.list(2, after));
+            String bad = whole.substring(0, whole.length() - 40) + "!";
+            try (Flaky discovery = new Flaky(List.of(bad, bad, whole))) {
+                String config = Loopback.config(new Loopback.FakeDiscovery("{}"), before)
+                    .replace("\"rules\":{", "\"membershipMode\":\"ask\",\"rules\":{\"askEveryS\":10,");
+                Node node = Node.start(PlatformConfig.parse(config.getBytes(StandardCharsets.UTF_8),
+                    Map.of("GW_DISCOVERY", discovery.address())));
+                try {
+                    assertTrue(discovery.calls.poll(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS) != null);
+                    long start = System.nanoTime();
+                    for (int i = 0; i < 3; i++) {
+                        assertTrue(discovery.calls.poll(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS) != null);
+                    }
+                    // The module's own pauses would be 1 to 2 s and 2 to 4 s.
+                    long took = System.nanoTime() - start;
+                    assertTrue(took < 2_500_000_000L, took / 1_000_000 + " ms until the list is in force");
+                } finally {
+                    discovery.over.countDown();
+                    node.stop();
+                }
+            }
+        }
+    }
 }
