A check that could not fail goes from the test of failing calls

Need: ListWatchTest counted nodes in a list of its own and compared that with itself; it could not fail. Change: the list goes; the bounds on calls in 20 ms and on their rate over time are what the test asserts. Seen: ListWatchTest, ColdFleetTest, SourceLimitsTest and PackageRulesTest pass.

--- a/src/test/java/onyxpaddle/membership/ListWatchTest.java
+++ b/src/test/java/onyxpaddle/membership/ListWatchTest.java
@@ -6,8 +6,6 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Random;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
@@ -27,7 +25,6 @@
         Random seeds = new Random(seed);
         int[] perTenth = new int[100];
         int[] per20ms = new int[500];
-        List<Integer> last = new ArrayList<>();
         for (int i = 0; i < nodes; i++) {
             ListWatch watch = new ListWatch(1, true, new SplittableRandom(seeds.nextLong()));
             int now = watch.failed();
@@ -37,7 +34,6 @@
                 perTenth[now / 100]++;
                 per20ms[now / 20]++;
             }
-            last.add(now);
         }
         for (int window = 0; window < per20ms.length; window++) {
             assertTrue(per20ms[window] <= nodes * 0.4, per20ms[window] + " calls in 20 ms at " + window * 20);
@@ -45,7 +41,6 @@
         int early = perTenth[0] + perTenth[1];
         int late = perTenth[98] + perTenth[99];
         assertTrue(late < 0.5 * early, early + " calls in the first 0.2 s, " + late + " in the last");
-        assertEquals(nodes, last.size());
     }
 
     @Test
