--- a/src/main/java/onyxpaddle/RatioBalancer.java
+++ b/src/main/java/onyxpaddle/RatioBalancer.java
@@ -524,7 +524,9 @@
         requests.put(r.id, r);
         usualRank = usualRank == 0 ? r.rank : usualRank + ClassUse.STEP * (r.rank - usualRank);
         retriesSaved = Math.min(MOST_RETRIES_SAVED, retriesSaved + RETRY_SHARE);
-        arrived.add(now, 1.0 / Math.max(1, ready.size()));
+        if (carried.perSecond() == 0) {
+            arrived.add(now, 1.0 / Math.max(1, ready.size()));
+        }
         admit(r);
     }
 
--- a/src/main/java/onyxpaddle/membership/ListWatch.java
+++ b/src/main/java/onyxpaddle/membership/ListWatch.java
@@ -67,7 +67,7 @@
      */
     String judge(boolean whole, long version, boolean empty) {
         String fault = fault(whole, version, empty);
-        wentBackTo = fault != null && whole && version < seq ? version : -1;
+        wentBackTo = fault != null && whole && !empty && version < seq ? version : -1;
         if (fault != null) {
             lost = true;
             return fault;
--- a/src/test/java/onyxpaddle/membership/ListWatchTest.java
+++ b/src/test/java/onyxpaddle/membership/ListWatchTest.java
@@ -80,6 +80,8 @@
         assertNotNull(watch.judge(false, 42, false), "changes between whole lists that disagree");
         assertNotNull(watch.judge(true, 3, false), "the two are not in a row");
         assertNotNull(watch.judge(true, 2, false), "it goes back further still");
+        assertNotNull(watch.judge(true, 2, true), "an empty one says nothing of the version");
+        assertNotNull(watch.judge(true, 2, false));
         assertNull(watch.judge(true, 2, false));
         assertEquals(2, watch.seq());
         assertFalse(watch.asksForAll());
