bin/measure decisions: the cost of a decision at 60 to 6,000 servers

Need: the cost of a decision and the memory of a node were known at no size. By reading, a served call looks at every cold server (`served`: `cold.removeIf`), a change of the list builds and sorts all anew (`listReady`), and a draw weighs 4 times listed over siblings servers (`draw`: `wanted`).

--- a/src/main/java/onyxpaddle/measure/Measure.java
+++ b/src/main/java/onyxpaddle/measure/Measure.java
@@ -22,7 +22,7 @@
     }
 
     private static final Map<String, Measurement> ALL = new TreeMap<>(Map.of(
-        "bgp", new BgpMeasurement(), "bulk", new BulkMeasurement(), "pools", new PoolsMeasurement(), "rpc", new RpcMeasurement(), "rpc-mixed", new RpcMixedMeasurement(),
+        "bgp", new BgpMeasurement(), "bulk", new BulkMeasurement(), "decisions", new DecisionsMeasurement(), "pools", new PoolsMeasurement(), "rpc", new RpcMeasurement(), "rpc-mixed", new RpcMixedMeasurement(),
         "sidecar", new SidecarMeasurement(), "upgrade", new UpgradeMeasurement()));
 
     @Spec
