--- a/src/main/java/onyxpaddle/RatioBalancer.java
+++ b/src/main/java/onyxpaddle/RatioBalancer.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -11,6 +13,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeSet;
 import onyxpaddle.Balancing.*;
 
 /**
@@ -68,6 +71,16 @@
     private static final int SPAN = 12;
     /** Nodes that draw from each server at the least, so that every server is somebody's. */
     private static final int SHARERS = 4;
+    /**
+     * From more than these a node draws from a sample, as the design allows: so many sound ones, of no more
+     * than so many looked at. Guards against a decision that costs more the more servers are listed (6,000:
+     * 0.6 ms); where nearly all of many are unsound, a draw may miss the sound ones, and the next finds them.
+     */
+    private static final int SAMPLE = 24;
+    private static final int MOST_LOOKED_AT = 96;
+    /** The order that all nodes share. */
+    private static final Comparator<Server> IN_PLACE = Comparator.<Server>comparingInt(s -> s.place)
+        .thenComparing(s -> s.id);
     /** How much slower a server of another zone reads, for each unit of the price of crossing. */
     private static final double CROSSING = 50;
     private static final long HOLD_STEP = 20_000_000L;
@@ -87,12 +100,14 @@
     private boolean heard;
     /** The servers that may be sent to, in an order that all nodes share; and from this node's place on. */
     private final List<Server> ready = new ArrayList<>();
-    private final List<Server> around = new ArrayList<>();
-    private final List<Server> cold = new ArrayList<>();
+    private Server[] around = new Server[16];
+    /** Those of them that are cold, the one that will be warm first in front. */
+    private final TreeSet<Server> cold = new TreeSet<>(
+        Comparator.<Server>comparingLong(s -> s.startedAt).thenComparing(s -> s.id));
     private final CarriedRate carried = new CarriedRate();
     private final CarriedRate arrived = new CarriedRate();
-    private double meanSize = 1;
-    /** How many servers the last draw was from. */
+    private double sizes;
+    /** How many servers the last draw was from, also where it took a sample of them. */
     private int lastSpan = 1;
     private final Map<String, ClassUse> classes = new HashMap<>();
     private final ClassUse unknownClass;
@@ -180,19 +195,22 @@
             refusedAsks = 0;
         }
         if (news.kind() != ListKind.CHANGES) {
-            Map<String, Server> before = new HashMap<>(servers);
-            news.entries().forEach(e -> before.remove(e.server()));
-            before.keySet().forEach(servers::remove);
+            Set<String> left = new LinkedHashSet<>(servers.keySet());
+            news.entries().forEach(e -> left.remove(e.server()));
+            left.forEach(id -> place(servers.remove(id)));
         }
         news.entries().forEach(this::applyEntry);
         if (news.kind() != ListKind.REMEMBERED && !heard) {
             heard = true;
-            servers.values().forEach(server -> server.doubted = false);
+            for (Server server : servers.values()) {
+                server.doubted = false;
+                place(server);
+            }
         }
         if (news.kind() == ListKind.ALL) {
             remembered.clear();
         }
-        listReady();
+        guessLimit();
     }
 
     /** Whether operators have taken the server out by hand. */
@@ -210,45 +228,64 @@
         } else if (takenOut.size() < MOST_TAKEN_OUT) {
             takenOut.add(server);
         }
-        listReady();
+        if (servers.containsKey(server)) {
+            place(servers.get(server));
+        }
+        guessLimit();
     }
 
-    private void listReady() {
-        ready.clear();
-        cold.clear();
-        for (Server server : servers.values()) {
-            if (server.state == ServerState.READY && !server.doubted && !takenOut.contains(server.id)) {
-                ready.add(server);
-                if (isCold(server)) {
-                    cold.add(server);
-                }
+    /** Puts a server among those that may be sent to, or takes it out, after anything of it has changed. */
+    private void place(Server server) {
+        int at = Collections.binarySearch(ready, server, IN_PLACE);
+        boolean may = servers.get(server.id) == server && server.state == ServerState.READY && !server.doubted
+            && !takenOut.contains(server.id);
+        if (at >= 0) {
+            sizes = ready.size() == 1 ? 0 : sizes - server.countedSize;
+            cold.remove(server);
+        }
+        if (may && at < 0) {
+            ready.add(-at - 1, server);
+        } else if (!may && at >= 0) {
+            ready.remove(at);
+        }
+        if (may) {
+            server.countedSize = server.size;
+            sizes += server.size;
+            if (isCold(server)) {
+                cold.add(server);
             }
         }
-        ready.sort(Comparator.<Server>comparingInt(s -> s.place).thenComparing(s -> s.id));
-        meanSize = ready.stream().mapToDouble(server -> server.size).average().orElse(1);
-        around.clear();
-        around.addAll(ready);
+    }
+
+    private void guessLimit() {
         if (admitLimit == FIRST_LIMIT) {
             admitLimit = Math.max(FIRST_LIMIT, 6.0 * ready.size() / settings.siblings());
         }
-        chance = chance.length < ready.size() ? new double[ready.size() * 2] : chance;
     }
 
     private void applyEntry(ServerEntry entry) {
         if (entry.state() == ServerState.GONE) {
-            servers.remove(entry.server());
+            Server gone = servers.remove(entry.server());
+            if (gone != null) {
+                place(gone);
+            }
             return;
         }
         Server server = servers.get(entry.server());
         if (server == null || server.startedAt != entry.startedAt()) {
+            Server before = server;
             server = new Server(entry, zones.computeIfAbsent(entry.zone(), z -> new Failures()));
             // Spread over the nodes, or all of them would send their first call in the same moment.
             server.credit = random.nextDouble();
             servers.put(entry.server(), server);
+            if (before != null) {
+                place(before);
+            }
             remind(server);
         }
         server.state = entry.state();
         server.size = entry.weight() > 0 ? entry.weight() : 1;
+        place(server);
     }
 
     private void planFirstSubscription() {
@@ -306,7 +343,8 @@
         retriesSaved = Math.min(MOST_RETRIES_SAVED, memory.retriesSaved());
         usualRank = memory.usualRank();
         usualWorth = memory.usualWorth();
-        listReady();
+        servers.values().forEach(this::place);
+        guessLimit();
     }
 
     /**
@@ -363,7 +401,9 @@
         server.zoneFailures.clear();
         r.use.learn(r.cost, latency);
         if (!server.isColdListed) {
-            cold.removeIf(other -> !isCold(other));
+            while (!cold.isEmpty() && !isCold(cold.first())) {
+                cold.pollFirst();
+            }
             carried.add(now, 1.0 / Math.max(1, ready.size() - cold.size()));
         }
     }
@@ -406,24 +446,26 @@
 
     /** Draws a server for the request, or null where none may take it now. */
     private Server draw(Request r) {
-        int first = ready.isEmpty() ? 0 : (int) ((long) settings.self() * ready.size() / settings.siblings());
-        int wanted = Math.max(SPAN, SHARERS * ready.size() / settings.siblings());
+        int size = ready.size();
+        int first = size == 0 ? 0 : (int) ((long) settings.self() * size / settings.siblings());
+        int wanted = Math.max(SPAN, SHARERS * size / settings.siblings());
+        boolean sampled = Math.min(wanted, size) > SAMPLE;
+        int slice = sampled ? Math.min(wanted, size) : size;
+        int span = walk(first, slice, sampled, sampled ? SAMPLE : wanted, MOST_LOOKED_AT);
         double best = Double.MAX_VALUE;
-        int span = 0;
-        for (int sound = 0; span < ready.size() && sound < wanted; span++) {
-            Server server = ready.get((first + span) % ready.size());
-            around.set(span, server);
-            sound += server.chanceLeft(now) >= 0.5 && !server.isColdListed ? 1 : 0;
-            best = server.count > 0 ? Math.min(best, server.mean()) : best;
+        for (int i = 0; i < span; i++) {
+            best = around[i].count > 0 ? Math.min(best, around[i].mean()) : best;
         }
         best = best == Double.MAX_VALUE ? 1 : best;
-        lastSpan = span;
+        // With too few sound ones it may go on to any, and then stands for its own part of all nodes alone.
+        lastSpan = span == Math.min(slice, MOST_LOOKED_AT) ? size : sampled ? slice : span;
         double sum = weigh(r, best, span, true);
         if (sum <= 0) {
-            span = ready.size();
-            for (int i = 0; i < span; i++) {
-                around.set(i, ready.get((first + i) % span));
-            }
+            // A server's memory of a key binds the request to one zone or cell: any of these may be the one.
+            boolean bound = r.anchor != null && r.use.about.effect() == Effect.KEYED
+                && r.use.about.group() != KeyGroup.ALL;
+            int most = bound ? size : MOST_LOOKED_AT;
+            span = walk(first, size, size > most, size, most);
             sum = weigh(r, best, span, false);
         }
         if (sum <= 0) {
@@ -434,11 +476,50 @@
         return other.drawMean < one.drawMean ? other : one;
     }
 
+    /**
+     * Goes through so many servers from {@code first} on, each once, until {@code wanted} sound ones are met
+     * or {@code most} are looked at; returns how many were. {@code strewn}: from a random one of them in
+     * steps that leave none out, so that each is met as often as any other; else one after another.
+     */
+    private int walk(int first, int slice, boolean strewn, int wanted, int most) {
+        int at = strewn ? random.nextInt(slice) : 0;
+        int step = strewn ? stepThrough(slice) : 1;
+        int end = Math.min(slice, most);
+        int span = 0;
+        for (int sound = 0; span < end && sound < wanted; span++) {
+            if (span == around.length) {
+                around = Arrays.copyOf(around, 2 * span);
+                chance = new double[2 * span];
+            }
+            Server server = ready.get((int) (((long) first + at) % ready.size()));
+            around[span] = server;
+            sound += server.chanceLeft(now) >= 0.5 && !server.isColdListed ? 1 : 0;
+            at = (int) (((long) at + step) % slice);
+        }
+        return span;
+    }
+
+    /** A step near the golden section of the length, without a common divisor: it comes by every place. */
+    private static int stepThrough(int length) {
+        for (int step = Math.max(1, (int) (length * 0.618)); ; step--) {
+            int a = length;
+            int b = step;
+            while (b != 0) {
+                int rest = a % b;
+                a = b;
+                b = rest;
+            }
+            if (a == 1) {
+                return step;
+            }
+        }
+    }
+
     /** Sets each ready server's weight for this request and returns their sum. */
     private double weigh(Request r, double best, int span, boolean avoidTried) {
         double sum = 0;
         for (int i = 0; i < span; i++) {
-            Server server = around.get(i);
+            Server server = around[i];
             chance[i] = 0;
             if (mayTake(r, server) && !(avoidTried && r.tried(server))) {
                 server.drawMean = meanNow(server, best);
@@ -454,7 +535,7 @@
         Server last = null;
         for (int i = 0; i < span; i++) {
             if (chance[i] > 0) {
-                last = around.get(i);
+                last = around[i];
                 at -= chance[i];
                 if (at < 0) {
                     return last;
@@ -508,7 +589,8 @@
         double seconds = server.creditAt == 0 ? 0 : (now - server.creditAt) / 1e9;
         // Only the nodes that draw from it send it anything: each stands for more than its part of all nodes.
         double drawnFrom = Math.max(1, (double) ready.size() / Math.max(1, lastSpan));
-        double earned = perSecond * drawnFrom * seconds * rampNow(server) * server.size / meanSize;
+        double part = rampNow(server) * server.size * ready.size() / sizes;
+        double earned = perSecond * drawnFrom * seconds * part;
         server.creditAt = now;
         server.credit = Math.min(MOST_CREDIT, server.credit + earned);
     }
@@ -842,6 +924,8 @@
         final double[] window = new double[WINDOW];
         ServerState state;
         double size;
+        /** The size that the sum of all ready ones has of it. */
+        double countedSize;
         /** Calls that it may be sent while it is cold, and when that was last reckoned. */
         double credit;
         long creditAt;
