Late answers of servers that have left no longer raise what cold servers are granted

Cause: in `served`, a late answer of a server that is off the list counted as carried by those that are warm now (`carried.add(now, 1 / (ready - cold))`), and as one whole call where none is. So the granted rate rose just when a whole list was replaced by cold servers. Found by counting over 9 to 60 modules; the initial credit (no bias, as its phase is even), the saved credit and the new sampling were checked and ruled out.

Change: only a server that may be sent to counts. A test over 60 and 12 nodes with 240 servers, all new and cold.

Fails on the code before.

--- a/src/main/java/onyxpaddle/RatioBalancer.java
+++ b/src/main/java/onyxpaddle/RatioBalancer.java
@@ -248,6 +248,7 @@
         } else if (!may && at >= 0) {
             ready.remove(at);
         }
+        server.isReady = may;
         if (may) {
             server.countedSize = server.size;
             sizes += server.size;
@@ -400,7 +401,8 @@
         server.errorShare -= ERROR_STEP * server.errorShare;
         server.zoneFailures.clear();
         r.use.learn(r.cost, latency);
-        if (!server.isColdListed) {
+        // Of a server that has left, a late answer would fall to the few that are warm now, or to none.
+        if (!server.isColdListed && server.isReady) {
             while (!cold.isEmpty() && !isCold(cold.first())) {
                 cold.pollFirst();
             }
@@ -938,6 +940,7 @@
         double sum;
         int count;
         int next;
+        boolean isReady;
         boolean isColdListed;
         /** Gets nothing until discovery has spoken: see {@link #remind}. */
         boolean doubted;
--- a/src/test/java/onyxpaddle/ColdFleetTest.java
+++ b/src/test/java/onyxpaddle/ColdFleetTest.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import onyxpaddle.Balancing.*;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Rule 4 and service, summed over many nodes with little traffic each, where servers keep being replaced. */
@@ -115,6 +116,26 @@
         coldOnesStayWithinTheRule(herd);
     }
 
+    /** All of a fleet in which a draw looks at a part of the servers starts anew, under more calls than it can take. */
+    @ParameterizedTest
+    @CsvSource({"60, 8", "12, 9"})
+    void largeFleetThatIsColdAsAWholeIsNotPushedOver(int nodes, long seed) {
+        int servers = 240;
+        Herd herd = herd(nodes, servers, seed);
+        long at = herd.now + 8 * SECOND;
+        List<ServerEntry> anew = new ArrayList<>();
+        for (int i = 0; i < servers; i++) {
+            started.put("c" + i, at);
+            anew.add(Herd.entry("c" + i, ServerState.READY, at));
+        }
+        herd.tell(at, 0, new Membership(ListKind.ALL, anew));
+        herd.at(at + 3 * SECOND, () -> herd.offered = herd.served = 0);
+        herd.load("read", 0.7 * CAPACITY * servers, SECOND, at + 5 * SECOND);
+        herd.run(at + 7 * SECOND);
+        assertTrue(herd.served > 0.5 * herd.offered, herd.served + " of " + herd.offered + " served");
+        coldOnesStayWithinTheRule(herd);
+    }
+
     /** The budget of rule 4 over every window of its length that ends with a send to a cold server. */
     private void coldOnesStayWithinTheRule(Herd herd) {
         Map<String, List<Long>> sends = new HashMap<>();
