--- a/src/main/java/onyxpaddle/measure/DecisionsMeasurement.java
+++ b/src/main/java/onyxpaddle/measure/DecisionsMeasurement.java
@@ -20,7 +20,9 @@
     private static final int OUT = 64;
     private static final int REQUESTS = 20_000;
     private static final int CHANGES = 400;
-    private static final int ROUNDS = 5;
+    private static final int ROUNDS = 9;
+    private static final int WARMING = 3;
+    private static final String[] NAMES = {"a request, all warm", "a request, a third cold", "a change of the list"};
     private static final long SECOND = 1_000_000_000L;
     private static final double MOST_US = 20;
     /** Flat: what 6,000 servers may cost over what 60 do; more than twice would be growth and no cache miss. */
@@ -35,6 +37,7 @@
         final RatioBalancer module;
         final ArrayDeque<Out> out = new ArrayDeque<>();
         long now = 1_000 * SECOND;
+        long due = Long.MAX_VALUE;
         long count;
 
         Subject(int servers, double coldPart) {
@@ -58,15 +61,24 @@
         void requests(int many) {
             for (int i = 0; i < many; i++) {
                 now += 500_000;
-                String id = "r" + count++;
-                for (Action action : module.handle(now, new Arrival(id, "read", now + 2 * SECOND, null, 0, false))) {
-                    if (action instanceof Send send) {
-                        out.addLast(new Out(id, send.server()));
-                    }
+                if (now >= due) {
+                    due = Long.MAX_VALUE;
+                    tell(new Timer("due"));
                 }
+                tell(new Arrival("r" + count++, "read", now + 2 * SECOND, null, 0, false));
                 if (out.size() > OUT) {
                     Out served = out.pollFirst();
-                    module.handle(now, new AttemptEnded(served.request, 0, served.server, Outcome.OK, OUT * 500_000L, true, null));
+                    tell(new AttemptEnded(served.request, 0, served.server, Outcome.OK, OUT * 500_000L, true, null));
+                }
+            }
+        }
+
+        private void tell(Event event) {
+            for (Action action : module.handle(now, event)) {
+                if (action instanceof Send send) {
+                    out.addLast(new Out(send.request(), send.server()));
+                } else if (action instanceof SetTimer timer) {
+                    due = Math.min(due, now + timer.after());
                 }
             }
         }
@@ -107,32 +119,39 @@
 
     @Override
     public void run(Figures figures, double part) {
-        double[] first = new double[3];
         for (int size : SIZES) {
             memory(size);
             figures.put(String.format(Locale.ROOT, "%,d servers: memory", size), memory(size), "KiB");
         }
+        List<Subject> warm = new ArrayList<>();
+        List<Subject> mixed = new ArrayList<>();
+        List<List<List<Double>>> rounds = new ArrayList<>();
         for (int size : SIZES) {
-            String at = String.format(Locale.ROOT, "%,d servers: ", size);
-            Subject warm = new Subject(size, 0);
-            Subject mixed = new Subject(size, 1.0 / 3);
-            List<List<Double>> rounds = List.of(new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
-            for (int round = 0; round <= ROUNDS * part; round++) {
-                List<Double> took = List.of(micros(() -> warm.requests(REQUESTS), REQUESTS),
-                    micros(() -> mixed.requests(REQUESTS), REQUESTS), micros(() -> warm.changes(CHANGES), CHANGES));
-                for (int i = 0; i < 3 && round > 0; i++) {
-                    rounds.get(i).add(took.get(i));
+            warm.add(new Subject(size, 0));
+            mixed.add(new Subject(size, 1.0 / 3));
+            rounds.add(List.of(new ArrayList<>(), new ArrayList<>(), new ArrayList<>()));
+        }
+        // The sizes take turns, so that none has the code still cold or the machine slow to itself.
+        for (int round = -WARMING; round < ROUNDS * part; round++) {
+            for (int size = 0; size < SIZES.length; size++) {
+                Subject w = warm.get(size);
+                Subject m = mixed.get(size);
+                List<Double> took = List.of(micros(() -> w.requests(REQUESTS), REQUESTS),
+                    micros(() -> m.requests(REQUESTS), REQUESTS), micros(() -> w.changes(CHANGES), CHANGES));
+                for (int i = 0; i < NAMES.length && round >= 0; i++) {
+                    rounds.get(size).get(i).add(took.get(i));
                 }
             }
-            String[] names = {"a request, all warm", "a request, a third cold", "a change of the list"};
-            for (int i = 0; i < 3; i++) {
-                double median = Figures.median(rounds.get(i));
-                figures.hold(at + names[i], median, "us", 0, MOST_US);
-                System.out.println("    rounds " + Figures.spread(rounds.get(i)));
-                first[i] = size == SIZES[0] ? median : first[i];
-                if (size == SIZES[SIZES.length - 1] && i < 2) {
-                    figures.hold(names[i] + ", against 60 servers", median / first[i], "times", 0, MOST_GROWTH);
-                }
+        }
+        for (int i = 0; i < NAMES.length; i++) {
+            for (int size = 0; size < SIZES.length; size++) {
+                List<Double> took = rounds.get(size).get(i);
+                figures.hold(String.format(Locale.ROOT, "%,d servers: %s", SIZES[size], NAMES[i]), Figures.median(took), "us", 0, MOST_US);
+                System.out.println("    rounds " + Figures.spread(took));
+            }
+            if (i < 2) {
+                figures.hold(NAMES[i] + ", 6,000 against 60", Figures.median(rounds.get(SIZES.length - 1).get(i))
+                    / Figures.median(rounds.get(0).get(i)), "times", 0, MOST_GROWTH);
             }
         }
     }
