drill: several processes, faults between them, and a check of the four rules

Need: the operators care most for how processes behave together when some fail. What stood were two rigs for one node, by schedules in code.

A file says sites, nodes, boxes, load and faults; each node is the program as built (serve); a relay for each way from a node to a box cuts, delays, slows and resets; processes are killed, stopped and started anew; faults may wait for a count of served requests. The history is a line of JSON an event, and the check judges it by order and causes, its bounds stated. The stand-in can be given places and a queue, and tells who is interested what came and what ran.

--- /dev/null
+++ b/src/main/java/onyxpaddle/drill/DrillReader.java
@@ -0,0 +1,220 @@
+package onyxpaddle.drill;
+
+import static onyxpaddle.config.Shape.optional;
+import static onyxpaddle.config.Shape.plain;
+import static onyxpaddle.config.Shape.required;
+import static onyxpaddle.config.Shape.section;
+import static onyxpaddle.config.Shape.some;
+import static onyxpaddle.config.Shape.within;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+import onyxpaddle.config.Faults;
+import onyxpaddle.config.Shape;
+import onyxpaddle.config.Shape.Kind;
+import onyxpaddle.config.Shape.MapOf;
+import onyxpaddle.config.Shape.Section;
+import onyxpaddle.config.ShapeCheck;
+import onyxpaddle.config.SourceFile;
+import onyxpaddle.config.Value;
+import onyxpaddle.config.View;
+import onyxpaddle.drill.Drill.BoxKind;
+import onyxpaddle.drill.Drill.Cut;
+import onyxpaddle.drill.Drill.Effect;
+import onyxpaddle.drill.Drill.Fault;
+import onyxpaddle.drill.Drill.Lists;
+import onyxpaddle.drill.Drill.LoadClass;
+import onyxpaddle.drill.Drill.NodeKind;
+import onyxpaddle.drill.Drill.Site;
+
+/** Reads the file of a drill, and finds all that is wrong with it. */
+public final class DrillReader {
+    private static final double MS = 1e6;
+    private static final double S = 1e9;
+    private static final int MOST_NODES = 200;
+    private static final int MOST_BOXES = 500;
+
+    private static final Section SITE = section(
+        required("nodes", within(Kind.COUNT, 1, MOST_NODES), "node processes"),
+        required("boxes", within(Kind.COUNT, 1, MOST_BOXES), "boxes that serve"),
+        optional("share", within(Kind.NUMBER, 0, 1000), "1", "its part of the load, against the other sites'"));
+    private static final Section BOXES = section(
+        optional("at-once", within(Kind.COUNT, 1, 1000), "4", "requests that a box works on at once"),
+        optional("takes", within(Kind.SPAN, 0, 10 * S), "10 ms", "how long it works on one"),
+        optional("jitter", within(Kind.SPAN, 0, 10 * S), "0 ms", "and up to so much more"),
+        optional("queue", within(Kind.COUNT, 0, 100_000), "50", "requests that wait; further ones are turned away unseen"),
+        optional("cold", within(Kind.SPAN, 0, 600 * S), "0 s", "how long it is cold after its start"),
+        optional("cold-from", within(Kind.NUMBER, 0.01, 1), "0.3", "the part of its capacity that it starts with"));
+    private static final Section NODES = section(
+        optional("attempts", within(Kind.COUNT, 1, 10), "3", "that a request may have"),
+        optional("second-copies", plain(Kind.FLAG), "true", "whether a safe request that overstays may be sent once more"),
+        optional("drain-grace", within(Kind.SPAN, 0, 60 * S), "2 s", "after which nothing new goes to a box that drains"),
+        optional("cold-multiple", within(Kind.NUMBER, 1, 100), "3", "of a cold box's present capacity, that it may be sent"),
+        optional("cold-window", within(Kind.SPAN, 100 * MS, 60 * S), "2 s", "the time over which that is counted"));
+    private static final Section LISTS = section(
+        optional("lost", within(Kind.SPAN, 0, 60 * S), "2 s", "until lists say that a box is gone"),
+        optional("back", within(Kind.SPAN, 0, 60 * S), "1 s", "until they say that it is back"));
+    private static final Section LOAD = section(
+        required("class", plain(Kind.NAME), "its name"),
+        required("per-second", within(Kind.NUMBER, 0.1, 100_000), "over all sites"),
+        optional("effect", Shape.word("safe", "unsafe"), "unsafe", "what repeating one may do"),
+        optional("aim", within(Kind.SPAN, MS, 60 * S), "300 ms", "the time within which an answer is worth something"),
+        optional("deadline", within(Kind.SPAN, MS, 60 * S), "1 s", "how long clients wait"),
+        optional("worth", within(Kind.NUMBER, 0, 1000), "1", "of one that is answered within its aim"),
+        optional("retries", within(Kind.COUNT, 0, 10), "0", "by clients that were refused or failed, under new ids"));
+    private static final Section FAULT = section(
+        optional("at", within(Kind.SPAN, 0, 3600 * S), "0 s", "when it begins; after `after-served`, where that is given"),
+        optional("after-served", within(Kind.COUNT, 1, 10_000_000), "none", "begins once so many requests have been served"),
+        optional("for", within(Kind.SPAN, 0, 3600 * S), "0 s", "how long it lasts"),
+        optional("kill", plain(Kind.TEXT), "none", "a node, such as `north/2`: killed, and started from nothing afterwards"),
+        optional("stop", plain(Kind.TEXT), "none", "a node: stands still, then goes on"),
+        optional("lose", plain(Kind.TEXT), "none", "a site: nodes killed, boxes silent; both start from nothing, boxes cold"),
+        optional("cut", some(plain(Kind.TEXT)), "none", "two sites: the links from nodes of the first to boxes of the second"),
+        optional("how", Shape.word("silent", "one-way", "silent-then-reset", "refused", "delayed", "slow"), "silent", "how links are cut"),
+        optional("drain", plain(Kind.TEXT), "none", "a box, such as `north/s1`: listed as draining"),
+        optional("freeze", plain(Kind.TEXT), "none", "a box: stands still"),
+        optional("restart", plain(Kind.TEXT), "none", "a box: starts anew, cold"),
+        optional("push", within(Kind.NUMBER, 0, 100), "none", "times the load"),
+        optional("hush", plain(Kind.FLAG), "false", "lists stand still"),
+        optional("size", within(Kind.NUMBER, 0, 1_000_000), "0", "of a cut: ms of delay, or KiB a second"));
+    static final Section ALL = section(
+        required("version", within(Kind.COUNT, 1, 1), "of this form"),
+        required("name", plain(Kind.NAME), "of the drill"),
+        optional("seed", within(Kind.COUNT, 0, 1e15), "1", "one seed gives one schedule of arrivals and choices"),
+        optional("lasts", within(Kind.SPAN, S, 3600 * S), "10 s", "how long the load lasts"),
+        required("sites", new MapOf(Kind.NAME, SITE, false), "where nodes and boxes stand"),
+        optional("boxes", BOXES, "as below", "what each box can do"),
+        optional("nodes", NODES, "as below", "what each node is told"),
+        optional("lists", LISTS, "as below", "how late lists are"),
+        required("load", some(LOAD), "what clients ask"),
+        optional("faults", some(FAULT), "none", "what goes wrong"));
+
+    private final View root;
+    private final Faults faults;
+
+    private DrillReader(View root, Faults faults) {
+        this.root = root;
+        this.faults = faults;
+    }
+
+    /** Null where the file has faults. */
+    public static Drill file(Path file, Faults faults) {
+        String text = SourceFile.text(file, faults);
+        return text == null ? null : text(file.toString(), text, faults);
+    }
+
+    /** As {@link #file}, of a file's text. */
+    public static Drill text(String name, String text, Faults faults) {
+        Value value = SourceFile.parse(name, text, faults);
+        if (value == null) {
+            return null;
+        }
+        ShapeCheck.check(value, ALL, faults);
+        Drill drill = new DrillReader(new View(value), faults).all();
+        return faults.any() ? null : drill;
+    }
+
+    private Drill all() {
+        Map<String, Site> sites = new TreeMap<>();
+        root.named("sites").forEach((name, view) -> sites.put(name,
+            new Site(view.count("nodes", 1), view.count("boxes", 1), view.number("share", 1))));
+        if (sites.values().stream().mapToInt(Site::nodes).sum() > MOST_NODES || sites.values().stream().mapToInt(Site::boxes).sum() > MOST_BOXES) {
+            faults.add(root.place("sites"), "sites", "more processes than one machine plays", "at most " + MOST_NODES + " nodes and " + MOST_BOXES + " boxes in all");
+        }
+        if (!sites.isEmpty() && sites.values().stream().allMatch(s -> s.share() == 0)) {
+            faults.add(root.place("sites"), "sites", "no site has a part of the load", "`share:` above 0 for one of them");
+        }
+        View boxes = root.section("boxes");
+        View nodes = root.section("nodes");
+        View lists = root.section("lists");
+        List<LoadClass> load = new ArrayList<>();
+        for (View view : root.items("load")) {
+            load.add(loadClass(view, load));
+        }
+        List<Fault> all = new ArrayList<>();
+        root.items("faults").forEach(view -> all.add(fault(view, sites)));
+        return new Drill(root.text("name", Kind.NAME, ""), root.count("seed", 1), ms(root, "lasts", 10_000), sites,
+            new BoxKind(boxes.count("at-once", 4), ms(boxes, "takes", 10), ms(boxes, "jitter", 0), boxes.count("queue", 50),
+                ms(boxes, "cold", 0), boxes.number("cold-from", 0.3)),
+            new NodeKind(nodes.count("attempts", 3), nodes.flag("second-copies", true), ms(nodes, "drain-grace", 2_000),
+                nodes.number("cold-multiple", 3), ms(nodes, "cold-window", 2_000)),
+            new Lists(ms(lists, "lost", 2_000), ms(lists, "back", 1_000)), load, all.stream().filter(f -> f != null).toList());
+    }
+
+    private LoadClass loadClass(View view, List<LoadClass> before) {
+        String name = view.text("class", Kind.NAME, "");
+        if (before.stream().anyMatch(c -> c.name().equals(name))) {
+            faults.add(view.place("class"), view.path("class"), "`" + name + "` is there already", "each class once");
+        }
+        long aim = ms(view, "aim", 300);
+        long deadline = ms(view, "deadline", 1_000);
+        if (aim > deadline) {
+            faults.add(view.place("aim"), view.path("aim"), "is longer than the deadline", "an aim of " + deadline + " ms at most");
+        }
+        return new LoadClass(name, view.word("effect", "unsafe", "safe", "unsafe").equals("safe") ? Effect.SAFE : Effect.UNSAFE,
+            view.number("per-second", 1), aim, deadline, view.number("worth", 1), view.count("retries", 0));
+    }
+
+    private Fault fault(View view, Map<String, Site> sites) {
+        List<Drill.Kind> kinds = Stream.of(Drill.Kind.values()).filter(k -> view.has(word(k))).toList();
+        if (kinds.size() != 1) {
+            faults.add(view.place(), view.path(), kinds.isEmpty() ? "says of nothing that it fails" : "says more than one thing",
+                "one of " + String.join(", ", Stream.of(Drill.Kind.values()).map(DrillReader::word).toList()));
+            return null;
+        }
+        Drill.Kind kind = kinds.get(0);
+        String key = word(kind);
+        List<String> target = switch (kind.hits) {
+            case "link" -> view.texts(key, Kind.TEXT);
+            case "node", "box", "site" -> List.of(view.text(key, Kind.TEXT, ""));
+            default -> List.of();
+        };
+        for (String name : target) {
+            Set<String> there = names(kind.hits, sites);
+            if (!there.contains(name)) {
+                faults.add(view.place(key), view.path(key), "there is no " + (kind.hits.equals("link") ? "site" : kind.hits) + " `" + name + "`",
+                    "one of " + String.join(", ", there.stream().limit(12).toList()));
+            }
+        }
+        if (kind == Drill.Kind.CUT && target.size() != 2) {
+            faults.add(view.place(key), view.path(key), "names " + target.size() + " sites", "two: nodes of the first lose boxes of the second");
+        }
+        if (view.has("how") && kind != Drill.Kind.CUT) {
+            faults.add(view.place("how"), view.path("how"), "is of a cut, and nothing is cut", "`cut:`, or no `how:`");
+        }
+        Cut cut = kind == Drill.Kind.CUT ? Cut.valueOf(view.word("how", "silent", "silent", "one-way", "silent-then-reset", "refused", "delayed", "slow")
+            .toUpperCase(Locale.ROOT).replace('-', '_')) : null;
+        double size = view.number("size", 0);
+        if ((cut == Cut.DELAYED || cut == Cut.SLOW) && size <= 0) {
+            faults.add(view.place("how"), view.path("how"), "has no size", "`size:` with " + (cut == Cut.SLOW ? "KiB a second" : "milliseconds"));
+        }
+        return new Fault(kind, ms(view, "at", 0), view.count("after-served", 0), ms(view, "for", 0), target, cut,
+            kind == Drill.Kind.PUSH ? view.number(key, 1) : size);
+    }
+
+    private static Set<String> names(String what, Map<String, Site> sites) {
+        Set<String> names = new java.util.TreeSet<>();
+        sites.forEach((name, site) -> {
+            switch (what) {
+                case "node" -> java.util.stream.IntStream.range(0, site.nodes()).forEach(i -> names.add(name + "/" + i));
+                case "box" -> java.util.stream.IntStream.range(0, site.boxes()).forEach(i -> names.add(name + "/s" + i));
+                default -> names.add(name);
+            }
+        });
+        return names;
+    }
+
+    private static String word(Drill.Kind kind) {
+        return kind.name().toLowerCase(Locale.ROOT);
+    }
+
+    private static long ms(View view, String key, long usual) {
+        return view.span(key, usual * (long) MS) / (long) MS;
+    }
+}
--- /dev/null
+++ b/src/main/java/onyxpaddle/drill/DrillRun.java
@@ -0,0 +1,341 @@
+package onyxpaddle.drill;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import onyxpaddle.drill.Drill.Cut;
+import onyxpaddle.drill.Drill.Fault;
+import onyxpaddle.drill.Event.What;
+
+/** Plays a drill: starts the processes, the boxes, the lists and the links, then the load and the faults, and writes the history. */
+public final class DrillRun implements AutoCloseable {
+    /** How long the front goes on dealing requests to a node that is dead or stands still. */
+    private static final long FRONT_NOTICES_MS = 1_000;
+    private static final long LONGEST_AFTER_MS = 120_000;
+    private static final long WARM_EVERY_MS = 100;
+
+    /** What came of a drill. */
+    public record Outcome(HistoryCheck.Verdict verdict, Figures figures, String table, Map<String, Double> cpuSeconds) {
+        public Outcome {
+            cpuSeconds = Map.copyOf(cpuSeconds);
+        }
+    }
+
+    private final Drill drill;
+    private final History history;
+    private final Path folder = Files.createTempDirectory("drill");
+    private final MultiThreadIoEventLoopGroup clients = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup links = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    private final ScheduledExecutorService schedule = Executors.newScheduledThreadPool(8, task -> {
+        Thread thread = new Thread(task, "schedule");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final Boxes boxes;
+    private final ListService lists;
+    private final Callers callers;
+    private final Figures figures = new Figures();
+    private final Map<String, Link> between = new HashMap<>();
+    private final Map<String, List<Relay>> ways = new HashMap<>();
+    private final Map<String, Path> configs = new LinkedHashMap<>();
+    private final Map<String, ServeProcess> processes = new ConcurrentHashMap<>();
+    private final AtomicReference<Throwable> failed = new AtomicReference<>();
+    private final AtomicLong served = new AtomicLong();
+    private final AtomicLong busy = new AtomicLong();
+
+    /** {@code file}: where the history goes, null for nowhere. */
+    public DrillRun(Drill drill, Path file) throws Exception {
+        this.drill = drill;
+        this.history = new History(file);
+        history.add(What.DRILL, "name", drill.name(), "seed", Long.toString(drill.seed()), "latest", Long.toString(latest()),
+            "drain-grace", Long.toString(drill.nodes().drainGraceMs()), "cold-multiple", Double.toString(drill.nodes().coldMultiple()),
+            "cold-window", Long.toString(drill.nodes().coldWindowMs()));
+        this.boxes = new Boxes(drill, history);
+        this.lists = new ListService(history);
+        this.callers = new Callers(drill, history, figures, clients.next());
+    }
+
+    /** How much later than it set out a request may come to a box, by what the drill does to links and boxes. */
+    private long latest() {
+        long latest = 0;
+        for (Fault f : drill.faults()) {
+            boolean holds = f.cut() == Cut.SILENT || f.cut() == Cut.ONE_WAY || f.kind() == Drill.Kind.FREEZE || f.kind() == Drill.Kind.LOSE;
+            latest = Math.max(latest, holds ? f.forMs() : f.cut() == Cut.DELAYED ? (long) (1.5 * f.size()) : f.cut() == Cut.SLOW ? drill.lastsMs() : 0);
+        }
+        return latest;
+    }
+
+    /** Plays all of it. */
+    public Outcome play() throws Exception {
+        startAll();
+        schedule.scheduleWithFixedDelay(boxes::warm, WARM_EVERY_MS, WARM_EVERY_MS, TimeUnit.MILLISECONDS);
+        Map<Long, List<Fault>> waiting = drill.faults().stream().collect(Collectors.groupingBy(Fault::afterServed));
+        history.watch(event -> {
+            if (event.what() == What.ANSWERED && event.get("status").equals("200")) {
+                waiting.getOrDefault(served.incrementAndGet(), List.of()).forEach(this::plan);
+            }
+        });
+        Future<Void> load = callers.play();
+        waiting.getOrDefault(0L, List.of()).forEach(this::plan);
+        long most = drill.lastsMs() + LONGEST_AFTER_MS;
+        try {
+            load.get(most, TimeUnit.MILLISECONDS);
+        } catch (TimeoutException e) {
+            throw new IOException("the load was not over within " + most + " ms", e);
+        }
+        while (busy.get() > 0 && failed.get() == null) {
+            TimeUnit.MILLISECONDS.sleep(WARM_EVERY_MS);
+        }
+        if (failed.get() != null) {
+            throw new IOException("the schedule failed: " + failed.get(), failed.get());
+        }
+        history.add(What.HEALED);
+        for (Map.Entry<String, ServeProcess> p : processes.entrySet()) {
+            if (!p.getValue().call("GET /ready").startsWith("HTTP/1.1 200")) {
+                throw new IOException(p.getKey() + " does not say that it is ready, though all is healed: " + p.getValue().log());
+            }
+        }
+        history.add(What.END);
+        Map<String, Double> cpu = new HashMap<>();
+        processes.forEach((name, p) -> cpu.put(name, p.cpuSeconds()));
+        return new Outcome(HistoryCheck.check(history.events()), figures, figures.table(), cpu);
+    }
+
+    // ---- start ----
+
+    private void startAll() throws Exception {
+        boxes.names().forEach(box -> lists.set(box, "ready", 0));
+        List<String> names = new ArrayList<>();
+        for (String site : drill.siteNames()) {
+            for (String to : drill.siteNames()) {
+                between.put(site + " " + to, new Link());
+            }
+            for (int i = 0; i < drill.sites().get(site).nodes(); i++) {
+                names.add(site + "/" + i);
+            }
+        }
+        for (String name : names) {
+            var listen = ServeProcess.freePort();
+            Map<String, String> there = relays(name);
+            String known = lists.known(there);
+            var discovery = lists.door(name, there);
+            Path config = folder.resolve(name.replace('/', '-') + ".json");
+            Files.writeString(config, config(name, names, ServeProcess.text(listen), ServeProcess.text(discovery), known));
+            configs.put(name, config);
+            callers.door(name, listen);
+        }
+        List<Future<?>> starts = new ArrayList<>();
+        names.forEach(name -> starts.add(schedule.submit(() -> start(name))));
+        for (Future<?> start : starts) {
+            start.get();
+        }
+        if (failed.get() != null) {
+            throw new IOException("a node did not start: " + failed.get().getMessage(), failed.get());
+        }
+    }
+
+    private Map<String, String> relays(String node) throws InterruptedException {
+        Map<String, String> there = new HashMap<>();
+        for (String box : boxes.names()) {
+            String link = site(node) + " " + site(box);
+            EventLoop loop = links.next();
+            Relay relay = new Relay(loop, between.get(link), node, () -> boxes.address(box), boxes.callers);
+            ways.computeIfAbsent(link, l -> new ArrayList<>()).add(relay);
+            there.put(box, relay.address());
+        }
+        return there;
+    }
+
+    private static String site(String name) {
+        return name.substring(0, name.indexOf('/'));
+    }
+
+    private String config(String name, List<String> names, String listen, String discovery, String known) {
+        String classes = drill.load().stream().map(c -> String.format(Locale.ROOT,
+            "{\"name\":\"%s\",\"effect\":\"%s\",\"aimS\":%.3f,\"deadlineS\":%.3f,\"worth\":%s}", c.name(), c.effect().told, c.aimMs() / 1e3,
+            c.deadlineMs() / 1e3, c.worth())).collect(Collectors.joining(","));
+        String areas = drill.siteNames().stream().map(s -> '"' + s + '"').collect(Collectors.joining(","));
+        return String.format(Locale.ROOT, """
+            {"name":"%s","listen":"%s","discovery":"%s","seed":"%x","limits":{"sockets":4096},"known":%s,
+             "settings":{"az":"%s","areas":[%s],"layer":0,"me":%d,"siblings":%d,"quantumS":0.002,"membershipMode":"push","weights":"nominal",
+              "classes":[%s],
+              "limits":{"maxAttempts":%d,"cancel":true,"secondCopies":%b,"retryAfter":true,"maxRetryAfterS":1,"dialTimeoutS":0.25,"keepaliveS":5},
+              "rules":{"startCapacity":%s,"coldS":%.3f,"fallMultiple":%s,"overloadForS":%.3f,"drainGraceS":%.3f}}}""",
+            name.replace('/', '-'), listen, discovery, drill.seed() * 1_000 + names.indexOf(name), known, site(name), areas, names.indexOf(name),
+            names.size(), classes, drill.nodes().attempts(), drill.nodes().secondCopies(), drill.boxes().coldFrom(), drill.boxes().coldMs() / 1e3,
+            drill.nodes().coldMultiple(), drill.nodes().coldWindowMs() / 1e3, drill.nodes().drainGraceMs() / 1e3);
+    }
+
+    private void start(String name) {
+        try {
+            Path temporary = folder.resolve(name.replace('/', '-') + ".tmp");
+            Files.createDirectories(temporary);
+            ServeProcess process = ServeProcess.start(configs.get(name), temporary, folder.resolve(name.replace('/', '-') + ".log"));
+            processes.put(name, process);
+            process.awaitReady();
+            history.add(What.NODE, "node", name, "state", "ready");
+            callers.up(name, true);
+        } catch (IOException | InterruptedException e) {
+            failed.compareAndSet(null, e);
+        }
+    }
+
+    // ---- the schedule ----
+
+    private interface Step {
+        void go() throws Exception;
+    }
+
+    private void after(long ms, Step step) {
+        busy.incrementAndGet();
+        schedule.schedule(() -> {
+            try {
+                step.go();
+            } catch (Exception e) {
+                failed.compareAndSet(null, e);
+            } finally {
+                busy.decrementAndGet();
+            }
+        }, ms, TimeUnit.MILLISECONDS);
+    }
+
+    private void plan(Fault fault) {
+        after(fault.atMs(), () -> {
+            history.add(What.FAULT, "fault", fault.toString(), "state", "begins");
+            begin(fault);
+            after(fault.forMs(), () -> {
+                end(fault);
+                history.add(What.FAULT, "fault", fault.toString(), "state", "ends");
+            });
+        });
+    }
+
+    private void begin(Fault fault) throws Exception {
+        String target = fault.target().isEmpty() ? "" : fault.target().get(0);
+        switch (fault.kind()) {
+            case KILL -> kill(target);
+            case STOP -> {
+                processes.get(target).signal("STOP");
+                history.add(What.NODE, "node", target, "state", "stopped");
+                after(FRONT_NOTICES_MS, () -> callers.up(target, false));
+            }
+            case LOSE -> {
+                for (String node : configs.keySet()) {
+                    if (site(node).equals(target)) {
+                        kill(node);
+                    }
+                }
+                drill.siteNames().forEach(site -> between.get(site + " " + target).cut(Cut.SILENT_THEN_RESET, 0));
+                after(drill.lists().lostMs(), () -> of(target).forEach(box -> tell(box, "gone")));
+            }
+            case CUT -> {
+                Link link = between.get(target + " " + fault.target().get(1));
+                link.cut(fault.cut(), fault.size());
+                if (fault.cut() == Cut.REFUSED) {
+                    reset(target, fault.target().get(1));
+                }
+            }
+            case DRAIN -> tell(target, "draining");
+            case FREEZE -> boxes.freeze(target, true);
+            case RESTART -> {
+                boxes.restart(target);
+                after(drill.lists().backMs(), () -> tell(target, "ready"));
+            }
+            case PUSH -> callers.factor(fault.size());
+            case HUSH -> lists.hush(true);
+        }
+    }
+
+    private void end(Fault fault) throws Exception {
+        String target = fault.target().isEmpty() ? "" : fault.target().get(0);
+        switch (fault.kind()) {
+            case KILL -> start(target);
+            case STOP -> {
+                history.add(What.NODE, "node", target, "state", "continued");
+                processes.get(target).signal("CONT");
+                callers.up(target, true);
+            }
+            case LOSE -> {
+                for (String box : of(target)) {
+                    boxes.restart(box);
+                }
+                for (String site : drill.siteNames()) {
+                    reset(site, target);
+                    between.get(site + " " + target).heal();
+                }
+                after(drill.lists().backMs(), () -> of(target).forEach(box -> tell(box, "ready")));
+                configs.keySet().stream().filter(node -> site(node).equals(target)).forEach(node -> after(0, () -> start(node)));
+            }
+            case CUT -> {
+                Link link = between.get(target + " " + fault.target().get(1));
+                if (fault.cut() == Cut.SILENT_THEN_RESET) {
+                    reset(target, fault.target().get(1));
+                }
+                link.heal();
+            }
+            case DRAIN -> tell(target, "ready");
+            case FREEZE -> boxes.freeze(target, false);
+            case RESTART -> { }
+            case PUSH -> callers.factor(1);
+            case HUSH -> lists.hush(false);
+        }
+    }
+
+    private List<String> of(String site) {
+        return boxes.names().stream().filter(box -> site(box).equals(site)).toList();
+    }
+
+    private void tell(String box, String state) {
+        lists.set(box, state, boxes.bornMs(box));
+    }
+
+    private void reset(String from, String to) {
+        ways.getOrDefault(from + " " + to, List.of()).forEach(Relay::reset);
+    }
+
+    private void kill(String node) throws InterruptedException {
+        // Written before it is done: what the node has open may end at once.
+        history.add(What.NODE, "node", node, "state", "killed");
+        processes.get(node).kill();
+        after(FRONT_NOTICES_MS, () -> callers.up(node, false));
+    }
+
+    @Override
+    public void close() throws IOException {
+        schedule.shutdownNow();
+        for (ServeProcess p : processes.values()) {
+            p.process().destroyForcibly().onExit().join();
+        }
+        lists.close();
+        ways.values().forEach(relays -> relays.forEach(Relay::close));
+        boxes.close();
+        clients.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        links.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        history.close();
+        try (Stream<Path> left = Files.walk(folder)) {
+            for (Path file : left.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+}
--- a/src/main/java/onyxpaddle/standin/StandInServer.java
+++ b/src/main/java/onyxpaddle/standin/StandInServer.java
@@ -20,7 +20,9 @@
 import io.netty.handler.stream.ChunkedStream;
 import io.netty.handler.stream.ChunkedWriteHandler;
 import java.io.InputStream;
+import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.Arrays;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -40,7 +42,22 @@
     private static final int HELD = 1 << 20;
     private static final int PIECE = 64 * 1024;
 
+    /** Told of what comes and what runs, on the server's own loop. */
+    public interface Watcher {
+        /** A request of that {@code X-Effect} has come whole, from that address. */
+        void came(String effect, SocketAddress from);
+
+        /** It runs. */
+        void ran(String effect);
+    }
+
     private volatile boolean silent;
+    private volatile Watcher watcher;
+    /** How many it works on at once, 0 for all that come, and how many more wait; of the loop alone. */
+    private volatile int slots;
+    private volatile int room;
+    private int busy;
+    private final ArrayDeque<Runnable> line = new ArrayDeque<>();
     private volatile int status = 200;
 
     /** {@code port}: 0 for one that the system chooses. */
@@ -76,6 +93,22 @@
         return this;
     }
 
+    /**
+     * From now on it works on so many at once, lets {@code waiting} more wait, and turns further ones away. One whose caller
+     * has gone while it waited never runs.
+     */
+    public StandInServer slots(int atOnce, int waiting) {
+        room = waiting;
+        slots = atOnce;
+        return this;
+    }
+
+    /** Who is told what comes and runs from now on. */
+    public StandInServer watcher(Watcher told) {
+        watcher = told;
+        return this;
+    }
+
     /** How often the request with this {@code X-Effect} ran. */
     public int runs(String effect) {
         return ledger.runs(effect);
@@ -132,21 +165,60 @@
                 stream(context, large, keep);
                 return;
             }
-            if (refuses) {
+            String effect = request.headers().get("X-Effect");
+            if (watcher != null) {
+                watcher.came(effect, context.channel().remoteAddress());
+            }
+            if (refuses || slots > 0 && busy >= slots && line.size() >= room) {
                 DefaultFullHttpResponse refusal = answer(503, "full\n");
                 refusal.headers().set("X-Never-Ran", "1");
                 write(context, refusal, keep);
                 return;
             }
-            String effect = request.headers().get("X-Effect");
+            DefaultFullHttpResponse response = response(request);
+            long millis = number(request, "X-Answer-Delay", nextDelay());
+            if (slots == 0) {
+                work(context, effect, response, millis, keep, () -> { });
+            } else if (busy < slots) {
+                busy++;
+                work(context, effect, response, millis, keep, this::next);
+            } else {
+                line.add(() -> {
+                    if (context.channel().isActive()) {
+                        work(context, effect, response, millis, keep, this::next);
+                    } else {
+                        response.release();
+                        next();
+                    }
+                });
+            }
+        }
+
+        /** A place is free: the one that has waited longest has it. */
+        private void next() {
+            Runnable waits = line.poll();
+            if (waits == null) {
+                busy--;
+            } else {
+                waits.run();
+            }
+        }
+
+        private void work(ChannelHandlerContext context, String effect, DefaultFullHttpResponse response, long millis, boolean keep,
+                Runnable then) {
             ledger.ran(effect);
+            if (watcher != null) {
+                watcher.ran(effect);
+            }
             if (silent) {
+                response.release();
                 return;
             }
-            DefaultFullHttpResponse response = response(request);
-            long millis = number(request, "X-Answer-Delay", nextDelay());
             Fault fault = faults.next();
-            after(context, millis + (fault == Fault.DELAY ? faults.delayMillis() : 0), () -> faulty(context, response, keep, fault));
+            after(context, millis + (fault == Fault.DELAY ? faults.delayMillis() : 0), () -> {
+                faulty(context, response, keep, fault);
+                then.run();
+            });
         }
 
         /** A long answer, written as its reader takes it. */
--- /dev/null
+++ b/src/test/java/onyxpaddle/drill/DrillIT.java
@@ -0,0 +1,70 @@
+package onyxpaddle.drill;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import onyxpaddle.config.Faults;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Processes of the program, with all kinds of faults between them in one run: the rules are kept, and the history says so again. */
+class DrillIT {
+    private static final String ALL = """
+        version: 1
+        name: all
+        lasts: 7 s
+        sites:
+          east: {nodes: 2, boxes: 3}
+          west: {nodes: 2, boxes: 3}
+        boxes: {at-once: 4, takes: 8 ms, jitter: 8 ms, cold: 3 s}
+        lists: {lost: 500 ms, back: 200 ms}
+        load:
+          - {class: slots, per-second: 120, effect: safe, retries: 1, deadline: 2 s}
+          - {class: book, per-second: 60, deadline: 2 s}
+        faults:
+          - {kill: east/0, after-served: 100, for: 500 ms}
+          - {stop: west/0, after-served: 150, for: 1500 ms}
+          - {cut: [east, west], after-served: 200, for: 400 ms}
+          - {cut: [west, east], how: delayed, size: 20, after-served: 200, for: 400 ms}
+          - {drain: east/s0, after-served: 250, for: 3 s}
+          - {freeze: east/s1, after-served: 300, for: 400 ms}
+          - {restart: east/s2, after-served: 350}
+          - {lose: west, after-served: 500, for: 1 s}
+          - {push: 2, after-served: 300, for: 500 ms}
+          - {hush: true, after-served: 300, for: 700 ms}
+        """;
+
+    @Test
+    void allFaultsAtOnceAndNoRuleIsBroken(@TempDir Path folder) throws Exception {
+        Faults faults = new Faults();
+        Drill drill = DrillReader.text("all.yaml", ALL, faults);
+        assertEquals(List.of(), faults.list());
+        Path file = folder.resolve("history.jsonl");
+        HistoryCheck.Verdict verdict;
+        try (DrillRun run = new DrillRun(drill, file)) {
+            verdict = run.play().verdict();
+        }
+        assertEquals(List.of(), verdict.breaches());
+        assertTrue(verdict.answered() > 500, verdict.toString());
+        List<Event> events = History.read(file);
+        assertEquals(verdict, HistoryCheck.check(events));
+        assertEquals(Set.of("ready", "killed", "stopped", "continued"), events.stream().filter(e -> e.what() == Event.What.NODE)
+            .map(e -> e.get("state")).collect(Collectors.toSet()));
+        assertEquals(2L * drill.faults().size(), events.stream().filter(e -> e.what() == Event.What.FAULT).count());
+        assertTrue(Files.size(file) > 0);
+        // The same history with one booking's run written down twice is caught: what was judged is what was seen.
+        List<Event> twice = new java.util.ArrayList<>(events);
+        Event ran = events.stream().filter(e -> e.what() == Event.What.RAN && unsafe(events, e)).findFirst().orElseThrow();
+        twice.add(events.indexOf(ran), ran);
+        assertEquals(List.of("2 twice"), HistoryCheck.check(twice).breaches().stream().map(HistoryCheck.Breach::rule).toList());
+    }
+
+    private static boolean unsafe(List<Event> events, Event ran) {
+        return events.stream().anyMatch(e -> e.what() == Event.What.SENT && e.get("id").equals(ran.get("id")) && e.get("effect").equals("unsafe"));
+    }
+}
