One class starts, stops and asks processes of the program: PlatformRig uses the drill's

Need: PlatformRig and the drill each started the program as built, with the same options, door and signals.

Change: PlatformRig.Running goes; ServeProcess of package drill serves both.

--- a/src/main/java/onyxpaddle/measure/BulkMeasurement.java
+++ b/src/main/java/onyxpaddle/measure/BulkMeasurement.java
@@ -12,9 +12,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
+import onyxpaddle.drill.ServeProcess;
 import onyxpaddle.measure.Load.Result;
 import onyxpaddle.measure.Measure.Measurement;
-import onyxpaddle.measure.PlatformRig.Running;
 import onyxpaddle.standin.StandInServer;
 
 /**
@@ -39,7 +39,7 @@
             for (StandInServer server : rig.servers) {
                 server.delay(5, 10);
             }
-            Running node = rig.start(true);
+            ServeProcess node = rig.start(true);
             byte[] ask = "GET /read HTTP/1.1\r\nHost: app.svc\r\nX-Trace-Id: small\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
             Load.run(rig.listen, ask, 1, 2 * part);
             List<Double> ratios = new ArrayList<>();
--- a/src/main/java/onyxpaddle/measure/UpgradeMeasurement.java
+++ b/src/main/java/onyxpaddle/measure/UpgradeMeasurement.java
@@ -3,8 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import onyxpaddle.drill.ServeProcess;
 import onyxpaddle.measure.Measure.Measurement;
-import onyxpaddle.measure.PlatformRig.Running;
 import onyxpaddle.standin.StandInServer;
 
 /**
@@ -27,7 +27,7 @@
                 server.delay(FAST_MS, 2 * FAST_MS);
             }
             rig.servers.get(0).delay(SLOW_MS, SLOW_MS);
-            Running first = rig.start(true);
+            ServeProcess first = rig.start(true);
             NamedLoad load = new NamedLoad(rig, CLIENTS);
             TimeUnit.MILLISECONDS.sleep(3 * LOOK_MS);
             double usual = slowShare(rig);
@@ -38,12 +38,12 @@
             for (int i = 0; i < count; i++) {
                 // Now and then one that is told nothing, for comparison; the one after it finds nobody to ask.
                 boolean told = i % 5 != 4;
-                Running next = rig.start(told);
-                starts.add(next.startMs);
-                first.process.destroy();
+                ServeProcess next = rig.start(told);
+                starts.add(next.startMs());
+                first.process().destroy();
                 (told && i % 5 != 0 ? known : anew).add(slowShare(rig));
-                if (!first.process.waitFor(KILL_MS - LOOK_MS, TimeUnit.MILLISECONDS)) {
-                    first.process.destroyForcibly().waitFor();
+                if (!first.process().waitFor(KILL_MS - LOOK_MS, TimeUnit.MILLISECONDS)) {
+                    first.process().destroyForcibly().waitFor();
                 }
                 first = next;
             }
--- a/src/test/java/onyxpaddle/measure/ReplacementIT.java
+++ b/src/test/java/onyxpaddle/measure/ReplacementIT.java
@@ -4,8 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.concurrent.TimeUnit;
+import onyxpaddle.drill.ServeProcess;
 import onyxpaddle.measure.NamedLoad.Audit;
-import onyxpaddle.measure.PlatformRig.Running;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -19,7 +19,7 @@
     private static final long STALL_MS = 2_000;
     private static final String TOLD = "handover: told to a further process";
     private PlatformRig rig;
-    private Running first;
+    private ServeProcess first;
     private NamedLoad load;
 
     private interface Condition {
@@ -54,13 +54,13 @@
         rig.close();
     }
 
-    private static void kill(Running process) throws Exception {
-        process.process.destroyForcibly().waitFor();
+    private static void kill(ServeProcess process) throws Exception {
+        process.process().destroyForcibly().waitFor();
     }
 
-    private static void term(Running process) throws Exception {
-        process.process.destroy();
-        assertTrue(process.process.waitFor(6, TimeUnit.SECONDS), "a replaced process ends by itself");
+    private static void term(ServeProcess process) throws Exception {
+        process.process().destroy();
+        assertTrue(process.process().waitFor(6, TimeUnit.SECONDS), "a replaced process ends by itself");
     }
 
     /** What a killed process had taken may have run unanswered: one for each client at the most. */
@@ -78,17 +78,17 @@
     void theNewOneIsKilledBeforeItHasAskedAndTheNextTakesOver() throws Exception {
         kill(rig.launch(true));
         awaitServed(100);
-        Running third = rig.start(true);
+        ServeProcess third = rig.start(true);
         term(first);
         assertTrue(first.log().contains("ending, as another process serves"), first.log());
-        assertTrue(third.process.isAlive());
+        assertTrue(third.process().isAlive());
         awaitServed(100);
         assertKept(0);
     }
 
     @Test
     void theNewOneIsKilledOnceItIsToldAndTheFirstServesOn() throws Exception {
-        Running next = rig.launch(true);
+        ServeProcess next = rig.launch(true);
         await("the new one asks", () -> first.log().contains(TOLD));
         kill(next);
         awaitServed(200);
@@ -104,16 +104,16 @@
     void theNewOneIsKilledAfterItsYes() throws Exception {
         kill(rig.start(true));
         awaitServed(200);
-        Running third = rig.start(true);
+        ServeProcess third = rig.start(true);
         term(first);
         awaitServed(100);
-        assertTrue(third.process.isAlive());
+        assertTrue(third.process().isAlive());
         assertKept(CLIENTS);
     }
 
     @Test
     void theFirstIsKilledWhileTheNewOneStarts() throws Exception {
-        Running next = rig.launch(true);
+        ServeProcess next = rig.launch(true);
         await("the new one asks", () -> first.log().contains(TOLD));
         kill(first);
         next.awaitReady();
@@ -124,7 +124,7 @@
     @Test
     void theFirstIsKilledInTheMiddleOfItsEnd() throws Exception {
         rig.start(true);
-        first.process.destroy();
+        first.process().destroy();
         await("the first ends", () -> first.log().contains("ending, as another process serves"));
         kill(first);
         awaitServed(200);
@@ -134,7 +134,7 @@
     @Test
     void theFirstStandsStillAsItIsAsked() throws Exception {
         first.signal("STOP");
-        Running next = rig.launch(true);
+        ServeProcess next = rig.launch(true);
         TimeUnit.MILLISECONDS.sleep(STALL_MS);
         first.signal("CONT");
         next.awaitReady();
@@ -147,7 +147,7 @@
 
     @Test
     void theNewOneStandsStillBeforeItsYes() throws Exception {
-        Running next = rig.launch(true);
+        ServeProcess next = rig.launch(true);
         await("the new one asks", () -> first.log().contains(TOLD));
         next.signal("STOP");
         TimeUnit.MILLISECONDS.sleep(STALL_MS);
@@ -161,19 +161,19 @@
     @Test
     void aDrainedProcessIsReplacedAndTheNewOneServes() throws Exception {
         assertTrue(first.call("POST /drain").startsWith("HTTP/1.1 200"));
-        Running next = rig.start(true);
+        ServeProcess next = rig.start(true);
         assertTrue(first.call("GET /ready").startsWith("HTTP/1.1 503"));
         term(first);
         awaitServed(200);
-        assertTrue(next.process.isAlive());
+        assertTrue(next.process().isAlive());
         assertKept(0);
     }
 
     @Test
     void replacedThreeTimesInARow() throws Exception {
-        Running last = first;
+        ServeProcess last = first;
         for (int i = 0; i < 3; i++) {
-            Running next = rig.start(true);
+            ServeProcess next = rig.start(true);
             term(last);
             awaitServed(100);
             last = next;
