--- a/src/main/java/onyxpaddle/command/DrillCommand.java
+++ b/src/main/java/onyxpaddle/command/DrillCommand.java
@@ -46,7 +46,9 @@
         }
         try (DrillRun run = new DrillRun(seed == null ? drill : drill.seeded(seed), history)) {
             DrillRun.Outcome outcome = run.play();
-            spec.commandLine().getOut().print(outcome.table());
+            PrintWriter out = spec.commandLine().getOut();
+            out.print(outcome.table());
+            out.println("processor seconds of each node: " + new java.util.TreeMap<>(outcome.cpuSeconds()));
             return say(outcome.verdict(), drill.name() + ", seed " + (seed == null ? drill.seed() : seed));
         }
     }
