Nodes of a zone that is cut off grant its cold servers the other nodes' part too

Change: a node to which no connection to any other zone comes up, while its own zone answers, stands for three quarters of all listed over those of its zone.

The drill's boxes can also work on what nobody waits for any more (boxes.drops), as some servers do.

--- a/src/main/java/onyxpaddle/RatioBalancer.java
+++ b/src/main/java/onyxpaddle/RatioBalancer.java
@@ -53,6 +53,8 @@
     private static final double COLD_PART = 2.0 / 3;
     /** The same by arrivals, while no warm server has served this node a call. */
     private static final double COLD_PART_UNKNOWN = 0.7;
+    /** The part of the other zones' nodes that those of a zone cut off stand for: theirs may be the larger load. */
+    private static final double ALONE_PART = 0.75;
     private static final double MOST_CREDIT = 2;
     /** Share of late outcomes at which the number of requests let in at once stays as it is. */
     private static final double LATE_SHARE = 0.12;
@@ -91,7 +93,7 @@
     private final Map<String, Server> servers = new LinkedHashMap<>();
     /** Taken out by operators: kept until they are put back, whatever lists say. */
     private final Set<String> takenOut = new LinkedHashSet<>();
-    private final Map<String, Failures> zones = new HashMap<>();
+    private final Map<String, Zone> zones = new HashMap<>();
     /** What another process knew of servers that are not listed yet; empty from the first whole list on. */
     private final Map<String, ServerMemory> remembered = new HashMap<>();
     /** The process before this one is known to have had no other servers than those remembered. */
@@ -107,6 +109,8 @@
     private final CarriedRate carried = new CarriedRate();
     private final CarriedRate arrived = new CarriedRate();
     private double sizes;
+    /** For how many nodes each one of this zone stands with the servers of the zone: see {@link #alone}. */
+    private double aloneFactor = 1;
     /** How many servers the last draw was from, also where it took a sample of them. */
     private int lastSpan = 1;
     private final Map<String, ClassUse> classes = new HashMap<>();
@@ -240,6 +244,7 @@
         boolean may = servers.get(server.id) == server && server.state == ServerState.READY && !server.doubted
             && !takenOut.contains(server.id);
         if (at >= 0) {
+            server.inZone.ready--;
             sizes = ready.size() == 1 ? 0 : sizes - server.countedSize;
             cold.remove(server);
         }
@@ -250,6 +255,7 @@
         }
         server.isReady = may;
         if (may) {
+            server.inZone.ready++;
             server.countedSize = server.size;
             sizes += server.size;
             if (isCold(server)) {
@@ -275,7 +281,7 @@
         Server server = servers.get(entry.server());
         if (server == null || server.startedAt != entry.startedAt()) {
             Server before = server;
-            server = new Server(entry, zones.computeIfAbsent(entry.zone(), z -> new Failures()));
+            server = new Server(entry, zones.computeIfAbsent(String.valueOf(entry.zone()), z -> new Zone()));
             // Spread over the nodes, or all of them would send their first call in the same moment.
             server.credit = random.nextDouble();
             servers.put(entry.server(), server);
@@ -399,7 +405,7 @@
         server.failures.clear();
         server.full.clear();
         server.errorShare -= ERROR_STEP * server.errorShare;
-        server.zoneFailures.clear();
+        server.inZone.failures.clear();
         r.use.learn(r.cost, latency);
         // Of a server that has left, a late answer would fall to the few that are warm now, or to none.
         if (!server.isColdListed && server.isReady) {
@@ -422,7 +428,7 @@
         server.failures.add(now);
         if (outcome == Outcome.CONNECT_FAILED || outcome == Outcome.TIMED_OUT) {
             // A zone cut off fails server by server; no answer from any of it soon speaks for all of it.
-            server.zoneFailures.add(now);
+            server.inZone.failures.add(now);
         }
     }
 
@@ -448,6 +454,7 @@
 
     /** Draws a server for the request, or null where none may take it now. */
     private Server draw(Request r) {
+        aloneFactor = cold.isEmpty() ? 1 : alone();
         int size = ready.size();
         int first = size == 0 ? 0 : (int) ((long) settings.self() * size / settings.siblings());
         int wanted = Math.max(SPAN, SHARERS * size / settings.siblings());
@@ -590,13 +597,31 @@
             : COLD_PART_UNKNOWN * arrived.perSecond();
         double seconds = server.creditAt == 0 ? 0 : (now - server.creditAt) / 1e9;
         // Only the nodes that draw from it send it anything: each stands for more than its part of all nodes.
-        double drawnFrom = Math.max(1, (double) ready.size() / Math.max(1, lastSpan));
+        double drawnFrom = Math.max(1, (double) ready.size() / Math.max(1, lastSpan)) * aloneFactor;
         double part = rampNow(server) * server.size * ready.size() / sizes;
         double earned = perSecond * drawnFrom * seconds * part;
         server.creditAt = now;
         server.credit = Math.min(MOST_CREDIT, server.credit + earned);
     }
 
+    /**
+     * Where no connection to any other zone comes up, none comes from there either: the nodes of this zone are all that its cold
+     * servers have, and grant them the others' part too. Guards against a zone that comes back cold and is cut off, whose
+     * servers then stand idle; would grant too much where the other zones' servers are gone and their nodes are not.
+     */
+    private double alone() {
+        Zone own = zones.get(settings.zone());
+        if (own == null || own.ready == 0 || own.ready == ready.size() || own.failures.factor(now) <= AVOIDED) {
+            return 1;
+        }
+        for (Zone zone : zones.values()) {
+            if (zone != own && zone.ready > 0 && zone.failures.factor(now) > AVOIDED) {
+                return 1;
+            }
+        }
+        return Math.max(1, ALONE_PART * ready.size() / own.ready);
+    }
+
     // ---- dispatch and further attempts ----
 
     private void onArrival(Arrival arrival) {
@@ -916,6 +941,12 @@
         }
     }
 
+    /** What the servers of a zone have in common. */
+    private static final class Zone {
+        final Failures failures = new Failures();
+        int ready;
+    }
+
     private static final class Server {
         final String id;
         final int place;
@@ -933,7 +964,7 @@
         long creditAt;
         final Failures failures = new Failures();
         final Failures full = new Failures(FULL_FADE, MOST_FULL);
-        final Failures zoneFailures;
+        final Zone inZone;
         /** Share of late calls answered with an error: one that errs half the time soon clears its count. */
         double errorShare;
         double drawMean;
@@ -947,8 +978,8 @@
         long sampledAt;
         long heardAt;
 
-        Server(ServerEntry entry, Failures zoneFailures) {
-            this.zoneFailures = zoneFailures;
+        Server(ServerEntry entry, Zone inZone) {
+            this.inZone = inZone;
             id = entry.server();
             place = id.hashCode() * 0x9E3779B1 >>> 1;
             zone = String.valueOf(entry.zone());
@@ -970,7 +1001,7 @@
 
         double chanceLeft(long now) {
             double served = Math.pow(1 - errorsNow(now), 3);
-            return failures.factor(now) * full.factor(now) * zoneFailures.factor(now)
+            return failures.factor(now) * full.factor(now) * inZone.failures.factor(now)
                 * Math.max(Failures.LEAST_CHANCE, served);
         }
 
--- a/src/main/java/onyxpaddle/drill/Boxes.java
+++ b/src/main/java/onyxpaddle/drill/Boxes.java
@@ -28,7 +28,7 @@
 
         void start(long born) throws Exception {
             bornMs = born;
-            server = new StandInServer(name, 0, ledger).delay(kind.takesMs(), kind.jitterMs()).slots(kind.atOnce(), kind.queue())
+            server = new StandInServer(name, 0, ledger).delay(kind.takesMs(), kind.jitterMs()).slots(kind.atOnce(), kind.queue(), kind.drops())
                 .watcher(new StandInServer.Watcher() {
                     @Override
                     public void came(String effect, SocketAddress from) {
--- a/src/main/java/onyxpaddle/drill/Drill.java
+++ b/src/main/java/onyxpaddle/drill/Drill.java
@@ -14,10 +14,11 @@
      * What a box can do: {@code atOnce} requests, each in {@code takesMs} and up to {@code jitterMs} more, with {@code queue} more
      * waiting; further ones it turns away unseen.
      *
+     * @param drops whether one whose caller has gone while it waited is dropped, or is worked on all the same
      * @param coldMs how long a box that has started counts as cold
      * @param coldFrom the part of its capacity that it has at its start
      */
-    public record BoxKind(int atOnce, long takesMs, long jitterMs, int queue, long coldMs, double coldFrom) {
+    public record BoxKind(int atOnce, long takesMs, long jitterMs, int queue, boolean drops, long coldMs, double coldFrom) {
         /** Requests a second of a warm box. */
         double perSecond() {
             return atOnce * 1000.0 / (takesMs + jitterMs / 2.0);
--- a/src/main/java/onyxpaddle/drill/DrillReader.java
+++ b/src/main/java/onyxpaddle/drill/DrillReader.java
@@ -49,6 +49,7 @@
         optional("takes", within(Kind.SPAN, 0, 10 * S), "10 ms", "how long it works on one"),
         optional("jitter", within(Kind.SPAN, 0, 10 * S), "0 ms", "and up to so much more"),
         optional("queue", within(Kind.COUNT, 0, 100_000), "50", "requests that wait; further ones are turned away unseen"),
+        optional("drops", plain(Kind.FLAG), "true", "whether one whose caller has gone while it waited is dropped, or worked on all the same"),
         optional("cold", within(Kind.SPAN, 0, 600 * S), "0 s", "how long it is cold after its start"),
         optional("cold-from", within(Kind.NUMBER, 0.01, 1), "0.3", "the part of its capacity that it starts with"));
     private static final Section NODES = section(
@@ -140,7 +141,7 @@
         List<Fault> all = new ArrayList<>();
         root.items("faults").forEach(view -> all.add(fault(view, sites)));
         return new Drill(root.text("name", Kind.NAME, ""), root.count("seed", 1), ms(root, "lasts", 10_000), sites,
-            new BoxKind(boxes.count("at-once", 4), ms(boxes, "takes", 10), ms(boxes, "jitter", 0), boxes.count("queue", 50),
+            new BoxKind(boxes.count("at-once", 4), ms(boxes, "takes", 10), ms(boxes, "jitter", 0), boxes.count("queue", 50), boxes.flag("drops", true),
                 ms(boxes, "cold", 0), boxes.number("cold-from", 0.3)),
             new NodeKind(nodes.count("attempts", 3), nodes.flag("second-copies", true), ms(nodes, "drain-grace", 2_000),
                 nodes.number("cold-multiple", 3), ms(nodes, "cold-window", 2_000)),
--- a/src/main/java/onyxpaddle/standin/StandInServer.java
+++ b/src/main/java/onyxpaddle/standin/StandInServer.java
@@ -56,6 +56,7 @@
     /** How many it works on at once, 0 for all that come, and how many more wait; of the loop alone. */
     private volatile int slots;
     private volatile int room;
+    private volatile boolean dropsGone;
     private int busy;
     private final ArrayDeque<Runnable> line = new ArrayDeque<>();
     private volatile int status = 200;
@@ -95,10 +96,11 @@
 
     /**
      * From now on it works on so many at once, lets {@code waiting} more wait, and turns further ones away. One whose caller
-     * has gone while it waited never runs.
+     * has gone while it waited never runs if {@code drops}, and is work for nobody else.
      */
-    public StandInServer slots(int atOnce, int waiting) {
+    public StandInServer slots(int atOnce, int waiting, boolean drops) {
         room = waiting;
+        dropsGone = drops;
         slots = atOnce;
         return this;
     }
@@ -184,7 +186,7 @@
                 work(context, effect, response, millis, keep, this::next);
             } else {
                 line.add(() -> {
-                    if (context.channel().isActive()) {
+                    if (context.channel().isActive() || !dropsGone) {
                         work(context, effect, response, millis, keep, this::next);
                     } else {
                         response.release();
--- a/src/test/java/onyxpaddle/Herd.java
+++ b/src/test/java/onyxpaddle/Herd.java
@@ -45,7 +45,9 @@
         random = new Random(seed);
         this.servers = servers;
         for (int self = 0; self < nodes; self++) {
-            this.nodes.add(new RatioBalancer(new Settings(plain.zone(), plain.zones(), plain.tier(), self, nodes,
+            // Numbers go round the zones, so that each has its part of them.
+            String zone = plain.zones().isEmpty() ? plain.zone() : plain.zones().get(self % plain.zones().size());
+            this.nodes.add(new RatioBalancer(new Settings(zone, plain.zones(), plain.tier(), self, nodes,
                 plain.classes(), plain.tenants(), plain.overShareWorth(), plain.worthByWork(),
                 plain.mustAskMembership(), plain.weights(), plain.loadFields(), plain.crossZonePrice(), plain.tick(),
                 plain.limits(), plain.rules()), random.nextLong()));
@@ -53,7 +55,11 @@
     }
 
     static ServerEntry entry(String server, ServerState state, long startedAt) {
-        return new ServerEntry(server, "east", 0, state, 1, startedAt);
+        return entry(server, "east", state, startedAt);
+    }
+
+    static ServerEntry entry(String server, String zone, ServerState state, long startedAt) {
+        return new ServerEntry(server, zone, 0, state, 1, startedAt);
     }
 
     void at(long when, Runnable what) {
