--- a/src/test/java/onyxpaddle/PackageRulesTest.java
+++ b/src/test/java/onyxpaddle/PackageRulesTest.java
@@ -27,7 +27,7 @@
     private static final DescribedPredicate<JavaClass> DECIDES = DescribedPredicate.describe("decide",
         c -> DECIDERS.stream().anyMatch(name -> c.getName().equals(name) || c.getName().startsWith(name + "$"))
             || c.getPackageName().equals("onyxpaddle.route") || c.getPackageName().equals("onyxpaddle.budget")
-            || c.getPackageName().equals("onyxpaddle.drain"));
+            || c.getPackageName().equals("onyxpaddle.drain") || c.getPackageName().equals("onyxpaddle.site"));
 
     @Test
     void theCoreKnowsNoProtocolAndNoSocket() {
