--- a/src/main/java/onyxpaddle/drill/ServeProcess.java
+++ b/src/main/java/onyxpaddle/drill/ServeProcess.java
@@ -54,7 +54,7 @@
     }
 
     /** The program's jar: this one, or the one beside the classes that tests run from. */
-    private static Path jar() {
+    public static Path jar() {
         try {
             Path from = Path.of(ServeProcess.class.getProtectionDomain().getCodeSource().getLocation().toURI());
             return Files.isDirectory(from) ? from.resolveSibling("weldlink.jar") : from;
--- a/src/main/java/onyxpaddle/measure/Measure.java
+++ b/src/main/java/onyxpaddle/measure/Measure.java
@@ -21,9 +21,9 @@
         void run(Figures figures, double part) throws Exception;
     }
 
-    private static final Map<String, Measurement> ALL = new TreeMap<>(Map.of(
-        "bgp", new BgpMeasurement(), "bulk", new BulkMeasurement(), "decisions", new DecisionsMeasurement(), "pools", new PoolsMeasurement(), "rpc", new RpcMeasurement(), "rpc-mixed", new RpcMixedMeasurement(),
-        "sidecar", new SidecarMeasurement(), "upgrade", new UpgradeMeasurement()));
+    private static final Map<String, Measurement> ALL = new TreeMap<>(Map.of("bgp", new BgpMeasurement(), "bulk", new BulkMeasurement(),
+        "decisions", new DecisionsMeasurement(), "drills", new DrillsMeasurement(), "pools", new PoolsMeasurement(), "rpc", new RpcMeasurement(),
+        "rpc-mixed", new RpcMixedMeasurement(), "sidecar", new SidecarMeasurement(), "upgrade", new UpgradeMeasurement()));
 
     @Spec
     private CommandSpec spec;
