--- a/src/main/java/onyxpaddle/RatioBalancer.java
+++ b/src/main/java/onyxpaddle/RatioBalancer.java
@@ -53,7 +53,7 @@
     private static final double COLD_PART = 2.0 / 3;
     /** The same by arrivals, while no warm server has served this node a call. */
     private static final double COLD_PART_UNKNOWN = 0.7;
-    /** The part of the other zones' nodes that those of a zone cut off stand for: theirs may be the larger load. */
+    /** The part of the others that nodes of a zone cut off stand for: theirs may be the larger load. */
     private static final double ALONE_PART = 0.75;
     private static final double MOST_CREDIT = 2;
     /** Share of late outcomes at which the number of requests let in at once stays as it is. */
@@ -125,6 +125,9 @@
     private double admitted;
     private double admitLimit = FIRST_LIMIT;
     private double[] chance = new double[16];
+    /** Of the last weighing: the most that failures leave a server, the weight of those short of credit. */
+    private double soundest;
+    private double unearned;
     private double retriesSaved = MOST_RETRIES_SAVED / 2;
     private long armedFor = Long.MAX_VALUE;
     private long dueCount;
@@ -477,7 +480,9 @@
             span = walk(first, size, size > most, size, most);
             sum = weigh(r, best, span, false);
         }
-        if (sum <= 0) {
+        // Where all that may be sent to are avoided, and cold ones only short of credit, most wait for these.
+        boolean mayWait = soundest <= AVOIDED && unearned > 0;
+        if (sum <= 0 || mayWait && random.nextDouble() * (sum + unearned) >= sum) {
             return null;
         }
         Server one = pick(sum, span);
@@ -527,13 +532,24 @@
     /** Sets each ready server's weight for this request and returns their sum. */
     private double weigh(Request r, double best, int span, boolean avoidTried) {
         double sum = 0;
+        soundest = 0;
+        unearned = 0;
         for (int i = 0; i < span; i++) {
             Server server = around[i];
             chance[i] = 0;
-            if (mayTake(r, server) && !(avoidTried && r.tried(server))) {
-                server.drawMean = meanNow(server, best);
-                chance[i] = best / server.drawMean * rampNow(server) * server.chanceLeft(now);
-                sum += chance[i];
+            if (!inGroup(r, server) || avoidTried && r.tried(server)) {
+                continue;
+            }
+            boolean earned = mayBeSent(server);
+            server.drawMean = meanNow(server, best);
+            double left = server.chanceLeft(now);
+            double weight = best / server.drawMean * rampNow(server) * left;
+            if (earned) {
+                chance[i] = weight;
+                sum += weight;
+                soundest = Math.max(soundest, left);
+            } else {
+                unearned += weight;
             }
         }
         return sum;
@@ -554,13 +570,17 @@
         return last;
     }
 
-    private boolean mayTake(Request r, Server server) {
+    /** A cold one only as far as it has earned it. */
+    private boolean mayBeSent(Server server) {
         if (server.isColdListed && isCold(server)) {
             earnCredit(server);
-            if (server.credit < 1) {
-                return false;
-            }
+            return server.credit >= 1;
         }
+        return true;
+    }
+
+    /** Whether the server would know a repeat of what this request may have run. */
+    private boolean inGroup(Request r, Server server) {
         Attempt anchor = r.anchor;
         return anchor == null || r.use.about.effect() != Effect.KEYED || switch (r.use.about.group()) {
             case ALL -> true;
@@ -605,13 +625,15 @@
     }
 
     /**
-     * Where no connection to any other zone comes up, none comes from there either: the nodes of this zone are all that its cold
-     * servers have, and grant them the others' part too. Guards against a zone that comes back cold and is cut off, whose
-     * servers then stand idle; would grant too much where the other zones' servers are gone and their nodes are not.
+     * Where no connection to any other zone comes up, none comes from there either: the nodes of this zone
+     * are all that its cold servers have, and grant them the others' part. Guards against a zone that
+     * comes back cold and is cut off, whose servers then stand idle; would grant too much where the other
+     * zones' servers are gone and their nodes are not.
      */
     private double alone() {
         Zone own = zones.get(settings.zone());
-        if (own == null || own.ready == 0 || own.ready == ready.size() || own.failures.factor(now) <= AVOIDED) {
+        boolean answers = own != null && own.ready > 0 && own.failures.factor(now) > AVOIDED;
+        if (!answers || own.ready == ready.size()) {
             return 1;
         }
         for (Zone zone : zones.values()) {
