A drill whose faults never began proves nothing; its front takes back a node that is back

Cause: a fault that waits for more served requests than come was left out without a word, and the drill held. A node that stood still for less than the second in which the front notices was taken out after it had gone on, for good: 2,900 of 12,000 requests were turned away in a drill of eight short stops.

Change: faults that never began end the drill with what was served; the front looks again before it lets go of a node.

With it a guess was tried and ruled out, that a stopped node's time-outs fire before it reads its answers: 0 sent again in 32 stops, with and without a guard, which is not in.

--- a/src/main/java/onyxpaddle/drill/DrillRun.java
+++ b/src/main/java/onyxpaddle/drill/DrillRun.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -59,9 +60,11 @@
     private final Map<String, List<Relay>> ways = new HashMap<>();
     private final Map<String, Path> configs = new LinkedHashMap<>();
     private final Map<String, ServeProcess> processes = new ConcurrentHashMap<>();
+    private final Set<String> away = ConcurrentHashMap.newKeySet();
     private final AtomicReference<Throwable> failed = new AtomicReference<>();
     private final AtomicLong served = new AtomicLong();
     private final AtomicLong busy = new AtomicLong();
+    private final AtomicLong begun = new AtomicLong();
 
     /** {@code file}: where the history goes, null for nowhere. */
     public DrillRun(Drill drill, Path file) throws Exception {
@@ -109,6 +112,10 @@
         if (failed.get() != null) {
             throw new IOException("the schedule failed: " + failed.get(), failed.get());
         }
+        if (begun.get() < drill.faults().size()) {
+            // A drill whose faults did not happen proves nothing.
+            throw new IOException(drill.faults().size() - begun.get() + " faults never began, as only " + served.get() + " requests were served");
+        }
         history.add(What.HEALED);
         for (Map.Entry<String, ServeProcess> p : processes.entrySet()) {
             if (!p.getValue().call("GET /ready").startsWith("HTTP/1.1 200")) {
@@ -194,7 +201,7 @@
             processes.put(name, process);
             process.awaitReady();
             history.add(What.NODE, "node", name, "state", "ready");
-            callers.up(name, true);
+            back(name);
         } catch (IOException | InterruptedException e) {
             failed.compareAndSet(null, e);
         }
@@ -221,6 +228,7 @@
 
     private void plan(Fault fault) {
         after(fault.atMs(), () -> {
+            begun.incrementAndGet();
             history.add(What.FAULT, "fault", fault.toString(), "state", "begins");
             begin(fault);
             after(fault.forMs(), () -> {
@@ -237,7 +245,7 @@
             case STOP -> {
                 processes.get(target).signal("STOP");
                 history.add(What.NODE, "node", target, "state", "stopped");
-                after(FRONT_NOTICES_MS, () -> callers.up(target, false));
+                frontNotices(target);
             }
             case LOSE -> {
                 for (String node : configs.keySet()) {
@@ -273,7 +281,7 @@
             case STOP -> {
                 history.add(What.NODE, "node", target, "state", "continued");
                 processes.get(target).signal("CONT");
-                callers.up(target, true);
+                back(target);
             }
             case LOSE -> {
                 for (String box : of(target)) {
@@ -317,7 +325,22 @@
         // Written before it is done: what the node has open may end at once.
         history.add(What.NODE, "node", node, "state", "killed");
         processes.get(node).kill();
-        after(FRONT_NOTICES_MS, () -> callers.up(node, false));
+        frontNotices(node);
+    }
+
+    /** The front deals nothing to it any more, once it has noticed; not if the node is back by then. */
+    private void frontNotices(String node) {
+        away.add(node);
+        after(FRONT_NOTICES_MS, () -> {
+            if (away.contains(node)) {
+                callers.up(node, false);
+            }
+        });
+    }
+
+    private void back(String node) {
+        away.remove(node);
+        callers.up(node, true);
     }
 
     @Override
--- a/src/test/java/onyxpaddle/drill/DrillIT.java
+++ b/src/test/java/onyxpaddle/drill/DrillIT.java
@@ -1,6 +1,7 @@
 package onyxpaddle.drill;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Files;
@@ -64,6 +65,22 @@
         assertEquals(List.of("2 twice"), HistoryCheck.check(twice).breaches().stream().map(HistoryCheck.Breach::rule).toList());
     }
 
+    @Test
+    void aDrillWhoseFaultsNeverBeginProvesNothing() throws Exception {
+        Drill drill = DrillReader.text("never.yaml", """
+            version: 1
+            name: never
+            lasts: 1 s
+            sites: {east: {nodes: 1, boxes: 1}}
+            load: [{class: book, per-second: 20}]
+            faults: [{kill: east/0, after-served: 1000}]
+            """, new Faults());
+        try (DrillRun run = new DrillRun(drill, null)) {
+            String why = assertThrows(java.io.IOException.class, run::play).getMessage();
+            assertTrue(why.startsWith("1 faults never began"), why);
+        }
+    }
+
     private static boolean unsafe(List<Event> events, Event ran) {
         return events.stream().anyMatch(e -> e.what() == Event.What.SENT && e.get("id").equals(ran.get("id")) && e.get("effect").equals("unsafe"));
     }
