A test's barrier holds whatever a node answers: a busy box made it fail

Cause: RpcUpstreamTest.whatWasNotWrittenWhenAConnectionBreaksRunsElsewhere failed once in a whole verify, at the call that shows that all before it have been handed over. Ruled out: alone 150 times, and 150 times beside twelve busy loops, it passes. With the second box made to answer 0.3 s late it fails in 2 of 6: one box has no place, the other gets the 20 ms that a node waits for an attempt of a class it has learnt to be quick, and the call is refused, as it should be.

Change: any final word of that call is the barrier, as calls of one connection are read in order; what the test holds of the hundred calls is as before.

--- a/src/test/java/onyxpaddle/serve/RpcUpstreamTest.java
+++ b/src/test/java/onyxpaddle/serve/RpcUpstreamTest.java
@@ -122,8 +122,9 @@
             }
             String both = config("rpc: {connections: 1, calls: 100}", one.rpcOnly("one"), two.rpcOnly("two"));
             assertNull(rig.node.change(SidecarRig.config(both)).get(RpcRig.PATIENCE_S, TimeUnit.SECONDS));
-            // All has been handed to the node once a call that came behind it is answered.
-            assertTrue(caller.ask("look.after").ok());
+            // All has been handed to the node once a call that came behind it has its final word, whatever that is: where the other box
+            // answers late, the 20 ms that a node waits for one attempt go by, and the call is refused.
+            caller.ask("look.after");
             one.rpc.breakConnections();
             one.frozen(false);
             int ok = 0;
