--- a/src/main/java/onyxpaddle/Failures.java
+++ b/src/main/java/onyxpaddle/Failures.java
@@ -41,6 +41,9 @@
 
     /** What they leave of a chance: less with each, never nothing. */
     double factor(long now) {
+        if (count == 0) {
+            return 1;
+        }
         double failures = countNow(now);
         return Math.max(LEAST_CHANCE, 1 / (1 + failures * failures));
     }
--- a/src/main/java/onyxpaddle/RatioBalancer.java
+++ b/src/main/java/onyxpaddle/RatioBalancer.java
@@ -505,10 +505,12 @@
                 around = Arrays.copyOf(around, 2 * span);
                 chance = new double[2 * span];
             }
-            Server server = ready.get((int) (((long) first + at) % ready.size()));
+            int place = first + at;
+            Server server = ready.get(place < ready.size() ? place : place - ready.size());
             around[span] = server;
-            sound += server.chanceLeft(now) >= 0.5 && !server.isColdListed ? 1 : 0;
-            at = (int) (((long) at + step) % slice);
+            server.left = server.chanceLeft(now);
+            sound += server.left >= 0.5 && !server.isColdListed ? 1 : 0;
+            at = at + step < slice ? at + step : at + step - slice;
         }
         return span;
     }
@@ -542,12 +544,11 @@
             }
             boolean earned = mayBeSent(server);
             server.drawMean = meanNow(server, best);
-            double left = server.chanceLeft(now);
-            double weight = best / server.drawMean * rampNow(server) * left;
+            double weight = best / server.drawMean * rampNow(server) * server.left;
             if (earned) {
                 chance[i] = weight;
                 sum += weight;
-                soundest = Math.max(soundest, left);
+                soundest = Math.max(soundest, server.left);
             } else {
                 unearned += weight;
             }
@@ -990,7 +991,11 @@
         /** Share of late calls answered with an error: one that errs half the time soon clears its count. */
         double errorShare;
         double drawMean;
+        /** Of the last walk that met it: see {@link #chanceLeft}. */
+        double left;
         double sum;
+        /** Of its window; 0 before the first. */
+        double mean;
         int count;
         int next;
         boolean isReady;
@@ -1014,6 +1019,7 @@
             window[next] = roundTrip;
             next = (next + 1) % WINDOW;
             count = Math.min(WINDOW, count + 1);
+            mean = Math.max(1e-6, sum / count);
             sampledAt = now;
         }
 
@@ -1022,7 +1028,7 @@
         }
 
         double chanceLeft(long now) {
-            double served = Math.pow(1 - errorsNow(now), 3);
+            double served = errorShare == 0 ? 1 : Math.pow(1 - errorsNow(now), 3);
             return failures.factor(now) * full.factor(now) * inZone.failures.factor(now)
                 * Math.max(Failures.LEAST_CHANCE, served);
         }
@@ -1033,7 +1039,7 @@
         }
 
         double mean() {
-            return Math.max(1e-6, sum / count);
+            return mean;
         }
     }
 
