--- a/src/main/java/onyxpaddle/drill/Figures.java
+++ b/src/main/java/onyxpaddle/drill/Figures.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import onyxpaddle.drill.Drill.LoadClass;
 
 /** What clients got, by seconds of the load; a request counts in the second in which its first try came. */
@@ -17,7 +19,12 @@
         }
     }
 
+    /** Of one class. {@code refused}: tries, so that a client that comes again counts again. */
+    public record OfClass(int offered, int inAim, int refused) {
+    }
+
     private static final class Counts {
+        final Map<String, int[]> byClass = new HashMap<>();
         int offered;
         int served;
         int inAim;
@@ -27,6 +34,10 @@
         double worthOffered;
         double worthServed;
         double[] trips = new double[64];
+
+        int[] of(LoadClass c) {
+            return byClass.computeIfAbsent(c.name(), name -> new int[3]);
+        }
     }
 
     private final List<Counts> seconds = new ArrayList<>();
@@ -48,6 +59,7 @@
         Counts now = at(System.nanoTime());
         now.offered++;
         now.worthOffered += of.worth();
+        now.of(of)[0]++;
     }
 
     synchronized void turnedAway() {
@@ -66,14 +78,28 @@
             if (ms <= of.aimMs()) {
                 then.inAim++;
                 then.worthServed += of.worth();
+                then.of(of)[1]++;
             }
         } else if (status == 503 || status == 429) {
             then.refused++;
+            then.of(of)[2]++;
         } else {
             then.failed++;
         }
     }
 
+    /** A class in the seconds from {@code from} on, up to {@code to}. */
+    public synchronized OfClass ofClass(String name, int from, int to) {
+        int[] sum = new int[3];
+        for (Counts c : seconds.subList(Math.min(from, seconds.size()), Math.min(to, seconds.size()))) {
+            int[] of = c.byClass.getOrDefault(name, new int[3]);
+            for (int i = 0; i < sum.length; i++) {
+                sum[i] += of[i];
+            }
+        }
+        return new OfClass(sum[0], sum[1], sum[2]);
+    }
+
     /** The seconds from {@code from} on, up to {@code to}, as one. */
     public synchronized Second between(int from, int to) {
         Counts all = new Counts();
--- a/src/main/java/onyxpaddle/measure/DrillsMeasurement.java
+++ b/src/main/java/onyxpaddle/measure/DrillsMeasurement.java
@@ -18,21 +18,27 @@
     @Override
     public void run(Figures figures, double part) throws Exception {
         for (String name : SHIPPED) {
-            Path file = ServeProcess.jar().toAbsolutePath().getParent().resolveSibling("deploy").resolve("drills").resolve(name + ".yaml");
-            if (!Files.exists(file)) {
-                throw new IOException(file + " is not there: run it from the checkout that the jar was built in");
-            }
-            Faults faults = new Faults();
-            Drill drill = DrillReader.file(file, faults);
-            if (drill == null) {
-                throw new IOException(faults.list().toString());
-            }
+            Drill drill = shipped(name);
             for (int i = 0; i < part; i++) {
                 play(figures, drill.seeded(drill.seed() + i));
             }
         }
     }
 
+    /** A drill that lies beside the program. */
+    static Drill shipped(String name) throws IOException {
+        Path file = ServeProcess.jar().toAbsolutePath().getParent().resolveSibling("deploy").resolve("drills").resolve(name + ".yaml");
+        if (!Files.exists(file)) {
+            throw new IOException(file + " is not there: run it from the checkout that the jar was built in");
+        }
+        Faults faults = new Faults();
+        Drill drill = DrillReader.file(file, faults);
+        if (drill == null) {
+            throw new IOException(faults.list().toString());
+        }
+        return drill;
+    }
+
     private static void play(Figures figures, Drill drill) throws Exception {
         String at = drill.name() + ", seed " + drill.seed() + ": ";
         try (DrillRun run = new DrillRun(drill, null)) {
--- a/src/main/java/onyxpaddle/measure/Measure.java
+++ b/src/main/java/onyxpaddle/measure/Measure.java
@@ -25,6 +25,10 @@
         "decisions", new DecisionsMeasurement(), "drills", new DrillsMeasurement(), "pools", new PoolsMeasurement(), "rpc", new RpcMeasurement(),
         "rpc-mixed", new RpcMixedMeasurement(), "sidecar", new SidecarMeasurement(), "upgrade", new UpgradeMeasurement()));
 
+    static {
+        ALL.put("sites", new SitesMeasurement());
+    }
+
     @Spec
     private CommandSpec spec;
 
--- a/src/main/java/onyxpaddle/serve/Node.java
+++ b/src/main/java/onyxpaddle/serve/Node.java
@@ -81,7 +81,12 @@
 
     /** {@code folder}: where this node's processes meet, null for none. */
     static Node start(PlatformConfig config, String folder) throws Exception {
-        Node node = new Node(null);
+        return start(config, folder, null);
+    }
+
+    /** {@code sites}: the file about the loss of sites, null for none. */
+    static Node start(PlatformConfig config, String folder, String sites) throws Exception {
+        Node node = new Node(sites);
         node.run(config, folder);
         return node;
     }
--- a/src/main/java/onyxpaddle/site/PlanGate.java
+++ b/src/main/java/onyxpaddle/site/PlanGate.java
@@ -21,7 +21,8 @@
  * Refuses by a plan while sites are lost. The plan says how much work the survivors may take; this node's part of it is that over the nodes that
  * are left, as no node tells another anything. Against that stands the work that comes here by its own count of the last second, and what is
  * too much is refused in the plan's order: never below a class's floor, the work that is worth least first. So a loss at night
- * refuses nothing, and a plan made for another load than today's refuses what today asks. While every site is sound it lets all in.
+ * refuses nothing, and a plan made for another load than today's refuses what today asks. While no site is lost it lets all in: one that
+ * returns is paced by what its cold servers may be sent, and by the module's own limit.
  *
  * <p>It does harm where the nodes of a site that is lost live on and keep their clients: survivors then have more than their part to give and
  * refuse too little, which is left to the module's own limit.
@@ -173,7 +174,7 @@
             log.accept("site " + change.site() + ": " + change.from() + " to " + change.to() + (change.ownSiteCut() ? ", while this node's own is cut off" : ""));
             stale = true;
         }
-        boolean sound = sites.allSound();
+        boolean sound = !sites.anyGone();
         if (open && !sound) {
             counts.values().forEach(c -> c.owed = random.nextDouble());
         }
@@ -182,28 +183,16 @@
 
     /** Work a second that this node may let in. */
     double allowed() {
-        Set<String> missing = new TreeSet<>();
-        List<String> returning = new ArrayList<>();
+        Set<String> lost = new TreeSet<>();
         double nodes = 0;
         for (Map.Entry<String, Fleet.Site> site : fleet.sites().entrySet()) {
-            Phase phase = phase(site.getKey());
-            boolean gone = phase == Phase.LOST || phase == Phase.HELD_DOWN;
-            if (gone || phase == Phase.RETURNING) {
-                missing.add(site.getKey());
-            }
-            if (phase == Phase.RETURNING) {
-                returning.add(site.getKey());
+            if (sites.state(site.getKey()).gone()) {
+                lost.add(site.getKey());
+            } else {
+                nodes += site.getValue().nodes();
             }
-            nodes += gone ? 0 : site.getValue().nodes();
-        }
-        double work = work(missing);
-        for (String back : returning) {
-            double share = sites.state(back).share();
-            double without = work(missing);
-            missing.remove(back);
-            work += share * (work(missing) - without);
         }
-        return work / Math.max(1, nodes);
+        return work(lost) / Math.max(1, nodes);
     }
 
     private double work(Set<String> lost) {
--- a/src/main/java/onyxpaddle/site/SiteState.java
+++ b/src/main/java/onyxpaddle/site/SiteState.java
@@ -147,6 +147,11 @@
         return phase;
     }
 
+    /** Whether it gets a trickle at the most. */
+    public final boolean gone() {
+        return phase == Phase.LOST || phase == Phase.HELD_DOWN;
+    }
+
     /** The share of its usual load that may be sent there, 0 to 1; of what may not be sent again nothing goes to a site that gets only the trickle. */
     public final double share() {
         if (word == Word.HOLD) {
--- a/src/main/java/onyxpaddle/site/Sites.java
+++ b/src/main/java/onyxpaddle/site/Sites.java
@@ -86,9 +86,9 @@
         return states.get(site);
     }
 
-    /** Whether no site is lost, held down or returning; one that is suspected still gets its load. */
-    public boolean allSound() {
-        return states.values().stream().allMatch(s -> s.phase() == Phase.SOUND || s.phase() == Phase.SUSPECTED);
+    /** Whether any site is lost or held down. */
+    public boolean anyGone() {
+        return states.values().stream().anyMatch(SiteState::gone);
     }
 
     /** What has changed since this was last asked, in order; the last hundred at most. */
--- /dev/null
+++ b/src/test/java/onyxpaddle/serve/SitesGuardTest.java
@@ -0,0 +1,89 @@
+package onyxpaddle.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import onyxpaddle.Balancing.Settings;
+import onyxpaddle.config.Faults;
+import onyxpaddle.serve.Loopback.Client;
+import onyxpaddle.serve.Loopback.FakeDiscovery;
+import onyxpaddle.serve.Loopback.FakeServer;
+import onyxpaddle.siteplan.PlanFile;
+import onyxpaddle.siteplan.Planner;
+import onyxpaddle.siteplan.SitesReader;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A node that is told of sites: what it refuses takes nothing below, and what it can't use it serves without. */
+class SitesGuardTest {
+    private static final String SITES = """
+        version: 1
+        name: two
+        sites:
+          a: {capacity: 1, nodes: 1}
+          b: {capacity: 1, nodes: 1}
+        classes:
+          read: {work: 1 s, worth: 1, per-second: {a: 0.5, b: 0.4}}
+        """;
+
+    @TempDir
+    Path folder;
+
+    private Path files(String sites) throws Exception {
+        Faults faults = new Faults();
+        Files.writeString(folder.resolve("sites.yaml"), sites);
+        Files.writeString(folder.resolve("plan.yaml"), PlanFile.text(Planner.plan(SitesReader.text("s", sites, faults))));
+        return Files.writeString(folder.resolve("loss.yaml"), "version: 1\nsites: sites.yaml\nplan: plan.yaml\n");
+    }
+
+    /** No server of site b is listed, and 0.9 seconds of work a second are left to this node: of calls of a second each, hardly one. */
+    @Test
+    void whatIsRefusedIsAnsweredAtOnceAndNoServerHearsOfIt() throws Exception {
+        try (FakeServer server = new FakeServer("s0"); Loopback rig = new Loopback(files(SITES).toString(), server); Client client = rig.client()) {
+            for (int i = 0; i < 40; i++) {
+                server.answers.add(Loopback.ok("yes"));
+            }
+            int served = 0;
+            for (int i = 0; i < 40; i++) {
+                String answer = client.say(Loopback.request("r" + i, "read")).hear();
+                served += answer.equals("200 yes") ? 1 : 0;
+                assertTrue(answer.startsWith("200 ") || answer.startsWith("503 "), answer);
+            }
+            assertTrue(served < 20, served + " served");
+            assertEquals(served, server.heard.size());
+            server.answers.add(Loopback.ok("yes"));
+            assertEquals("200 yes", client.say(Loopback.request("b", "book", "Content-Length: 0")).hear(), "a class that the plan does not know");
+        }
+    }
+
+    @Test
+    void aNodeWithAPlanThatItCantUseServesWithout() throws Exception {
+        Path file = files(SITES);
+        Files.writeString(folder.resolve("sites.yaml"), SITES.replace("capacity: 1", "capacity: 2"));
+        try (FakeServer server = new FakeServer("s0"); Loopback rig = new Loopback(file.toString(), server); Client client = rig.client()) {
+            for (int i = 0; i < 10; i++) {
+                server.answers.add(Loopback.ok("yes"));
+                assertEquals("200 yes", client.say(Loopback.request("r" + i, "read")).hear());
+            }
+        }
+    }
+
+    @Test
+    void theGateIsForThisNodesClassesAndSite() throws Exception {
+        try (FakeServer server = new FakeServer("s0"); FakeDiscovery discovery = new FakeDiscovery("")) {
+            Settings settings = PlatformConfig.parse(Loopback.config(discovery, server).getBytes(StandardCharsets.UTF_8), Map.of()).settings();
+            assertNotNull(SitesGuard.of(files(SITES).toString(), settings, 1));
+            assertNull(SitesGuard.of(files(SITES.replace("read:", "write:")).toString(), settings, 1));
+            assertNull(SitesGuard.of(files(SITES.replace("a:", "c:")).toString(), settings, 1));
+            assertNull(SitesGuard.of(folder.resolve("none.yaml").toString(), settings, 1));
+            Files.writeString(folder.resolve("loss.yaml"), "version: 1\nsites: sites.yaml\nplan: plan.yaml\nconfrim: 1 s\n");
+            assertNull(SitesGuard.of(folder.resolve("loss.yaml").toString(), settings, 1));
+        }
+    }
+}
