Operators hold a site and release it at a node; the module keeps a zone's share

Change: Balancing.ZoneShares gives each server of a zone a part of its chances, and chanceLeft takes it in, so that the draw, the walk past unsound servers and the report of servers agree; lupinmount site state | hold | release by the operators' door. The last site that is not held can't be. A lost site keeps its chances, as failures take them and what is left finds it back.

Result: by socket, a request waits while its only site is held, reaches no server, and is served on release; by modules a share of 0 gets 0 of 1,000 calls, 0.25 gets 0.2, 1 gets half again. Without the event every draw is as before.

--- a/src/main/java/onyxpaddle/Balancing.java
+++ b/src/main/java/onyxpaddle/Balancing.java
@@ -1,6 +1,7 @@
 package onyxpaddle;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 
 /**
@@ -132,7 +133,7 @@
 
     /** Something the node is told. */
     public sealed interface Event permits Membership, Arrival, FirstByte, AttemptEnded, ClientGone, Timer,
-            Probed, TakenOut {
+            Probed, TakenOut, ZoneShares {
     }
 
     /** News of the server list. */
@@ -143,6 +144,14 @@
     public record TakenOut(String server, boolean out) implements Event {
     }
 
+    /** The part of its chances that each server of a zone keeps, 0 to 1, until told again; 1 for zones that are not named. */
+    public record ZoneShares(Map<String, Double> byZone) implements Event {
+        public ZoneShares {
+            byZone = Map.copyOf(byZone);
+            require(byZone.values().stream().allMatch(s -> s >= 0 && s <= 1), "byZone");
+        }
+    }
+
     /** A request landed here; {@code cost} is a hint of its work in seconds, 0 for none. */
     public record Arrival(String request, String requestClass, long deadline, String tenant, double cost,
             boolean clientRetry) implements Event {
--- a/src/main/java/onyxpaddle/RatioBalancer.java
+++ b/src/main/java/onyxpaddle/RatioBalancer.java
@@ -170,6 +170,9 @@
             onMembership(news);
         } else if (event instanceof TakenOut hand) {
             takeOut(hand.server(), hand.out());
+        } else if (event instanceof ZoneShares shares) {
+            zones.values().forEach(z -> z.share = 1);
+            shares.byZone().forEach((zone, share) -> zones.computeIfAbsent(zone, z -> new Zone()).share = share);
         } else if (event instanceof Timer) {
             onTimer();
         } else if (event instanceof FirstByte first) {
@@ -967,6 +970,8 @@
     /** What the servers of a zone have in common. */
     private static final class Zone {
         final Failures failures = new Failures();
+        /** See {@link ZoneShares}. */
+        double share = 1;
         int ready;
     }
 
@@ -1029,7 +1034,7 @@
 
         double chanceLeft(long now) {
             double served = errorShare == 0 ? 1 : Math.pow(1 - errorsNow(now), 3);
-            return failures.factor(now) * full.factor(now) * inZone.failures.factor(now)
+            return inZone.share * failures.factor(now) * full.factor(now) * inZone.failures.factor(now)
                 * Math.max(Failures.LEAST_CHANCE, served);
         }
 
--- a/src/main/java/onyxpaddle/admin/AdminCalls.java
+++ b/src/main/java/onyxpaddle/admin/AdminCalls.java
@@ -14,6 +14,12 @@
     /** What is announced by BGP and to whom, as JSON; null where nothing is. */
     String bgp();
 
+    /** How sites stand with the node, as JSON; null where it knows of none. */
+    String sites();
+
+    /** Holds a site or releases it; false where that can't be. */
+    boolean site(String name, boolean hold);
+
     /** Empties the node; false where that can't be. */
     boolean drain();
 
--- a/src/main/java/onyxpaddle/admin/AdminDoor.java
+++ b/src/main/java/onyxpaddle/admin/AdminDoor.java
@@ -122,8 +122,8 @@
         QueryStringDecoder query = new QueryStringDecoder(uri, StandardCharsets.UTF_8, true, MOST_PARAMETERS);
         String path = query.rawPath();
         HttpMethod wanted = switch (path) {
-            case "/ready", "/metrics", "/servers", "/bgp" -> HttpMethod.GET;
-            case "/drain", "/undrain", "/servers/disable", "/servers/enable" -> HttpMethod.POST;
+            case "/ready", "/metrics", "/servers", "/bgp", "/sites" -> HttpMethod.GET;
+            case "/drain", "/undrain", "/servers/disable", "/servers/enable", "/sites/hold", "/sites/release" -> HttpMethod.POST;
             default -> null;
         };
         if (wanted == null) {
@@ -135,19 +135,29 @@
             case "/ready" -> Result.of(calls.ready());
             case "/metrics" -> new Result(HttpResponseStatus.OK, Exposition.TYPE, calls.figures());
             case "/servers" -> new Result(HttpResponseStatus.OK, "application/json", calls.servers());
-            case "/bgp" -> calls.bgp() == null ? Result.of(HttpResponseStatus.NOT_FOUND)
-                : new Result(HttpResponseStatus.OK, "application/json", calls.bgp());
+            case "/bgp" -> json(calls.bgp());
+            case "/sites" -> json(calls.sites());
             case "/drain" -> Result.of(calls.drain());
             case "/undrain" -> Result.of(calls.undrain());
-            default -> byHand(query.parameters().getOrDefault("id", List.of()), path.endsWith("/disable"));
+            default -> byHand(query.parameters().getOrDefault("id", List.of()), path);
         };
     }
 
-    private Result byHand(List<String> ids, boolean out) {
+    private static Result json(String text) {
+        return text == null ? Result.of(HttpResponseStatus.NOT_FOUND) : new Result(HttpResponseStatus.OK, "application/json", text);
+    }
+
+    private Result byHand(List<String> ids, String path) {
         if (ids.size() != 1 || ids.get(0).isEmpty()) {
             return Result.of(HttpResponseStatus.BAD_REQUEST);
         }
-        return calls.takeOut(ids.get(0), out) ? Result.of(true) : Result.of(HttpResponseStatus.NOT_FOUND);
+        String id = ids.get(0);
+        boolean done = switch (path) {
+            case "/servers/disable" -> calls.takeOut(id, true);
+            case "/servers/enable" -> calls.takeOut(id, false);
+            default -> calls.site(id, path.endsWith("/hold"));
+        };
+        return done ? Result.of(true) : Result.of(HttpResponseStatus.NOT_FOUND);
     }
 
     /** One connection's one call. */
--- /dev/null
+++ b/src/main/java/onyxpaddle/admin/SiteReport.java
@@ -0,0 +1,44 @@
+package onyxpaddle.admin;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.Map;
+import onyxpaddle.node.Dispatcher;
+import onyxpaddle.node.Gate;
+
+/** How sites stand with a node, as JSON: an array, one object for each site of each pool that knows of sites. */
+public final class SiteReport {
+    private SiteReport() {
+    }
+
+    /** Null where no pool knows of sites. */
+    public static String of(Map<String, Dispatcher> pools) {
+        StringWriter text = new StringWriter();
+        boolean any = false;
+        try (JsonGenerator g = new JsonFactory().createGenerator(text)) {
+            g.writeStartArray();
+            for (Map.Entry<String, Dispatcher> pool : pools.entrySet()) {
+                List<Gate.Site> sites = pool.getValue().sites();
+                any |= sites != null;
+                for (Gate.Site site : sites == null ? List.<Gate.Site>of() : sites) {
+                    g.writeStartObject();
+                    g.writeStringField("pool", pool.getKey());
+                    g.writeStringField("site", site.name());
+                    g.writeStringField("phase", site.phase());
+                    g.writeBooleanField("held", site.held());
+                    g.writeNumberField("penalty", Math.round(site.penalty()));
+                    g.writeEndObject();
+                }
+            }
+            g.writeEndArray();
+            g.writeRaw('\n');
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return any ? text.toString() : null;
+    }
+}
--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -65,6 +65,20 @@
         gate = by;
     }
 
+    /** How sites stand with this pool; null where nothing is known of sites. */
+    public List<Gate.Site> sites() {
+        return gate == null ? null : gate.standing(clock.now());
+    }
+
+    /** Operators hold a site, so that nothing new goes there, or release it; false where that can't be. */
+    public boolean operate(String site, boolean hold) {
+        if (gate == null || !gate.operators(clock.now(), site, hold)) {
+            return false;
+        }
+        tell(new ZoneShares(gate.shares()));
+        return true;
+    }
+
     /** Whether nothing is out any more, answered or not. */
     public boolean idle() {
         return exchanges.isEmpty();
--- a/src/main/java/onyxpaddle/node/Gate.java
+++ b/src/main/java/onyxpaddle/node/Gate.java
@@ -1,6 +1,7 @@
 package onyxpaddle.node;
 
 import java.util.List;
+import java.util.Map;
 import onyxpaddle.Balancing.ListKind;
 import onyxpaddle.Balancing.Outcome;
 import onyxpaddle.Balancing.ServerEntry;
@@ -21,4 +22,23 @@
 
     /** News of the list, as the module gets it. */
     void listed(long now, ListKind kind, List<ServerEntry> entries);
+
+    /** How each site stands, for on-call staff. */
+    List<Site> standing(long now);
+
+    /** Operators hold a site, or release it; false where it is not known, or no other would be left. */
+    boolean operators(long now, String site, boolean hold);
+
+    /** The part of its chances that each site's servers keep. */
+    Map<String, Double> shares();
+
+    /**
+     * A site as the node sees it.
+     *
+     * @param phase in lower case, such as {@code lost}
+     * @param held whether operators hold it
+     * @param penalty for its losses, which fades
+     */
+    record Site(String name, String phase, boolean held, double penalty) {
+    }
 }
--- a/src/main/java/onyxpaddle/serve/Lifecycle.java
+++ b/src/main/java/onyxpaddle/serve/Lifecycle.java
@@ -19,6 +19,7 @@
 import onyxpaddle.admin.AdminDoor;
 import onyxpaddle.admin.Exposition;
 import onyxpaddle.admin.ServerReport;
+import onyxpaddle.admin.SiteReport;
 import onyxpaddle.drain.NodeState;
 import onyxpaddle.handover.HandoverSocket;
 import onyxpaddle.node.Clock;
@@ -227,6 +228,20 @@
             return work.announced();
         }
 
+        @Override
+        public String sites() {
+            return SiteReport.of(work.pools());
+        }
+
+        @Override
+        public boolean site(String name, boolean hold) {
+            boolean done = false;
+            for (Dispatcher pool : work.pools().values()) {
+                done |= pool.operate(name, hold);
+            }
+            return done;
+        }
+
         @Override
         public boolean drain() {
             Log.line("an operator empties the node");
--- a/src/main/java/onyxpaddle/site/PlanGate.java
+++ b/src/main/java/onyxpaddle/site/PlanGate.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -16,6 +17,7 @@
 import onyxpaddle.node.Gate;
 import onyxpaddle.site.LossPlan.Case;
 import onyxpaddle.site.SiteState.Phase;
+import onyxpaddle.site.SiteState.Word;
 
 /**
  * Refuses by a plan while sites are lost. The plan says how much work the survivors may take; this node's part of it is that over the nodes that
@@ -159,6 +161,33 @@
         news();
     }
 
+    @Override
+    public List<Site> standing(long now) {
+        sites.tick(now);
+        news();
+        return fleet.sites().keySet().stream().map(name -> new Site(name, phase(name).name().toLowerCase(Locale.ROOT), sites.state(name).held(),
+            sites.state(name).penalty(now))).toList();
+    }
+
+    @Override
+    public boolean operators(long now, String site, boolean hold) {
+        if (!fleet.sites().containsKey(site) || hold && fleet.sites().keySet().stream().allMatch(s -> s.equals(site) || sites.state(s).held())) {
+            return false;
+        }
+        sites.operators(now, site, hold ? Word.HOLD : Word.RELEASE);
+        log.accept("site " + site + ": " + (hold ? "held" : "released") + " by operators");
+        news();
+        return true;
+    }
+
+    /** Nothing new to a site that operators hold. One that is lost keeps its chances: failures take them, and what is left of these finds it back. */
+    @Override
+    public Map<String, Double> shares() {
+        Map<String, Double> shares = new TreeMap<>();
+        fleet.sites().keySet().forEach(site -> shares.put(site, sites.state(site).held() ? 0.0 : 1.0));
+        return shares;
+    }
+
     /** How a site stands with this node. */
     public Phase phase(String site) {
         return sites.state(site).phase();
--- a/src/main/java/onyxpaddle/site/SiteState.java
+++ b/src/main/java/onyxpaddle/site/SiteState.java
@@ -152,6 +152,11 @@
         return phase == Phase.LOST || phase == Phase.HELD_DOWN;
     }
 
+    /** Whether operators hold it. */
+    public final boolean held() {
+        return word == Word.HOLD;
+    }
+
     /** The share of its usual load that may be sent there, 0 to 1; of what may not be sent again nothing goes to a site that gets only the trickle. */
     public final double share() {
         if (word == Word.HOLD) {
--- a/src/test/java/onyxpaddle/DrawTest.java
+++ b/src/test/java/onyxpaddle/DrawTest.java
@@ -5,7 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import onyxpaddle.Balancing.*;
 import org.junit.jupiter.api.Test;
@@ -38,6 +40,31 @@
         }
     }
 
+    /** Four servers of each of two zones: one zone at no share gets nothing, at a quarter some fifth of all calls, and its half again at 1. */
+    @Test
+    void aZonesShareIsKeptUntilAnotherIsTold() {
+        Node node = new Node(Node.settings(Node.requestClass("read", Effect.SAFE, KeyGroup.ALL)), 7);
+        List<ServerEntry> list = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            list.add(new ServerEntry("s" + i, i < 4 ? "east" : "west", 0, ServerState.READY, 1, 0));
+        }
+        node.handle(new Membership(ListKind.ALL, list));
+        double[] parts = new double[3];
+        double[] shares = {0, 0.25, 1};
+        for (int round = 0; round < 3; round++) {
+            node.handle(new ZoneShares(shares[round] == 1 ? Map.of() : Map.of("west", shares[round])));
+            for (int i = 0; i < 1_000; i++) {
+                String server = sent(node.arrive("r" + round + "-" + i, "read"));
+                parts[round] += server.charAt(1) >= '4' ? 0.001 : 0;
+                node.now += MS;
+                node.end("r" + round + "-" + i, 0, server, Outcome.OK, 20 * MS);
+            }
+        }
+        assertEquals(0, parts[0]);
+        assertEquals(0.2, parts[1], 0.05);
+        assertEquals(0.5, parts[2], 0.06);
+    }
+
     @Test
     void lowerMeanOfTwoDrawsByBestOverOwnWins() {
         Node node = Node.plain().list("a", "b");
--- a/src/test/java/onyxpaddle/serve/Loopback.java
+++ b/src/test/java/onyxpaddle/serve/Loopback.java
@@ -29,7 +29,8 @@
     /** {@code sites}: the file about the loss of sites, null for none. */
     Loopback(String sites, FakeServer... servers) throws Exception {
         discovery = new FakeDiscovery(list(1, servers));
-        node = Node.start(PlatformConfig.parse(config(discovery, servers).getBytes(StandardCharsets.UTF_8), Map.of()), null, sites);
+        node = Node.start(PlatformConfig.parse(config(discovery, servers).getBytes(StandardCharsets.UTF_8),
+            sites == null ? Map.of() : Map.of("GW_ADMIN", "127.0.0.1:0")), null, sites);
     }
 
     static String config(FakeDiscovery discovery, FakeServer... servers) {
--- a/src/test/java/onyxpaddle/serve/SitesGuardTest.java
+++ b/src/test/java/onyxpaddle/serve/SitesGuardTest.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import onyxpaddle.Balancing.Settings;
 import onyxpaddle.config.Faults;
@@ -62,6 +63,38 @@
         }
     }
 
+    /** The one server is of site a, so that its hold leaves none: a request waits for its release, and is served. */
+    @Test
+    void whatOperatorsHoldGetsNothingUntilItIsReleased() throws Exception {
+        try (FakeServer server = new FakeServer("s0"); Loopback rig = new Loopback(files(SITES.replace("capacity: 1,", "capacity: 90,")).toString(), server);
+                Client client = rig.client()) {
+            assertTrue(site(rig, 0, "state").contains("{\"pool\":\"\",\"site\":\"a\",\"phase\":\"sound\",\"held\":false,\"penalty\":0}"));
+            assertEquals("yes\n", site(rig, 0, "hold", "a"));
+            assertTrue(site(rig, 1, "hold", "b").contains("or holds all others"));
+            assertTrue(site(rig, 1, "release", "c").contains("does not know the site `c`"));
+            server.answers.add(Loopback.ok("yes"));
+            client.say(Loopback.request("b", "book", "Content-Length: 0"));
+            assertTrue(site(rig, 0, "state").contains("\"phase\":\"lost\",\"held\":true"));
+            Loopback.await(() -> told(0, rig, "node", "figures").contains("svc_inflight 1\n"));
+            assertEquals(0, server.heard.size());
+            site(rig, 0, "release", "a");
+            assertEquals("200 yes", client.hear());
+        }
+    }
+
+    private static String site(Loopback rig, int code, String... words) {
+        return told(code, rig, java.util.stream.Stream.concat(java.util.stream.Stream.of("site"), java.util.Arrays.stream(words)).toArray(String[]::new));
+    }
+
+    private static String told(int code, Loopback rig, String... words) {
+        java.io.StringWriter out = new java.io.StringWriter();
+        java.io.PrintWriter writer = new java.io.PrintWriter(out, true);
+        List<String> all = new java.util.ArrayList<>(List.of(words));
+        all.addAll(List.of("--admin", "127.0.0.1:" + rig.node.adminAddress().getPort()));
+        assertEquals(code, onyxpaddle.command.Lupinmount.run(all.toArray(new String[0]), writer, writer), out.toString());
+        return out.toString();
+    }
+
     @Test
     void aNodeWithAPlanThatItCantUseServesWithout() throws Exception {
         Path file = files(SITES);
--- a/src/test/java/onyxpaddle/site/PlanGateTest.java
+++ b/src/test/java/onyxpaddle/site/PlanGateTest.java
@@ -167,6 +167,25 @@
         assertEquals(Phase.LOST, gate.phase("b"));
     }
 
+    @Test
+    void whatOperatorsHoldCountsAsLostWhateverItAnswersAndTheLastIsNotHeld() {
+        PlanGate gate = gate("a");
+        assertTrue(gate.operators(now, "b", true));
+        assertEquals(Map.of("a", 1.0, "b", 0.0, "c", 1.0), gate.shares());
+        for (int i = 0; i < 100; i++) {
+            gate.ended(now, "b" + i % 4, Outcome.OK, MS);
+            now += 20 * MS;
+        }
+        assertEquals(new Gate.Site("b", "lost", true, 0), gate.standing(now).get(1));
+        assertEquals(8 / 4.0, gate.allowed(), 1e-9);
+        assertTrue(gate.operators(now, "a", true));
+        assertTrue(!gate.operators(now, "c", true), "nobody would be left");
+        assertTrue(!gate.operators(now, "elsewhere", true));
+        assertTrue(gate.operators(now, "a", false) && gate.operators(now, "b", false));
+        assertEquals(Map.of("a", 1.0, "b", 1.0, "c", 1.0), gate.shares());
+        assertEquals(List.of("returning", "returning", "sound"), gate.standing(now).stream().map(Gate.Site::phase).toList());
+    }
+
     @Test
     void callsThatWereStoppedSoonAndResetsSayNothing() {
         PlanGate gate = gate("a");
