--- a/src/main/java/onyxpaddle/RatioBalancer.java
+++ b/src/main/java/onyxpaddle/RatioBalancer.java
@@ -172,7 +172,8 @@
             takeOut(hand.server(), hand.out());
         } else if (event instanceof ZoneShares shares) {
             zones.values().forEach(z -> z.share = 1);
-            shares.byZone().forEach((zone, share) -> zones.computeIfAbsent(zone, z -> new Zone()).share = share);
+            shares.byZone().forEach((name, share) ->
+                zones.computeIfAbsent(name, zone -> new Zone()).share = share);
         } else if (event instanceof Timer) {
             onTimer();
         } else if (event instanceof FirstByte first) {
