--- a/src/main/java/onyxpaddle/drain/NodeState.java
+++ b/src/main/java/onyxpaddle/drain/NodeState.java
@@ -129,9 +129,9 @@
         return phase != Phase.SERVING && now - since > refusing || phase != Phase.ENDING && closesIdle(idleSince, now);
     }
 
-    /** Whether a caller with so much patience has its answer before the process ends. */
+    /** Whether a caller with so much patience has its answer before the process ends; who waits for longer than it does, counts as waiting for as long. */
     public boolean outlasts(long patience, long now) {
-        return !ending() || now + patience <= endsAt();
+        return !ending() || now + Math.min(patience, longestPatience) <= endsAt();
     }
 
     /** Whether the listener closes, where the last connection came then. */
--- a/src/main/java/onyxpaddle/serve/Node.java
+++ b/src/main/java/onyxpaddle/serve/Node.java
@@ -37,6 +37,11 @@
     private static final long LONGEST_IDLE = 400_000_000L;
     /** Connections to a server that are kept; each costs the server some of its capacity. */
     private static final int MOST_IDLE = 16;
+    /**
+     * SIGKILL waits for the longest deadline, but for no longer than this and 0.7 s. Guards against an end that goes by deadlines of
+     * 4 s and takes, until it is killed, what it can't answer any more; callers who wait for longer are refused at once soon after SIGTERM.
+     */
+    private static final long LONGEST_WAITED_FOR = 3_000_000_000L;
     private static final int EXIT_CONFIG = 78;
 
     private final Lifecycle life = new Lifecycle(this);
@@ -211,7 +216,7 @@
 
     @Override
     public void end(boolean replaced, Runnable done) {
-        life.state.end(clock.now(), replaced, clients.longestPatience());
+        life.state.end(clock.now(), replaced, Math.min(LONGEST_WAITED_FOR, clients.longestPatience()));
         clients.end(done);
     }
 
--- a/src/test/java/onyxpaddle/drain/NodeStateTest.java
+++ b/src/test/java/onyxpaddle/drain/NodeStateTest.java
@@ -24,6 +24,16 @@
         assertFalse(state.over(9_000 * MS));
     }
 
+    /** An end that waits for 3 s: who waits for longer is taken for as long as one who waits for those 3 s, and no longer. */
+    @Test
+    void whoWaitsForLongerThanTheEndDoesIsTakenAsLongAsTheLongestThatItWaitsFor() {
+        state.end(0, false, PATIENCE);
+        assertTrue(state.outlasts(PATIENCE + 1_200 * MS, 550 * MS));
+        assertFalse(state.outlasts(PATIENCE + 1_200 * MS, 551 * MS));
+        assertFalse(state.outlasts(PATIENCE, 551 * MS));
+        assertTrue(state.outlasts(400 * MS, 3_150 * MS));
+    }
+
     @Test
     void drainLetsGoInStepsAndIsEmptyByFourSeconds() {
         assertTrue(state.drain(0));
