ReloadTest waits for the node's first call to discovery

Cause: in the last whole verify one of 904 tests failed: it took the first call to discovery from the stand-in's queue without waiting, and a node answers its first request by the list that it was started with, before that call has been read on a busy machine. Change: it waits for the call, as it does for the others.

--- a/src/test/java/onyxpaddle/serve/ReloadTest.java
+++ b/src/test/java/onyxpaddle/serve/ReloadTest.java
@@ -23,7 +23,7 @@
                 Loopback.Client client = on.client()) {
             assertEquals("200 before", client.say(Loopback.request("r1", "read")).hear());
             // At the start nothing is waited for: an answer makes the node ready, be it news or none.
-            assertEquals("GET /v1/endpoints?after=1&wait_ms=0 HTTP/1.1", on.discovery.calls.poll());
+            assertEquals("GET /v1/endpoints?after=1&wait_ms=0 HTTP/1.1", on.discovery.calls.poll(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS));
             Path file = folder.resolve("config.json");
             Files.writeString(file, Loopback.config(next, before));
             on.node.reload(Map.of("GW_CONFIG", file.toString(), "GW_DISCOVERY", on.discovery.address()));
