An ending node takes no request whose last byte comes too late to be answered

Cause, found by reading and shown by loopback tests: whether a node outlasts its caller's patience was asked when the head had come (ClientConnection.head), while a request is taken, and its time counts, from its last byte. A body that came later was taken with its whole patience, past the node's end and SIGKILL. A request half read was never turned away at an end (NodeState.turnsAway was for drains alone), so that its last byte could come, and be taken, while the process went. An answer that the system had not taken wholly (unread > 0) did not keep the process (waits()).

A connection forgets whose its last request was once that is answered, so that a new head is not judged by it.

The unread answer has no test of its own: no way was found to leave just that state on loopback without timing.

--- a/src/main/java/onyxpaddle/drain/NodeState.java
+++ b/src/main/java/onyxpaddle/drain/NodeState.java
@@ -106,9 +106,16 @@
         };
     }
 
-    /** Whether a request that has not come whole is turned away, as one that never ran. */
+    /**
+     * Whether a request that has not come whole is turned away, as one that never ran. At an end that is with the last idle
+     * connections: its last byte could come while the process goes, and it would be taken with nobody left to answer it.
+     */
     public boolean turnsAway(long now) {
-        return phase == Phase.DRAINING && now - since >= NOTHING_TAKEN;
+        return switch (phase) {
+            case SERVING -> false;
+            case DRAINING -> now - since >= NOTHING_TAKEN;
+            case ENDING, REPLACED -> !outlasts(LAST_CALL, now);
+        };
     }
 
     /**
--- a/src/main/java/onyxpaddle/front/FrontConnection.java
+++ b/src/main/java/onyxpaddle/front/FrontConnection.java
@@ -16,7 +16,7 @@
      */
     void stoodStill(long span, long now);
 
-    /** Whether a request that was taken has no answer yet. */
+    /** Whether a request that was taken has no answer yet, or one that the system has not wholly got. */
     boolean waits();
 
     /** Whether a request that is not yet answered is, or will be, this pool's. */
--- a/src/main/java/onyxpaddle/http/ClientConnection.java
+++ b/src/main/java/onyxpaddle/http/ClientConnection.java
@@ -211,7 +211,7 @@
         }
         try {
             taken = all.dialect.read(request, channel.remoteAddress());
-            if (all.crowded() || all.turnsAway() || !all.outlasts(taken.terms().patience())) {
+            if (all.crowded() || tooLate()) {
                 // Nothing of it was sent on: another node may take it.
                 reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
                 return;
@@ -226,6 +226,14 @@
         }
     }
 
+    /**
+     * Whether the node goes, or is empty, before the request could have its answer. Its time counts from its last byte, so it is
+     * asked until that has come: a head that came in time says nothing of a body that takes seconds.
+     */
+    private boolean tooLate() {
+        return all.turnsAway() || taken != null && !all.outlasts(taken.terms().patience());
+    }
+
     private void content(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
         if (readiness) {
@@ -234,6 +242,10 @@
             }
             return;
         }
+        if (last && tooLate()) {
+            reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+            return;
+        }
         switch (incoming.add(content.content(), last)) {
             case MORE -> { }
             case WHOLE -> {
@@ -382,6 +394,7 @@
 
     private void answered() {
         exchange = null;
+        taken = null;
         if (!keepAlive) {
             linger();
             return;
@@ -421,7 +434,7 @@
 
     @Override
     public boolean waits() {
-        return state == State.WAITING || incoming != null && incoming.passing();
+        return state == State.WAITING || incoming != null && incoming.passing() || unread > 0 || !ahead.isEmpty();
     }
 
     @Override
@@ -447,7 +460,7 @@
             case RECEIVING -> {
                 if (incoming == null ? spent > LONGEST_REQUEST : incoming.late(spent, LONGEST_REQUEST)) {
                     reject(HttpResponseStatus.REQUEST_TIMEOUT);
-                } else if (all.turnsAway()) {
+                } else if (tooLate()) {
                     reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
                 }
             }
--- a/src/main/java/onyxpaddle/http/HttpFront.java
+++ b/src/main/java/onyxpaddle/http/HttpFront.java
@@ -97,7 +97,7 @@
         return !retired() && state.keepsConnections(clock.now());
     }
 
-    /** Whether a request that has not come whole is turned away, as the node is being emptied. */
+    /** Whether a request that has not come whole is turned away, as the node is being emptied or ends. */
     boolean turnsAway() {
         return state.turnsAway(clock.now());
     }
--- a/src/main/java/onyxpaddle/rpc/CallerConnection.java
+++ b/src/main/java/onyxpaddle/rpc/CallerConnection.java
@@ -126,7 +126,7 @@
 
     @Override
     public boolean waits() {
-        return notices > 0 || !open.isEmpty();
+        return notices > 0 || !open.isEmpty() || unread > 0;
     }
 
     @Override
--- a/src/test/java/onyxpaddle/drain/NodeStateTest.java
+++ b/src/test/java/onyxpaddle/drain/NodeStateTest.java
@@ -74,6 +74,8 @@
         assertTrue(state.closesIdle(0, 3_300 * MS));
         assertTrue(state.outlasts(PATIENCE, 550 * MS));
         assertFalse(state.outlasts(PATIENCE, 551 * MS));
+        assertFalse(state.turnsAway(3_250 * MS), "what comes whole is answered as long as there is time");
+        assertTrue(state.turnsAway(3_251 * MS), "and no half of a request is there as the process goes");
         assertFalse(state.closesListener(0, 499 * MS));
         assertFalse(state.closesListener(400 * MS, 600 * MS), "one came just now, and more may");
         assertTrue(state.closesListener(400 * MS, 650 * MS));
