--- a/src/main/java/onyxpaddle/RatioBalancer.java
+++ b/src/main/java/onyxpaddle/RatioBalancer.java
@@ -86,7 +86,7 @@
     /** How much slower a server of another zone reads, for each unit of the price of crossing. */
     private static final double CROSSING = 50;
     private static final long HOLD_STEP = 20_000_000L;
-    private static final int MOST_TAKEN_OUT = 1_000;
+    private static final int MOST_TAKEN_OUT = 10_000;
 
     private final Settings settings;
     private final SplittableRandom random;
--- a/src/main/java/onyxpaddle/handover/HandoverMessage.java
+++ b/src/main/java/onyxpaddle/handover/HandoverMessage.java
@@ -27,12 +27,15 @@
     static final int VERSION = 3;
     /** Bytes before the payload: magic, version, length, checksum. */
     public static final int HEAD = 16;
-    /** The most bytes of payload: some 500 servers with full windows. */
-    public static final int LARGEST = 256 * 1024;
-    private static final int MOST_SERVERS = 2_000;
+    /**
+     * The most bytes of payload: some 10,000 servers with full windows and names of usual length, 3,000 with the longest. It bounds
+     * what a process that speaks nonsense can make the other one hold; what is held grows with what has come.
+     */
+    public static final int LARGEST = 4 << 20;
+    private static final int MOST_SERVERS = 10_000;
     private static final int MOST_POOLS = 64;
     private static final int MOST_CLASSES = 1_000;
-    private static final int LONGEST_NAME = 256;
+    private static final int LONGEST_NAME = 1024;
     private static final JsonFactory JSON = JsonFactory.builder().streamReadConstraints(StreamReadConstraints.builder()
         .maxNestingDepth(8).maxStringLength(LONGEST_NAME).maxNumberLength(40).build()).build();
 
--- a/src/main/java/onyxpaddle/membership/Discovery.java
+++ b/src/main/java/onyxpaddle/membership/Discovery.java
@@ -44,7 +44,8 @@
     private static final int STALL_MS = 400;
     private static final int LONGEST_ANSWER_MS = 1500;
     private static final int CONNECT_MS = 500;
-    private static final int LARGEST_ANSWER = 2 << 20;
+    /** Some 10,000 servers, indented and with long names. It bounds what an answer without end can make the node hold. */
+    private static final int LARGEST_ANSWER = 8 << 20;
     /** Between calls that tell nothing and come back at once; within the 200 ms that a watch goes on. */
     private static final int PAUSE_MS = 100;
     /**
--- a/src/test/java/onyxpaddle/ReplacementTest.java
+++ b/src/test/java/onyxpaddle/ReplacementTest.java
@@ -164,6 +164,17 @@
         assertTrue(shares(node, "y")[0] > 10);
     }
 
+    @Test
+    void aThousandServersAndMoreCanBeTakenOut() {
+        String[] names = java.util.stream.IntStream.range(0, 1_100).mapToObj(i -> "s" + i).toArray(String[]::new);
+        Node node = Node.plain().list(names);
+        for (int i = 1; i < names.length; i++) {
+            node.handle(new TakenOut(names[i], true));
+        }
+        assertEquals(new Fleet(1_100, 1_099), node.balancer.fleet(node.now));
+        assertEquals("s0", sent(node.arrive("r", "write")));
+    }
+
     @Test
     void lateAnswersInACalmHourLeaveTheLimitForWhatMayCome() {
         Node node = Node.plain().list("a", "b");
--- a/src/test/java/onyxpaddle/serve/BrokenListsTest.java
+++ b/src/test/java/onyxpaddle/serve/BrokenListsTest.java
@@ -108,6 +108,42 @@
         }
     }
 
+    /** 1,100 servers with long names, indented, and then some hundred changes at once. */
+    @Test
+    void aListOfElevenHundredIsTakenWhole() throws Exception {
+        try (FakeServer before = new FakeServer("s1"); FakeServer only = new FakeServer("z")) {
+            StringBuilder hosts = new StringBuilder();
+            StringBuilder changes = new StringBuilder();
+            String form = "%s\n      {\n        \"host\" : \"%s\",\n        \"dial\" : \"%s\",\n        \"site\" : \"a\",\n        "
+                + "\"health\" : \"%s\",\n        \"share\" : 1.0,\n        \"born_ms\" : 0\n      }";
+            for (int i = 0; i < 1_100; i++) {
+                String name = i == 0 ? only.name : "s-" + i + "-" + "x".repeat(2_000);
+                hosts.append(form.formatted(i == 0 ? "" : ",", name, only.address(), "ready"));
+                if (i > 0) {
+                    changes.append(form.formatted(i == 1 ? "" : ",", name, only.address(), "gone"));
+                }
+            }
+            String list = "{\"seq\":2,\"whole\":true,\n \"hosts\":[" + hosts + "]}";
+            String gone = "{\"seq\":3,\"whole\":false,\n \"hosts\":[" + changes + "]}";
+            try (Flaky discovery = new Flaky(List.of(Loopback.ok(list)))) {
+                Node node = node(discovery, before);
+                try (Client client = new Client(node.address())) {
+                    for (String after : List.of("wait_ms=0", "after=2")) {
+                        assertTrue(discovery.calls.poll(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS).contains(after));
+                    }
+                    assertEquals(1_100, node.pools().get("").fleet().listed());
+                    discovery.answers.add(Loopback.ok(gone));
+                    assertTrue(discovery.calls.poll(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS).contains("after=3"));
+                    only.answers.add(Loopback.ok("left"));
+                    assertEquals("200 left", client.say(Loopback.request("r1", "book", "Content-Length: 0")).hear());
+                } finally {
+                    discovery.over.countDown();
+                    node.stop();
+                }
+            }
+        }
+    }
+
     /** Where discovery is asked, calls that broke off are made good within rule 3's time, not by the pauses of an overbooked one. */
     @Test
     void askedDiscoveryIsCalledAgainSoonAfterItBrokeOff() throws Exception {
