The end counts from the signal, and an answer that hangs past its caller's time ends

Cause, by reading, two of the suspects: (1) NodeState.since was when the event loop came to the end's task (Lifecycle.drain, Node.end), while SIGKILL counts from the signal; a loop that is busy just then ate the 150 ms between a node's end and SIGKILL. (2) An answer over 64 KiB is passed on as it comes and had no time but 30 s without a byte (ServerConnection.checkProgress), so that a server hanging in its body held its client, and a node that ends, past every time.

Change: the thread that hears the signal reads the clock; the loop is handed that. On the platform a server that brings nothing for 2 s once its request's time is up is given up, and the client's connection reset: 2 s is what the platform counts as holding back; what a server still gives is not cut off. A sidecar keeps 30 s.

--- a/src/main/java/onyxpaddle/http/AnswerDialect.java
+++ b/src/main/java/onyxpaddle/http/AnswerDialect.java
@@ -18,6 +18,14 @@
     /** {@code length}: of the request's body in bytes, or -1 where it goes in chunks. */
     HttpHeaders forServer(HttpHead head, long length, SocketAddress server, long nanosLeft);
 
+    /**
+     * How long a server may bring nothing of an answer that is being passed on, in nanoseconds; {@code late}: its request's time
+     * is up. It says nothing of a body that its caller does not read.
+     */
+    default long longestStall(boolean late) {
+        return ServerConnection.LONGEST_STALL;
+    }
+
     Verdict judge(HttpMethod method, HttpResponse response);
 
     /** Whether the head tells where the body ends, so that an answer that broke off can't look like a short one. */
--- a/src/main/java/onyxpaddle/http/PlatformAnswers.java
+++ b/src/main/java/onyxpaddle/http/PlatformAnswers.java
@@ -19,6 +19,8 @@
     private static final Verdict TURNED_AWAY = new Verdict(Outcome.FULL, null);
     private static final Verdict AT_FAULT = new Verdict(Outcome.REJECTED, null);
     private static final Verdict ERROR = new Verdict(Outcome.ERROR, null);
+    /** The platform counts an answer as held back from 2 s on, whoever holds it. */
+    private static final long LONGEST_STALL_LATE = 2_000_000_000L;
     /** What is written anew for each server. */
     private static final Set<String> OWN = Set.of("expect", "host", "content-length", "x-expires-in");
 
@@ -36,6 +38,16 @@
         return headers;
     }
 
+    /**
+     * Guards against a server that hangs in the middle of a body for longer than its caller waits, and so holds this one, and a
+     * node that ends, to no end; it should cover every answer that is passed on. It would do harm where a sound server pauses for
+     * so long after its caller's time: cutting off what it still gives would lose the request.
+     */
+    @Override
+    public long longestStall(boolean late) {
+        return late ? LONGEST_STALL_LATE : AnswerDialect.super.longestStall(false);
+    }
+
     @Override
     public Verdict judge(HttpMethod method, HttpResponse response) {
         int status = response.status().code();
--- a/src/main/java/onyxpaddle/http/ServerConnection.java
+++ b/src/main/java/onyxpaddle/http/ServerConnection.java
@@ -42,8 +42,8 @@
     private static final int MOST_INTERIM = 16;
     /** An answer that is larger is passed on as it comes, where its caller takes it so; a smaller one is held whole. */
     private static final long HELD = 64 * 1024;
-    /** How long a server may bring nothing of an answer that is being passed on, or take nothing of a body. */
-    private static final long LONGEST_STALL = 30_000_000_000L;
+    /** How long a server may bring nothing of an answer that is being passed on, or take nothing of a body; see the dialect. */
+    static final long LONGEST_STALL = 30_000_000_000L;
 
     final String server;
     final Channel channel;
@@ -372,7 +372,8 @@
         if (exchanging && attempt == null && now - startedAt > LONGEST_REST) {
             close();
         }
-        boolean silent = sink != null && !pace.paused() && now - heardAt > LONGEST_STALL;
+        boolean silent = sink != null && !pace.paused()
+            && now - heardAt > all.dialect.longestStall(now > attempt.exchange.deadline());
         if (silent || relay != null && relay.stalls(now, LONGEST_STALL)) {
             close();
         }
--- a/src/main/java/onyxpaddle/node/Exchange.java
+++ b/src/main/java/onyxpaddle/node/Exchange.java
@@ -40,6 +40,11 @@
         return terms.patience();
     }
 
+    /** When its caller's time is up, by the node's clock. */
+    public long deadline() {
+        return deadline;
+    }
+
     /** Whether its answer may be passed on as it comes. */
     public boolean streams() {
         return caller.streams();
--- a/src/main/java/onyxpaddle/serve/Lifecycle.java
+++ b/src/main/java/onyxpaddle/serve/Lifecycle.java
@@ -59,8 +59,11 @@
         /** What the process has counted since its start. */
         Tally tally();
 
-        /** Answers what is taken, and calls {@code done} when nothing is left; {@code replaced}: another process listens. */
-        void end(boolean replaced, Runnable done);
+        /**
+         * Answers what is taken, and calls {@code done} when nothing is left; {@code heard}: when the process was told, by the node's
+         * clock; {@code replaced}: another process listens.
+         */
+        void end(long heard, boolean replaced, Runnable done);
 
         /** Closes all at once. */
         void close();
@@ -269,6 +272,8 @@
 
     /** Ends as planned: returns when all that was taken is answered. */
     void drain() {
+        // Whoever told it to end counts from here on, whatever the loop is busy with.
+        long heard = clock.now();
         loop.execute(() -> {
             if (!listens()) {
                 // Nothing was taken, so nothing is owed.
@@ -277,7 +282,7 @@
             }
             boolean replaced = handover != null && handover.succeeded();
             Log.line(replaced ? "ending, as another process serves" : "ending");
-            work.end(replaced, ended::countDown);
+            work.end(heard, replaced, ended::countDown);
         });
         try {
             ended.await(terms.longestEnd(), TimeUnit.SECONDS);
--- a/src/main/java/onyxpaddle/serve/Node.java
+++ b/src/main/java/onyxpaddle/serve/Node.java
@@ -215,8 +215,8 @@
     }
 
     @Override
-    public void end(boolean replaced, Runnable done) {
-        life.state.end(clock.now(), replaced, Math.min(LONGEST_WAITED_FOR, clients.longestPatience()));
+    public void end(long heard, boolean replaced, Runnable done) {
+        life.state.end(heard, replaced, Math.min(LONGEST_WAITED_FOR, clients.longestPatience()));
         clients.end(done);
     }
 
--- a/src/main/java/onyxpaddle/serve/Sidecar.java
+++ b/src/main/java/onyxpaddle/serve/Sidecar.java
@@ -395,7 +395,7 @@
      * Beside a process that listens in this one's place both end at once: the application's calls have another way.
      */
     @Override
-    public void end(boolean replaced, Runnable ended) {
+    public void end(long heard, boolean replaced, Runnable ended) {
         Runnable done = announcing == null ? ended : () -> announcing.end(ended);
         if (replaced) {
             int[] sides = {2};
@@ -404,15 +404,16 @@
                     done.run();
                 }
             };
-            endSide(false, true, side);
-            endSide(true, true, side);
+            endSide(heard, false, true, side);
+            endSide(heard, true, true, side);
         } else {
-            endSide(false, false, () -> endSide(true, false, done));
+            // The application's own side ends once no caller of others is left, and counts from then.
+            endSide(heard, false, false, () -> endSide(clock.now(), true, false, done));
         }
     }
 
     /** Ends the listeners of one side, and those of an earlier configuration with the inbound one; then goes on, once. */
-    private void endSide(boolean outbound, boolean replaced, Runnable then) {
+    private void endSide(long since, boolean outbound, boolean replaced, Runnable then) {
         Set<Front> open = new HashSet<>();
         for (Door door : doors.values()) {
             if (door.outbound() == outbound) {
@@ -422,7 +423,7 @@
         if (!outbound) {
             open.addAll(leavingFronts);
         }
-        (outbound ? this.outbound : inbound).end(clock.now(), replaced,
+        (outbound ? this.outbound : inbound).end(since, replaced,
             open.stream().mapToLong(Front::longestPatience).max().orElse(0));
         if (open.isEmpty()) {
             then.run();
--- /dev/null
+++ b/src/test/java/onyxpaddle/serve/LifecycleTest.java
@@ -0,0 +1,86 @@
+package onyxpaddle.serve;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import onyxpaddle.node.Dispatcher;
+import onyxpaddle.node.Tally;
+import org.junit.jupiter.api.Test;
+
+/** When a process was told to end: by that, and not by when its loop has time for it, SIGKILL counts. */
+class LifecycleTest {
+    /** Serves nothing, and keeps when it was told to end. */
+    private static final class Nothing implements Lifecycle.Work {
+        final CompletableFuture<Long> heard = new CompletableFuture<>();
+
+        @Override
+        public void build() {
+        }
+
+        @Override
+        public CompletableFuture<Void> listen() {
+            return CompletableFuture.completedFuture(null);
+        }
+
+        @Override
+        public boolean ready() {
+            return true;
+        }
+
+        @Override
+        public Map<String, Dispatcher> pools() {
+            return Map.of();
+        }
+
+        @Override
+        public List<Dispatcher> leaving() {
+            return List.of();
+        }
+
+        @Override
+        public String announced() {
+            return null;
+        }
+
+        @Override
+        public Tally tally() {
+            return new Tally(List.of());
+        }
+
+        @Override
+        public void end(long at, boolean replaced, Runnable done) {
+            heard.complete(at);
+            done.run();
+        }
+
+        @Override
+        public void close() {
+        }
+    }
+
+    @Test
+    void theEndCountsFromWhenItWasToldAndNotFromWhenTheLoopIsFree() throws Exception {
+        Nothing work = new Nothing();
+        Lifecycle life = new Lifecycle(work);
+        life.start(new Lifecycle.Terms("n0", null, null, 10));
+        CountDownLatch busy = new CountDownLatch(1);
+        life.loop.execute(() -> {
+            try {
+                busy.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        Thread drain = new Thread(life::drain);
+        drain.start();
+        Loopback.await(() -> drain.getState() == Thread.State.TIMED_WAITING);
+        long told = life.clock.now();
+        busy.countDown();
+        assertTrue(work.heard.get() <= told);
+        drain.join();
+        life.stop();
+    }
+}
