A request's time counts from when it came, not from when a late loop read it

Cause: Dispatcher.arrived set the deadline from the moment at which the loop had read the last byte, and timers fire a turn late. One look that misses a request, one turn to accept it, one until its timer fires, and the half second that the platform allows is gone.

Change: the loop's handler tells the clock when it looks at its sockets (Looks, without I/O; LoopClock wraps Netty's handler). What is read came after the look before, unless the loop had to wait for it; a connection's first request may have come before its accept. The deadline goes by that, less the longest of the last turns, at most half of the patience; what has no time left is refused at once, unsent.

LooksTest for the decisions. Tests of both fronts, the end, drain and replacement pass.

--- a/src/main/java/onyxpaddle/http/ClientConnection.java
+++ b/src/main/java/onyxpaddle/http/ClientConnection.java
@@ -74,6 +74,9 @@
     private final SocketChannel channel;
     private final ArrayDeque<Object> ahead = new ArrayDeque<>();
     private State state = State.IDLE;
+    private final long acceptedAt;
+    /** When it came, at the earliest: it may have waited to be accepted. */
+    private final long came;
     private long since;
     private long readOff;
     private boolean anyRequest;
@@ -98,7 +101,15 @@
     ClientConnection(HttpFront all, SocketChannel channel) {
         this.all = all;
         this.channel = channel;
-        this.since = all.now();
+        this.acceptedAt = all.now();
+        this.came = all.clock().cameSince();
+        this.since = acceptedAt;
+    }
+
+    /** When the bytes at hand came, at the earliest: those of the turn after the accept may have come with the connection. */
+    private long cameSince() {
+        long since = all.clock().cameSince();
+        return since <= acceptedAt ? came : since;
     }
 
     /** Sees bytes before they are parsed: a head that trickles in, and what comes after the last answer. */
@@ -250,7 +261,7 @@
             case MORE -> { }
             case WHOLE -> {
                 arrived();
-                taken.pool().arrived(exchange);
+                taken.pool().arrived(exchange, cameSince());
             }
             case TOO_LARGE -> reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             case NO_ROOM -> reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
--- a/src/main/java/onyxpaddle/http/IncomingBody.java
+++ b/src/main/java/onyxpaddle/http/IncomingBody.java
@@ -111,7 +111,7 @@
         upload = new Upload(taken.length(), this::read);
         exchange = new Exchange(taken.terms(), taken.head(), body, caller, upload);
         read(false);
-        taken.pool().arrived(exchange);
+        taken.pool().arrived(exchange, clock.cameSince());
     }
 
     /** Reads on or not, as the server that takes the body has room. */
--- a/src/main/java/onyxpaddle/node/Clock.java
+++ b/src/main/java/onyxpaddle/node/Clock.java
@@ -16,6 +16,16 @@
         return epoch + (System.nanoTime() - start);
     }
 
+    /** What is read from a socket now came at this time or later; a clock that knows nothing of its loop says now. */
+    public long cameSince() {
+        return now();
+    }
+
+    /** How late the node comes to what is due, such as a time-out, as its loop went lately; in nanoseconds. */
+    public long lag() {
+        return 0;
+    }
+
     /** The time of a discovery entry's {@code born_ms}; 0 stays 0, "long ago". */
     public static long ofMillis(long millis) {
         return millis * MILLI;
--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -141,10 +141,24 @@
 
     // ---- what happens ----
 
-    /** A request's last byte has come: it is taken, and its time counts from here. */
-    public void arrived(Exchange x) {
+    /**
+     * A request's last byte has been read: it is taken. Its time counts from {@code came}, when that byte came at the earliest, and
+     * ends as much sooner as the node is late with what is due, so that a loop that is behind still answers in time. Guards against
+     * a node short of processor time, which would give each request its whole time from when it got to it, and its callers an
+     * answer when they have left; what has no time left is refused unsent. It would do harm where one long turn of the loop is
+     * taken for many: a caller's last moments are then lost, at most half of its time.
+     */
+    public void arrived(Exchange x, long came) {
         long now = clock.now();
         Terms terms = x.terms;
+        long ends = came + terms.patience() - Math.min(clock.lag(), terms.patience() / 2);
+        if (ends <= now) {
+            x.over = true;
+            x.body.release();
+            turnedAway(terms, Tally.End.BUSY);
+            x.caller.refused(0, null);
+            return;
+        }
         if (limit != null && !limit.admits(unanswered, terms.requestClass().worth())) {
             x.over = true;
             x.body.release();
@@ -160,7 +174,8 @@
             x.caller.refused(away, null);
             return;
         }
-        x.deadline = now + terms.patience() + (x.upload == null ? 0 : LONGEST_UPLOAD);
+        x.came = came;
+        x.deadline = ends + (x.upload == null ? 0 : LONGEST_UPLOAD);
         exchanges.put(x.id, x);
         unanswered++;
         // Guards against a request that the module forgot, or lost to a fault of its own.
@@ -176,6 +191,7 @@
             return;
         }
         long now = clock.now();
+        x.came = now;
         x.deadline = now + x.terms.patience();
         x.guard.cancel(false);
         x.guard = loop.schedule(() -> overdue(x), x.terms.patience() + GUARD, TimeUnit.NANOSECONDS);
@@ -235,7 +251,7 @@
             count(x, outcome == Outcome.OK ? Tally.End.SUCCESS : Tally.End.FAILURE);
         } else if (outcome == Outcome.OK && finish(x)) {
             if (limit != null) {
-                limit.answered(clock.now() - x.deadline + x.terms.patience());
+                limit.answered(clock.now() - x.came);
             }
             count(x, Tally.End.SUCCESS);
             x.caller.served(answer);
--- a/src/main/java/onyxpaddle/node/Exchange.java
+++ b/src/main/java/onyxpaddle/node/Exchange.java
@@ -24,6 +24,8 @@
     final Caller caller;
     final List<Attempt> attempts = new ArrayList<>(2);
     final int mostAttempts;
+    /** When its last byte came, at the earliest. */
+    long came;
     long deadline;
     int out;
     /** The final answer is given or has begun, or nobody waits for it. */
--- a/src/main/java/onyxpaddle/rpc/CallerConnection.java
+++ b/src/main/java/onyxpaddle/rpc/CallerConnection.java
@@ -265,7 +265,7 @@
                 } else {
                     open.put(call.msgid, call);
                 }
-                call.taken.target().pool().arrived(call.exchange);
+                call.taken.target().pool().arrived(call.exchange, all.clock().cameSince());
             }
         }
         idleSince = all.clock().now();
--- a/src/main/java/onyxpaddle/serve/Lifecycle.java
+++ b/src/main/java/onyxpaddle/serve/Lifecycle.java
@@ -22,9 +22,9 @@
 import onyxpaddle.admin.SiteReport;
 import onyxpaddle.drain.NodeState;
 import onyxpaddle.handover.HandoverSocket;
-import onyxpaddle.node.Clock;
 import onyxpaddle.node.Dispatcher;
 import onyxpaddle.node.Log;
+import onyxpaddle.node.LoopClock;
 import onyxpaddle.node.Sockets;
 import onyxpaddle.node.Tally;
 
@@ -81,11 +81,11 @@
     }
 
     final EventLoop loop;
-    final Clock clock = new Clock();
+    final LoopClock clock = new LoopClock();
     final ByteBufAllocator allocator = Sockets.allocator();
     /** Of the node: what operators drain. */
     final NodeState state = new NodeState();
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, clock.watching(NioIoHandler.newFactory()));
     private final CompletableFuture<Void> serving = new CompletableFuture<>();
     private final CountDownLatch ended = new CountDownLatch(1);
     private final Work work;
--- a/src/main/java/onyxpaddle/serve/Node.java
+++ b/src/main/java/onyxpaddle/serve/Node.java
@@ -206,6 +206,10 @@
         return anyServer && (heard || clock.now() - startedAt > WAIT_FOR_LIST);
     }
 
+    EventLoop loop() {
+        return life.loop;
+    }
+
     InetSocketAddress address() {
         return clients.address();
     }
--- /dev/null
+++ b/src/test/java/onyxpaddle/node/LooksTest.java
@@ -0,0 +1,54 @@
+package onyxpaddle.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** What a loop reads came since it looked before, and no request's time begins when the loop gets to it. */
+class LooksTest {
+    private static final long MS = 1_000_000L;
+    private final Looks looks = new Looks();
+
+    private void turn(long begins, long looked) {
+        looks.begins(begins * MS);
+        looks.looked(looked * MS);
+    }
+
+    @Test
+    void beforeTheFirstLookAllComesNow() {
+        assertEquals(7 * MS, looks.cameSince(7 * MS));
+        assertEquals(0, looks.lag());
+    }
+
+    @Test
+    void whatIsThereAfterABusyTurnMayHaveComeAtItsBegin() {
+        turn(100, 100);
+        turn(600, 600);
+        assertEquals(100 * MS, looks.cameSince(650 * MS));
+        turn(700, 700);
+        assertEquals(600 * MS, looks.cameSince(700 * MS));
+    }
+
+    @Test
+    void whatALoopWaitedForHasJustCome() {
+        turn(100, 100);
+        turn(600, 900);
+        assertEquals(900 * MS, looks.cameSince(950 * MS));
+    }
+
+    @Test
+    void oneLongTurnCountsForSomeShortOnesAndThenNoMore() {
+        turn(100, 100);
+        turn(500, 500);
+        assertEquals(400 * MS, looks.lag());
+        for (int i = 1; i <= 3; i++) {
+            turn(500 + i, 500 + i);
+        }
+        assertTrue(looks.lag() > 250 * MS && looks.lag() < 300 * MS);
+        for (int i = 4; i <= 60; i++) {
+            turn(500 + i, 500 + i);
+        }
+        assertEquals(MS, looks.lag(), MS / 10);
+    }
+}
--- /dev/null
+++ b/src/test/java/onyxpaddle/serve/BusyLoopTest.java
@@ -0,0 +1,62 @@
+package onyxpaddle.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import onyxpaddle.serve.Loopback.Client;
+import onyxpaddle.serve.Loopback.FakeServer;
+import org.junit.jupiter.api.Test;
+
+/** A node whose loop gets to its sockets late: a request's time counts from when it came, and not from when it was read. */
+class BusyLoopTest {
+    private static final double PATIENCE_S = 1.5;
+    private static final long BUSY_MS = 1_200;
+
+    @Test
+    void requestThatWaitedForTheLoopIsAnsweredInItsCallersTime() throws Exception {
+        try (FakeServer silent = new FakeServer("s1"); Loopback.FakeDiscovery discovery = new Loopback.FakeDiscovery(Loopback.list(1, silent))) {
+            String config = Loopback.config(discovery, silent).replace("\"deadlineS\":10", "\"deadlineS\":" + PATIENCE_S);
+            Node node = Node.start(PlatformConfig.parse(config.getBytes(StandardCharsets.UTF_8), Map.of()));
+            try (Client open = new Client(node.address())) {
+                while (!open.say("GET /ready HTTP/1.1\r\n\r\n").hear().startsWith("200")) {
+                    Thread.onSpinWait();
+                }
+                CountDownLatch held = new CountDownLatch(1);
+                CountDownLatch go = new CountDownLatch(1);
+                node.loop().execute(() -> {
+                    held.countDown();
+                    try {
+                        go.await();
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                });
+                held.await();
+                long start = System.nanoTime();
+                open.say(Loopback.request("r1", "book", "Content-Length: 0"));
+                try (Client fresh = new Client(node.address())) {
+                    fresh.say(Loopback.request("r2", "book", "Content-Length: 0"));
+                    // The loop stands still, as on a core that others use: this is the fault, and not a wait for something.
+                    TimeUnit.MILLISECONDS.sleep(BUSY_MS);
+                    go.countDown();
+                    assertEquals('5', open.hear().charAt(0));
+                    assertInTime(start);
+                    assertEquals('5', fresh.hear().charAt(0));
+                    assertInTime(start);
+                }
+            } finally {
+                node.stop();
+            }
+        }
+    }
+
+    /** From the read on it would be 2.7 s; by the lag alone, without the time of its coming, 1.95 s. */
+    private static void assertInTime(long start) {
+        double took = (System.nanoTime() - start) / 1e9;
+        assertTrue(took < PATIENCE_S + 0.25, "answered after " + took + " s");
+    }
+}
