Short deadlines: the listener closes before SIGKILL, and new connections have time to ask

Change: the listener closes with the last call at the latest; at the last call a connection is left alone for 0.1 s after it has come or had its answer, as in a drain. The process does not wait for it.

Result: a case of NodeStateTest by a handed-in clock, for longest deadlines of 0.3 s and 0.05 s, fails before.

--- a/src/main/java/onyxpaddle/drain/NodeState.java
+++ b/src/main/java/onyxpaddle/drain/NodeState.java
@@ -101,7 +101,7 @@
         return switch (phase) {
             case SERVING -> false;
             case DRAINING -> passed >= IDLE_GOES && now - idleSince >= JUST_IDLE;
-            case ENDING -> !outlasts(LAST_CALL, now);
+            case ENDING -> !outlasts(LAST_CALL, now) && now - idleSince >= JUST_IDLE;
             case REPLACED -> now - idleSince >= REPLACED_IDLE || !outlasts(LAST_CALL, now);
         };
     }
@@ -141,12 +141,15 @@
         return !ending() || now + Math.min(patience, longestPatience) <= endsAt();
     }
 
-    /** Whether the listener closes, where the last connection came then. */
+    /**
+     * Whether the listener closes, where the last connection came then. Where the longest deadline is short, SIGKILL comes before
+     * the usual most, and what it takes in must still be answered.
+     */
     public boolean closesListener(long lastAccept, long now) {
         long passed = now - since;
         return switch (phase) {
             case SERVING, DRAINING -> false;
-            case ENDING -> passed >= LISTEN_ON && (now - lastAccept >= QUIET || passed >= LISTEN_AT_MOST);
+            case ENDING -> passed >= LISTEN_ON && (now - lastAccept >= QUIET || passed >= LISTEN_AT_MOST || !outlasts(LAST_CALL, now));
             case REPLACED -> true;
         };
     }
--- a/src/test/java/onyxpaddle/drain/NodeStateTest.java
+++ b/src/test/java/onyxpaddle/drain/NodeStateTest.java
@@ -84,6 +84,22 @@
         assertTrue(state.over(3_550 * MS));
     }
 
+    /** SIGKILL comes 1 s after SIGTERM where no class waits for longer than 0.3 s, and 0.75 s after it with 0.05 s. */
+    @Test
+    void shortDeadlinesEndTheListenerBeforeSigkillAndLeaveNewConnectionsTimeToAsk() {
+        state.end(0, false, 300 * MS);
+        assertFalse(state.closesListener(540 * MS, 550 * MS));
+        assertTrue(state.closesListener(540 * MS, 551 * MS), "though connections still come");
+        assertFalse(state.closesIdle(500 * MS, 560 * MS), "one that has just come is left time to ask");
+        assertTrue(state.closesIdle(400 * MS, 560 * MS));
+        NodeState shorter = new NodeState();
+        shorter.end(0, false, 50 * MS);
+        assertFalse(shorter.closesListener(400 * MS, 499 * MS), "connections go on coming for 0.4 s");
+        assertTrue(shorter.closesListener(500 * MS, 551 * MS));
+        assertFalse(shorter.closesIdle(390 * MS, 400 * MS));
+        assertTrue(shorter.outlasts(50 * MS, 550 * MS));
+    }
+
     @Test
     void whereASuccessorServesAllIsHandedToItAtOnce() {
         state.end(0, true, PATIENCE);
