A node that hears SIGTERM late ends by when it was told, as SIGKILL does

SIGKILL comes 0.15 s after the node's own end (GRACE 0.55 of 0.7), so such a node takes, for up to half a second, requests that the kill finds unanswered if their server hangs: those of its longest patience, and all that waits for longer than 3 s. The way of a signal: the JVM's signal thread, the thread that it starts to exit, the hook's; each waits for the processor as the loop does.

Change: how long the loop's task waited, or the longest of the last turns if that was longer, times those three threads, is how late it was heard at the most (Lifecycle.drain); the end's time is that much shorter (NodeState.endsAt). The listener still counts from when it was heard: connections go on coming. At the usual share this is some milliseconds.

Result: NodeStateTest by a handed-in clock and LifecycleTest with a loop held by a latch; fail on the code before, as there was no such figure.

--- a/src/main/java/onyxpaddle/drain/NodeState.java
+++ b/src/main/java/onyxpaddle/drain/NodeState.java
@@ -37,6 +37,7 @@
     private Phase phase = Phase.SERVING;
     private long since;
     private long longestPatience;
+    private long heardLate;
 
     public Phase phase() {
         return phase;
@@ -63,14 +64,15 @@
     }
 
     /**
-     * The process ends. {@code replaced}: another one listens at the same address; {@code longestPatience}: how long any
-     * caller waits.
+     * The process ends. {@code replaced}: another one listens at the same address; {@code patience}: how long any caller waits;
+     * {@code late}: how long ago, at the most, it was told before it heard, in nanoseconds: whoever kills it counts from there.
      */
-    public void end(long now, boolean replaced, long patience) {
+    public void end(long now, boolean replaced, long patience, long late) {
         if (!ending()) {
             phase = replaced ? Phase.REPLACED : Phase.ENDING;
             since = now;
             longestPatience = patience;
+            heardLate = late;
         }
     }
 
@@ -160,6 +162,6 @@
     }
 
     private long endsAt() {
-        return since + longestPatience + GRACE;
+        return since + longestPatience + GRACE - heardLate;
     }
 }
--- a/src/main/java/onyxpaddle/serve/Lifecycle.java
+++ b/src/main/java/onyxpaddle/serve/Lifecycle.java
@@ -35,6 +35,13 @@
  */
 final class Lifecycle {
     private static final long READY_STEP_MS = 10;
+    /**
+     * A signal passes through so many threads of the JVM before it is heard here: the one that takes signals, the one that this
+     * starts to exit, and the hook's. On a node short of processor time each waits for a turn, as the loop does now. Guards against
+     * an end that goes by when it heard and takes what SIGKILL finds; it does harm where one turn just then was long by chance:
+     * the longest requests are refused that much sooner.
+     */
+    private static final int THREADS_TO_HEAR = 3;
 
     /** What a node serves. */
     interface Work {
@@ -60,10 +67,13 @@
         Tally tally();
 
         /**
-         * Answers what is taken, and calls {@code done} when nothing is left; {@code heard}: when the process was told, by the node's
-         * clock; {@code replaced}: another process listens.
+         * Answers what is taken, and calls {@code done} when nothing is left.
+         *
+         * @param heard when the process heard that it ends, by the node's clock
+         * @param late how long before, at the most, it was told, in nanoseconds
+         * @param replaced another process listens
          */
-        void end(long heard, boolean replaced, Runnable done);
+        void end(long heard, long late, boolean replaced, Runnable done);
 
         /** Closes all at once. */
         void close();
@@ -272,7 +282,7 @@
 
     /** Ends as planned: returns when all that was taken is answered. */
     void drain() {
-        // Whoever told it to end counts from here on, whatever the loop is busy with.
+        // Whoever told it to end counts from before this, whatever the loop is busy with.
         long heard = clock.now();
         loop.execute(() -> {
             if (!listens()) {
@@ -282,7 +292,8 @@
             }
             boolean replaced = handover != null && handover.succeeded();
             Log.line(replaced ? "ending, as another process serves" : "ending");
-            work.end(heard, replaced, ended::countDown);
+            long turn = Math.max(clock.now() - heard, clock.lag());
+            work.end(heard, THREADS_TO_HEAR * turn, replaced, ended::countDown);
         });
         try {
             ended.await(terms.longestEnd(), TimeUnit.SECONDS);
--- a/src/main/java/onyxpaddle/serve/Node.java
+++ b/src/main/java/onyxpaddle/serve/Node.java
@@ -219,8 +219,8 @@
     }
 
     @Override
-    public void end(long heard, boolean replaced, Runnable done) {
-        life.state.end(heard, replaced, Math.min(LONGEST_WAITED_FOR, clients.longestPatience()));
+    public void end(long heard, long late, boolean replaced, Runnable done) {
+        life.state.end(heard, replaced, Math.min(LONGEST_WAITED_FOR, clients.longestPatience()), late);
         clients.end(done);
     }
 
--- a/src/main/java/onyxpaddle/serve/Sidecar.java
+++ b/src/main/java/onyxpaddle/serve/Sidecar.java
@@ -395,7 +395,7 @@
      * Beside a process that listens in this one's place both end at once: the application's calls have another way.
      */
     @Override
-    public void end(long heard, boolean replaced, Runnable ended) {
+    public void end(long heard, long late, boolean replaced, Runnable ended) {
         Runnable done = announcing == null ? ended : () -> announcing.end(ended);
         if (replaced) {
             int[] sides = {2};
@@ -404,16 +404,16 @@
                     done.run();
                 }
             };
-            endSide(heard, false, true, side);
-            endSide(heard, true, true, side);
+            endSide(heard, late, false, true, side);
+            endSide(heard, late, true, true, side);
         } else {
             // The application's own side ends once no caller of others is left, and counts from then.
-            endSide(heard, false, false, () -> endSide(clock.now(), true, false, done));
+            endSide(heard, late, false, false, () -> endSide(clock.now(), 0, true, false, done));
         }
     }
 
     /** Ends the listeners of one side, and those of an earlier configuration with the inbound one; then goes on, once. */
-    private void endSide(long since, boolean outbound, boolean replaced, Runnable then) {
+    private void endSide(long since, long late, boolean outbound, boolean replaced, Runnable then) {
         Set<Front> open = new HashSet<>();
         for (Door door : doors.values()) {
             if (door.outbound() == outbound) {
@@ -424,7 +424,7 @@
             open.addAll(leavingFronts);
         }
         (outbound ? this.outbound : inbound).end(since, replaced,
-            open.stream().mapToLong(Front::longestPatience).max().orElse(0));
+            open.stream().mapToLong(Front::longestPatience).max().orElse(0), late);
         if (open.isEmpty()) {
             then.run();
             return;
--- a/src/test/java/onyxpaddle/drain/NodeStateTest.java
+++ b/src/test/java/onyxpaddle/drain/NodeStateTest.java
@@ -27,7 +27,7 @@
     /** An end that waits for 3 s: who waits for longer is taken for as long as one who waits for those 3 s, and no longer. */
     @Test
     void whoWaitsForLongerThanTheEndDoesIsTakenAsLongAsTheLongestThatItWaitsFor() {
-        state.end(0, false, PATIENCE);
+        state.end(0, false, PATIENCE, 0);
         assertTrue(state.outlasts(PATIENCE + 1_200 * MS, 550 * MS));
         assertFalse(state.outlasts(PATIENCE + 1_200 * MS, 551 * MS));
         assertFalse(state.outlasts(PATIENCE, 551 * MS));
@@ -65,7 +65,7 @@
 
     @Test
     void endKeepsConnectionsToTheLastAndThenGoes() {
-        state.end(0, false, PATIENCE);
+        state.end(0, false, PATIENCE, 0);
         assertEquals(Phase.ENDING, state.phase());
         assertFalse(state.wantsWork());
         assertTrue(state.keepsConnections(3_200 * MS));
@@ -87,22 +87,37 @@
     /** SIGKILL comes 1 s after SIGTERM where no class waits for longer than 0.3 s, and 0.75 s after it with 0.05 s. */
     @Test
     void shortDeadlinesEndTheListenerBeforeSigkillAndLeaveNewConnectionsTimeToAsk() {
-        state.end(0, false, 300 * MS);
+        state.end(0, false, 300 * MS, 0);
         assertFalse(state.closesListener(540 * MS, 550 * MS));
         assertTrue(state.closesListener(540 * MS, 551 * MS), "though connections still come");
         assertFalse(state.closesIdle(500 * MS, 560 * MS), "one that has just come is left time to ask");
         assertTrue(state.closesIdle(400 * MS, 560 * MS));
         NodeState shorter = new NodeState();
-        shorter.end(0, false, 50 * MS);
+        shorter.end(0, false, 50 * MS, 0);
         assertFalse(shorter.closesListener(400 * MS, 499 * MS), "connections go on coming for 0.4 s");
         assertTrue(shorter.closesListener(500 * MS, 551 * MS));
         assertFalse(shorter.closesIdle(390 * MS, 400 * MS));
         assertTrue(shorter.outlasts(50 * MS, 550 * MS));
     }
 
+    /** A node short of processor time hears late, while SIGKILL counts from the signal: it takes no more than it can answer by then. */
+    @Test
+    void whatWasHeardLateEndsByWhenItWasTold() {
+        state.end(0, false, PATIENCE, 400 * MS);
+        assertTrue(state.outlasts(PATIENCE, 150 * MS));
+        assertFalse(state.outlasts(PATIENCE, 151 * MS));
+        assertFalse(state.over(3_149 * MS));
+        assertTrue(state.over(3_150 * MS));
+        assertFalse(state.closesListener(0, 499 * MS), "connections go on coming all the same");
+        NodeState far = new NodeState();
+        far.end(0, false, 300 * MS, 2_000 * MS);
+        assertFalse(far.closesListener(0, 499 * MS));
+        assertFalse(far.outlasts(0, 0), "nothing is taken that nobody answers");
+    }
+
     @Test
     void whereASuccessorServesAllIsHandedToItAtOnce() {
-        state.end(0, true, PATIENCE);
+        state.end(0, true, PATIENCE, 0);
         assertEquals(Phase.REPLACED, state.phase());
         assertTrue(state.closesListener(0, 0));
         assertFalse(state.keepsConnections(0));
@@ -115,10 +130,10 @@
     @Test
     void endGoesBeforeADrainAndIsNeverTakenBack() {
         state.drain(0);
-        state.end(1_000 * MS, false, PATIENCE);
+        state.end(1_000 * MS, false, PATIENCE, 0);
         assertFalse(state.undrain(1_100 * MS));
         assertFalse(state.drain(1_100 * MS));
-        state.end(2_000 * MS, true, PATIENCE);
+        state.end(2_000 * MS, true, PATIENCE, 0);
         assertEquals(Phase.ENDING, state.phase(), "a second signal changes nothing");
         assertTrue(state.over(4_550 * MS));
     }
@@ -141,12 +156,12 @@
 
     @Test
     void aloneCallsAreRefusedAtOnceBesideAnotherProcessServedOn() {
-        state.end(0, false, PATIENCE);
+        state.end(0, false, PATIENCE, 0);
         assertTrue(state.refusesCalls(0));
         assertFalse(state.closesBetweenCalls(0, 300 * MS));
         assertTrue(state.closesBetweenCalls(300 * MS, 301 * MS));
         NodeState other = new NodeState();
-        other.end(0, true, PATIENCE);
+        other.end(0, true, PATIENCE, 0);
         assertFalse(other.refusesCalls(1_999 * MS));
         assertTrue(other.refusesCalls(2_000 * MS));
         assertFalse(other.closesBetweenCalls(0, 999 * MS));
--- a/src/test/java/onyxpaddle/serve/LifecycleTest.java
+++ b/src/test/java/onyxpaddle/serve/LifecycleTest.java
@@ -15,6 +15,7 @@
     /** Serves nothing, and keeps when it was told to end. */
     private static final class Nothing implements Lifecycle.Work {
         final CompletableFuture<Long> heard = new CompletableFuture<>();
+        volatile long late;
 
         @Override
         public void build() {
@@ -51,7 +52,8 @@
         }
 
         @Override
-        public void end(long at, boolean replaced, Runnable done) {
+        public void end(long at, long heardLate, boolean replaced, Runnable done) {
+            late = heardLate;
             heard.complete(at);
             done.run();
         }
@@ -80,6 +82,7 @@
         long told = life.clock.now();
         busy.countDown();
         assertTrue(work.heard.get() <= told);
+        assertTrue(work.late >= 3 * (told - work.heard.get()), "three threads waited before, each as long as the loop's task did");
         drain.join();
         life.stop();
     }
