A late loop takes from a request's time only what would make its answer lost

Cause: the change before took every turn's length off the deadline, and counted from the look before the read, which on average is half a turn too early.

Change: a request has its whole time from the read on, as long as its answer, counted from its earliest coming and with the loop's lag, is at most 0.4 s late; the platform allows half a second, the rest is for its way out.

--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -18,6 +18,8 @@
 public final class Dispatcher {
     /** How long after its deadline a request that the module left unanswered is failed. */
     private static final long GUARD = 8_000_000L;
+    /** An answer is lost half a second after its time; a fifth of that is kept for its way out. */
+    private static final long ALLOWED = 400_000_000L;
     /** How long a body that is passed on as it comes may take; its caller's front is stricter, by its pace. */
     private static final long LONGEST_UPLOAD = 900_000_000_000L;
 
@@ -142,16 +144,16 @@
     // ---- what happens ----
 
     /**
-     * A request's last byte has been read: it is taken. Its time counts from {@code came}, when that byte came at the earliest, and
-     * ends as much sooner as the node is late with what is due, so that a loop that is behind still answers in time. Guards against
-     * a node short of processor time, which would give each request its whole time from when it got to it, and its callers an
-     * answer when they have left; what has no time left is refused unsent. It would do harm where one long turn of the loop is
-     * taken for many: a caller's last moments are then lost, at most half of its time.
+     * A request's last byte has been read: it is taken, and its time counts from here as long as the node is not far behind. It ends
+     * so that, counted from {@code came}, when that byte came at the earliest, and for all that the node is late with what is due,
+     * the answer is no later than {@link #ALLOWED}. Guards against a node short of processor time, which would give each
+     * request its whole time from when it got to it, and its caller an answer long after it has left; what has no time left is
+     * refused unsent. It would do harm where one long turn of the loop is taken for many: a caller's last moments are then lost.
      */
     public void arrived(Exchange x, long came) {
         long now = clock.now();
         Terms terms = x.terms;
-        long ends = came + terms.patience() - Math.min(clock.lag(), terms.patience() / 2);
+        long ends = terms.patience() + Math.min(now, came + ALLOWED - clock.lag());
         if (ends <= now) {
             x.over = true;
             x.body.release();
