The clock that knows its loop's looks stands with the listener, not in the core

Change: Looks and LoopClock move from `node` to `front`; the core keeps Clock, which says that all comes now.

Result: PackageRulesTest, LooksTest, BusyLoopTest, LifecycleTest and TakenRequestTest pass; the whole verify is run next.

--- a/src/main/java/onyxpaddle/node/Looks.java
+++ b/src/main/java/onyxpaddle/front/Looks.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package onyxpaddle.front;
 
 /**
  * When a loop looked at its sockets, and so when what it reads can have come: not when it is read, as a loop that is busy, or gets
--- a/src/main/java/onyxpaddle/node/LoopClock.java
+++ b/src/main/java/onyxpaddle/front/LoopClock.java
@@ -1,10 +1,11 @@
-package onyxpaddle.node;
+package onyxpaddle.front;
 
 import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.IoRegistration;
+import onyxpaddle.node.Clock;
 
 /** The clock of a node with one event loop, which tells it when it looks at its sockets. */
 public final class LoopClock extends Clock {
--- a/src/main/java/onyxpaddle/serve/Lifecycle.java
+++ b/src/main/java/onyxpaddle/serve/Lifecycle.java
@@ -21,10 +21,10 @@
 import onyxpaddle.admin.ServerReport;
 import onyxpaddle.admin.SiteReport;
 import onyxpaddle.drain.NodeState;
+import onyxpaddle.front.LoopClock;
 import onyxpaddle.handover.HandoverSocket;
 import onyxpaddle.node.Dispatcher;
 import onyxpaddle.node.Log;
-import onyxpaddle.node.LoopClock;
 import onyxpaddle.node.Sockets;
 import onyxpaddle.node.Tally;
 
--- a/src/test/java/onyxpaddle/node/LooksTest.java
+++ b/src/test/java/onyxpaddle/front/LooksTest.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package onyxpaddle.front;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
