A process that stood still as it was told to end takes nothing that SIGKILL would find

Cause: a loop that waits in its look while the whole process is stopped shows no long turn, so that the lateness of SIGTERM was taken as none. In processes (StoppedEndIT): SIGSTOP, SIGTERM, 0.6 s, SIGCONT, servers that hang, longest deadline 3 s: without the lateness (THREADS_TO_HEAR 0) the node goes on for 3.55 s from when it heard, takes bookings 0.7 to 1.1 s after SIGTERM and has no answer for them when SIGKILL comes 3.7 s after it.

Change: the loop tells Looks how long it means to wait; what it overslept counts as lateness, and what is read then may have come since the wait began.

--- a/src/main/java/onyxpaddle/front/LoopClock.java
+++ b/src/main/java/onyxpaddle/front/LoopClock.java
@@ -83,7 +83,9 @@
 
         @Override
         public long delayNanos(long now) {
-            return of.delayNanos(now);
+            long delay = of.delayNanos(now);
+            looks.waits(delay);
+            return delay;
         }
 
         @Override
--- a/src/test/java/onyxpaddle/front/LooksTest.java
+++ b/src/test/java/onyxpaddle/front/LooksTest.java
@@ -12,6 +12,7 @@
 
     private void turn(long begins, long looked) {
         looks.begins(begins * MS);
+        looks.waits(looked > begins ? 500 * MS : 0);
         looks.looked(looked * MS);
     }
 
@@ -37,6 +38,15 @@
         assertEquals(900 * MS, looks.cameSince(950 * MS));
     }
 
+    /** Stopped while it waited, as by SIGSTOP: it should have woken for what was due, and anything can have come meanwhile. */
+    @Test
+    void aLoopThatStoodStillIsLateByWhatItOverslept() {
+        turn(100, 100);
+        turn(110, 1_400);
+        assertEquals(790 * MS, looks.lag());
+        assertEquals(110 * MS, looks.cameSince(1_400 * MS));
+    }
+
     @Test
     void oneLongTurnCountsForSomeShortOnesAndThenNoMore() {
         turn(100, 100);
