What is due is done between events, not when a loop that is behind comes to its timers

A further cut of each deadline by the lag did not help, as the turn that is too long is longer than those before it.

Change: time-outs, guards and the module's timers of a Dispatcher stand in one Agenda (no I/O, handed time), which is looked at with every arrival and after every event; one timer of the loop is the alarm for quiet times. ALLOWED is 0.3 s, and the lag is not taken off any more.

--- a/src/main/java/onyxpaddle/node/Attempt.java
+++ b/src/main/java/onyxpaddle/node/Attempt.java
@@ -1,6 +1,5 @@
 package onyxpaddle.node;
 
-import java.util.concurrent.Future;
 
 /** One sending of a request to a server. It ends exactly once, by {@link Dispatcher#ended}. */
 public final class Attempt {
@@ -11,7 +10,7 @@
     long sentAt;
     /** When it is given up, by the node's clock in nanoseconds. */
     public long until;
-    Future<?> timer;
+    Agenda.Item timer;
     /** What carries it, such as a dial or a connection: the upstream's own, null before and after. */
     public Object carrier;
     private final Tally tally;
--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -18,8 +18,8 @@
 public final class Dispatcher {
     /** How long after its deadline a request that the module left unanswered is failed. */
     private static final long GUARD = 8_000_000L;
-    /** An answer is lost half a second after its time; a fifth of that is kept for its way out. */
-    private static final long ALLOWED = 400_000_000L;
+    /** An answer is lost half a second after its time; two fifths of that are kept for its way out. */
+    private static final long ALLOWED = 300_000_000L;
     /** How long a body that is passed on as it comes may take; its caller's front is stricter, by its pace. */
     private static final long LONGEST_UPLOAD = 900_000_000_000L;
 
@@ -36,6 +36,9 @@
     private Gate gate;
     private Upstream upstream;
     private Runnable onSubscribe = () -> { };
+    private final Agenda agenda = new Agenda();
+    private long wakesAt = Long.MAX_VALUE;
+    private boolean busyWithDue;
     private boolean delivering;
     private int unanswered;
     /** Of this pool, by {@link Tally.End}; the tally has them by class. */
@@ -144,16 +147,17 @@
     // ---- what happens ----
 
     /**
-     * A request's last byte has been read: it is taken, and its time counts from here as long as the node is not far behind. It ends
-     * so that, counted from {@code came}, when that byte came at the earliest, and for all that the node is late with what is due,
-     * the answer is no later than {@link #ALLOWED}. Guards against a node short of processor time, which would give each
-     * request its whole time from when it got to it, and its caller an answer long after it has left; what has no time left is
-     * refused unsent. It would do harm where one long turn of the loop is taken for many: a caller's last moments are then lost.
+     * A request's last byte has been read: it is taken, and its time counts from here as long as the node is not far behind. Counted
+     * from {@code came}, when that byte came at the earliest, its answer is no later than {@link #ALLOWED}. Guards against a
+     * node short of processor time, which would give each request its whole time from when it got to it, and its caller an
+     * answer long after it has left; what has no time left is refused unsent. It would do harm where a long turn of the loop is
+     * taken for a long wait: a caller's last moments are then lost.
      */
     public void arrived(Exchange x, long came) {
+        doWhatIsDue();
         long now = clock.now();
         Terms terms = x.terms;
-        long ends = terms.patience() + Math.min(now, came + ALLOWED - clock.lag());
+        long ends = terms.patience() + Math.min(now, came + ALLOWED);
         if (ends <= now) {
             x.over = true;
             x.body.release();
@@ -181,7 +185,7 @@
         exchanges.put(x.id, x);
         unanswered++;
         // Guards against a request that the module forgot, or lost to a fault of its own.
-        x.guard = loop.schedule(() -> overdue(x), x.deadline - now + GUARD, TimeUnit.NANOSECONDS);
+        x.guard = agenda.add(x.deadline + GUARD, () -> overdue(x));
         tell(new Arrival(x.id, terms.requestClass().name(), x.deadline, terms.tenant(), terms.cost(),
             terms.clientRetry()));
     }
@@ -195,12 +199,13 @@
         long now = clock.now();
         x.came = now;
         x.deadline = now + x.terms.patience();
-        x.guard.cancel(false);
-        x.guard = loop.schedule(() -> overdue(x), x.terms.patience() + GUARD, TimeUnit.NANOSECONDS);
+        x.guard.cancel();
+        x.guard = agenda.add(x.deadline + GUARD, () -> overdue(x));
         attempt.sentAt = now;
         attempt.until = x.deadline;
         stopTimer(attempt);
-        attempt.timer = loop.schedule(() -> expire(attempt), x.terms.patience(), TimeUnit.NANOSECONDS);
+        attempt.timer = agenda.add(x.deadline, () -> expire(attempt));
+        doWhatIsDue();
     }
 
     /**
@@ -216,7 +221,7 @@
         x.over = true;
         x.passing = attempt;
         x.source = source;
-        x.guard.cancel(false);
+        x.guard.cancel();
         AnswerSink sink = x.caller.begins(head, length, source);
         tell(new FirstByte(x.id, attempt.number, attempt.server, clock.now() - attempt.sentAt));
         return sink;
@@ -323,6 +328,36 @@
         } finally {
             delivering = false;
         }
+        doWhatIsDue();
+    }
+
+    // ---- what is due ----
+
+    /** Does what is due now: after each thing that happens, and when the loop's own timer wakes it. */
+    private void doWhatIsDue() {
+        if (busyWithDue) {
+            return;
+        }
+        busyWithDue = true;
+        try {
+            for (Agenda.Item item = agenda.due(clock.now()); item != null; item = agenda.due(clock.now())) {
+                item.run();
+            }
+        } finally {
+            busyWithDue = false;
+        }
+        long next = agenda.next();
+        if (next < wakesAt) {
+            wakesAt = next;
+            loop.schedule(() -> woken(next), next - clock.now(), TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private void woken(long plannedFor) {
+        if (wakesAt == plannedFor) {
+            wakesAt = Long.MAX_VALUE;
+        }
+        doWhatIsDue();
     }
 
     private void deliver(Event event) {
@@ -340,7 +375,7 @@
         if (action instanceof Send send) {
             send(send);
         } else if (action instanceof SetTimer timer) {
-            loop.schedule(() -> tell(new Timer(timer.token())), timer.after(), TimeUnit.NANOSECONDS);
+            agenda.add(clock.now() + timer.after(), () -> tell(new Timer(timer.token())));
         } else if (action instanceof Cancel cancel) {
             cancel(cancel);
         } else if (action instanceof Refuse refuse) {
@@ -378,7 +413,7 @@
             ended(attempt, Outcome.NOT_SENT, null);
             return;
         }
-        attempt.timer = loop.schedule(() -> expire(attempt), until - now, TimeUnit.NANOSECONDS);
+        attempt.timer = agenda.add(until, () -> expire(attempt));
         upstream.send(attempt);
     }
 
@@ -402,7 +437,7 @@
             return false;
         }
         x.over = true;
-        x.guard.cancel(false);
+        x.guard.cancel();
         unanswered--;
         return true;
     }
@@ -416,7 +451,7 @@
 
     private static void stopTimer(Attempt attempt) {
         if (attempt.timer != null) {
-            attempt.timer.cancel(false);
+            attempt.timer.cancel();
             attempt.timer = null;
         }
     }
--- a/src/main/java/onyxpaddle/node/Exchange.java
+++ b/src/main/java/onyxpaddle/node/Exchange.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.Future;
 import onyxpaddle.Balancing.Effect;
 import onyxpaddle.Balancing.RequestClass;
 
@@ -30,7 +29,7 @@
     int out;
     /** The final answer is given or has begun, or nobody waits for it. */
     boolean over;
-    Future<?> guard;
+    Agenda.Item guard;
     /** A server's own word for a failure, for the caller should no other server do better; null for none. */
     Answer failure;
     /** The attempt whose answer is being passed on; null for none. */
