--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -18,8 +18,8 @@
 public final class Dispatcher {
     /** How long after its deadline a request that the module left unanswered is failed. */
     private static final long GUARD = 8_000_000L;
-    /** On sockets each time limit is so much longer than the settings say, by the platform's protocol. */
-    private static final long ALLOWED = 50_000_000L;
+    /** An answer is lost half a second after its time; two fifths of that are kept for its way out. */
+    private static final long ALLOWED = 300_000_000L;
     /** How long a body that is passed on as it comes may take; its caller's front is stricter, by its pace. */
     private static final long LONGEST_UPLOAD = 900_000_000_000L;
 
