A fault in what is due costs no other request

Cause, by reading the change once more: what is due is now done within another request's arrival, so that an exception from one caller's answer would pass through that arrival and close the connection of a client that has no part in it; as tasks of the loop each was caught on its own.

Change: each thing that is due is caught and logged (Dispatcher.doWhatIsDue).

Result: a case of LateLoopTest, in which one caller's answer throws as another request arrives: both others go on.

--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -341,7 +341,12 @@
         busyWithDue = true;
         try {
             for (Agenda.Item item = agenda.due(clock.now()); item != null; item = agenda.due(clock.now())) {
-                item.run();
+                try {
+                    item.run();
+                } catch (RuntimeException e) {
+                    // It may stand within another request's arrival, which has no part in it.
+                    Log.failure("what was due failed", e);
+                }
             }
         } finally {
             busyWithDue = false;
--- a/src/test/java/onyxpaddle/node/LateLoopTest.java
+++ b/src/test/java/onyxpaddle/node/LateLoopTest.java
@@ -57,6 +57,9 @@
                 @Override
                 public void failed(boolean late, Answer own) {
                     answers.add(id + " failed");
+                    if (id.equals("faulty")) {
+                        throw new IllegalStateException("a front's fault");
+                    }
                 }
             });
     }
@@ -98,6 +101,17 @@
         assertEquals(List.of("a failed", "b failed", "c failed", "d failed"), answers);
     }
 
+    @Test
+    void aFaultInWhatIsDueCostsNoOtherRequest() {
+        listed();
+        dispatcher.arrived(request("faulty"), now);
+        dispatcher.arrived(request("b"), now);
+        now += 1_001 * MS;
+        dispatcher.arrived(request("c"), now);
+        assertEquals(List.of("faulty failed", "b failed"), answers);
+        assertEquals(3, sent.size());
+    }
+
     @Test
     void aRequestThatCameLongBeforeItWasReadHasWhatIsLeftOfItsTime() {
         listed();
