Nothing begins for a caller that has left, nor on or over an unread socket

Cause: a caller's close is known only when the loop comes to its socket. Dispatcher.send went by what had been read, so on a loop that is behind a first attempt, one that is due (doWhatIsDue in arrived), or what was sent ahead went out for nobody; HttpUpstream.dial wrote a request when the dial came up though its caller had left, where the site allows no cancel; reading was off while something waited (ClientConnection.channelRead), so a close lay unseen. ServerConnection.usable asked isActive only: a request was written to a connection that its server had closed, reset or begun to speak on, and failed as one that may have run. A keyed repeat was checked when it was decided, not when its dial came up. Attempt.written went by a listener that may run after a reset was read.

Change: PollableChannel looks at a socket before its turn, and passes on what it finds in order. Dispatcher.mayBegin asks the caller, the answer and the key's time right before a request is written (a further read only where the loop has not looked for 50 ms, half of the 0.1 s allowed); FrontConnection.quiet is asked before a connection is let go; written() asks the write itself. Of what is sent ahead 32 parts or 32 KiB wait while the client is read on; a part can no longer be dropped within a request. An end of sending alone counts as a close, decided in PollableChannel.

--- a/src/main/java/onyxpaddle/front/FrontConnection.java
+++ b/src/main/java/onyxpaddle/front/FrontConnection.java
@@ -16,6 +16,12 @@
      */
     void stoodStill(long span, long now);
 
+    /**
+     * Whether it can be closed with nothing lost: no request is taken, or lies unread in its socket, and no answer is on its way to
+     * the system. Closing over what is unread resets the connection, and its caller never hears.
+     */
+    boolean quiet();
+
     /** Whether a request that was taken has no answer yet, or one that the system has not wholly got. */
     boolean waits();
 
--- a/src/main/java/onyxpaddle/front/ListeningFront.java
+++ b/src/main/java/onyxpaddle/front/ListeningFront.java
@@ -8,7 +8,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.socket.SocketChannel;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -22,6 +21,7 @@
 import onyxpaddle.node.Front;
 import onyxpaddle.node.SharedLimit;
 import onyxpaddle.node.Sockets;
+import onyxpaddle.socket.PollableChannel;
 
 /**
  * What a front does whatever its protocol: a listener and when it takes connections, how many are open and which of them
@@ -31,6 +31,8 @@
 public abstract class ListeningFront<C extends FrontConnection> implements Front {
     private static final int BACKLOG = 4096;
     private static final long END_STEP_MS = 50;
+    /** What comes in the end's last moment is turned away for so long still: two steps, of the 0.15 s before SIGKILL may come. */
+    private static final long LAST_WORDS = 100_000_000L;
 
     /** What a front shares with the rest of its node. */
     public record Surroundings(EventLoop loop, ByteBufAllocator allocator, Clock clock, Budget budget, NodeState state) {
@@ -66,7 +68,7 @@
     // ---- what a protocol adds ----
 
     /** Sets up a connection that has just come. */
-    protected abstract void begin(SocketChannel channel);
+    protected abstract void begin(PollableChannel channel);
 
     /** The connection that goes where there are too many, {@code newest} being the last that came; null for none. */
     protected abstract C dispensable(C newest);
@@ -94,9 +96,9 @@
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(Sockets.READ_SIZE))
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, marks)
-            .childHandler(new ChannelInitializer<SocketChannel>() {
+            .childHandler(new ChannelInitializer<PollableChannel>() {
                 @Override
-                protected void initChannel(SocketChannel channel) {
+                protected void initChannel(PollableChannel channel) {
                     begin(channel);
                 }
             })
@@ -241,8 +243,16 @@
             return;
         }
         sweep();
-        if (open.stream().noneMatch(FrontConnection::waits) && (open.isEmpty() || state.over(now))) {
+        if (open.stream().anyMatch(FrontConnection::waits) || !open.isEmpty() && !state.over(now)) {
+            return;
+        }
+        boolean quiet = true;
+        for (C c : List.copyOf(open)) {
+            quiet &= c.quiet();
+        }
+        if (quiet || state.over(now - LAST_WORDS)) {
             ending.cancel(false);
+            List.copyOf(open).forEach(FrontConnection::close);
             done.run();
         }
     }
--- a/src/main/java/onyxpaddle/front/SharedListener.java
+++ b/src/main/java/onyxpaddle/front/SharedListener.java
@@ -3,13 +3,15 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.internal.SocketUtils;
 import java.io.IOException;
 import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import onyxpaddle.node.Log;
+import onyxpaddle.socket.PollableChannel;
 
 /**
  * A listener that two processes of one node may hold at one address, and that one of them can leave without resetting what
@@ -34,11 +36,22 @@
         deregister().addListener(f -> eventLoop().schedule(this::takeInAndClose, UNREGISTERED_MS, TimeUnit.MILLISECONDS));
     }
 
+    /** As Netty does it, but for what is made of a connection. */
+    @Override
+    protected int doReadMessages(List<Object> accepted) throws Exception {
+        SocketChannel next = SocketUtils.accept(javaChannel());
+        if (next == null) {
+            return 0;
+        }
+        accepted.add(new PollableChannel(this, next));
+        return 1;
+    }
+
     private void takeInAndClose() {
         ServerSocketChannel listener = javaChannel();
         try {
             for (SocketChannel waiting = listener.accept(); waiting != null; waiting = listener.accept()) {
-                pipeline().fireChannelRead(new NioSocketChannel(this, waiting));
+                pipeline().fireChannelRead(new PollableChannel(this, waiting));
             }
             listener.close();
             pipeline().fireChannelReadComplete();
--- a/src/main/java/onyxpaddle/http/ClientConnection.java
+++ b/src/main/java/onyxpaddle/http/ClientConnection.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -36,7 +35,9 @@
 import onyxpaddle.node.Exchange;
 import onyxpaddle.node.Log;
 import onyxpaddle.node.Metadata;
+import onyxpaddle.node.Sockets;
 import onyxpaddle.node.Tally;
+import onyxpaddle.socket.PollableChannel;
 
 /**
  * One client connection. It reads a request whole before it is taken, and gives it one answer. Requests on a
@@ -58,6 +59,8 @@
     private static final int MOST_READ_OFF = 256 * 1024;
     /** Decoded parts that wait for the request before them: some requests sent ahead, not hundreds. */
     private static final int MOST_AHEAD = 32;
+    /** And their bodies, in bytes: from there on the client is read no further until its answer is given. */
+    private static final int MOST_BYTES_AHEAD = 2 * Sockets.READ_SIZE;
 
     enum State {
         /** Between requests. */
@@ -71,8 +74,11 @@
     }
 
     private final HttpFront all;
-    private final SocketChannel channel;
+    private final PollableChannel channel;
     private final ArrayDeque<Object> ahead = new ArrayDeque<>();
+    private int bytesAhead;
+    /** More was sent ahead than waits: what has been begun is answered, nothing after it is taken. */
+    private boolean overrun;
     private State state = State.IDLE;
     private final long acceptedAt;
     /** When it came, at the earliest: it may have waited to be accepted. */
@@ -98,7 +104,7 @@
     private long unreadSince;
     private int unread;
 
-    ClientConnection(HttpFront all, SocketChannel channel) {
+    ClientConnection(HttpFront all, PollableChannel channel) {
         this.all = all;
         this.channel = channel;
         this.acceptedAt = all.now();
@@ -117,11 +123,12 @@
         return new ChannelInboundHandlerAdapter() {
             @Override
             public void channelRead(ChannelHandlerContext context, Object message) {
-                if (state == State.CLOSING) {
+                if (state == State.CLOSING || overrun) {
                     readOff += ((ByteBuf) message).readableBytes();
                     ReferenceCountUtil.release(message);
                     if (readOff > MOST_READ_OFF) {
-                        close();
+                        // It has its last answer before it, and the rest of its time to read it.
+                        channel.config().setAutoRead(false);
                     }
                     return;
                 }
@@ -156,18 +163,31 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-        if (state == State.CLOSING || ahead.size() >= MOST_AHEAD) {
+        if (state == State.CLOSING || overrun) {
+            ReferenceCountUtil.release(message);
+        } else if (!mustWait()) {
+            take(message);
+        } else if (ahead.size() >= MOST_AHEAD) {
             // Too much sent ahead: the request at hand is still answered, and is the last.
-            keepAlive = false;
+            overrun = true;
+            dropAhead();
             ReferenceCountUtil.release(message);
-        } else if (mustWait()) {
-            ahead.add(message);
-            channel.config().setAutoRead(false);
         } else {
-            take(message);
+            // It is read on, within bounds, so that its close is seen: what is sent on for it then would be for nobody.
+            ahead.add(message);
+            bytesAhead += message instanceof HttpContent content ? content.content().readableBytes() : 0;
+            if (bytesAhead >= MOST_BYTES_AHEAD) {
+                channel.config().setAutoRead(false);
+            }
         }
     }
 
+    private void dropAhead() {
+        ahead.forEach(ReferenceCountUtil::release);
+        ahead.clear();
+        bytesAhead = 0;
+    }
+
     private boolean mustWait() {
         return !ahead.isEmpty() || state == State.WAITING || !channel.isWritable();
     }
@@ -177,7 +197,17 @@
         while (!ahead.isEmpty() && state != State.WAITING && channel.isWritable()) {
             take(ahead.poll());
         }
-        if (ahead.isEmpty()) {
+        if (overrun && state == State.IDLE) {
+            linger();
+        } else if (ahead.isEmpty()) {
+            readOn();
+        }
+    }
+
+    /** Nothing that was read waits any more: more is read, unless a body waits for the server that takes it. */
+    private void readOn() {
+        bytesAhead = 0;
+        if (incoming == null || !incoming.pauses()) {
             channel.config().setAutoRead(true);
         }
     }
@@ -412,14 +442,14 @@
         }
         enter(State.IDLE);
         if (ahead.isEmpty()) {
-            channel.config().setAutoRead(true);
+            readOn();
         } else {
             channel.eventLoop().execute(this::goOn);
         }
     }
 
     private boolean keepsAlive() {
-        keepAlive &= all.keepsConnections();
+        keepAlive &= !overrun && all.keepsConnections();
         return keepAlive;
     }
 
@@ -435,8 +465,7 @@
      */
     private void linger() {
         enter(State.CLOSING);
-        ahead.forEach(ReferenceCountUtil::release);
-        ahead.clear();
+        dropAhead();
         channel.config().setAutoRead(true);
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> channel.shutdownOutput());
     }
@@ -448,6 +477,17 @@
         return state == State.WAITING || incoming != null && incoming.passing() || unread > 0 || !ahead.isEmpty();
     }
 
+    @Override
+    public boolean quiet() {
+        return !waits() && channel.poll() != PollableChannel.Found.BYTES;
+    }
+
+    @Override
+    public boolean left(boolean unseen) {
+        boolean unread = unseen || !channel.config().isAutoRead();
+        return unread ? channel.poll() == PollableChannel.Found.END : !channel.isActive();
+    }
+
     @Override
     public boolean uses(Dispatcher pool) {
         return (exchange != null || incoming != null) && taken.pool() == pool;
@@ -464,7 +504,8 @@
         long spent = now - since;
         switch (state) {
             case IDLE -> {
-                if (spent > all.longestIdle(anyRequest) || all.closesIdle(since, now)) {
+                // A request that has come and is unread would be reset with it, and an answer on its way cut.
+                if ((spent > all.longestIdle(anyRequest) || all.closesIdle(since, now)) && quiet()) {
                     close();
                 }
             }
@@ -493,8 +534,7 @@
         State before = state;
         state = State.CLOSING;
         all.closed(this);
-        ahead.forEach(ReferenceCountUtil::release);
-        ahead.clear();
+        dropAhead();
         if (before == State.WAITING && exchange != null) {
             passing = null;
             taken.pool().clientGone(exchange);
--- a/src/main/java/onyxpaddle/http/HttpFront.java
+++ b/src/main/java/onyxpaddle/http/HttpFront.java
@@ -1,7 +1,6 @@
 package onyxpaddle.http;
 
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
@@ -10,6 +9,7 @@
 import onyxpaddle.front.ListeningFront;
 import onyxpaddle.node.Clock;
 import onyxpaddle.node.Sockets;
+import onyxpaddle.socket.PollableChannel;
 
 /** The front for HTTP/1.1: which of its connections are idle, and what they are told as the node empties. */
 public final class HttpFront extends ListeningFront<ClientConnection> {
@@ -44,7 +44,7 @@
     }
 
     @Override
-    protected void begin(SocketChannel channel) {
+    protected void begin(PollableChannel channel) {
         ClientConnection connection = new ClientConnection(this, channel);
         // Not HttpServerCodec: it breaks the connection off where much is sent ahead, and what is taken with it.
         channel.pipeline().addLast(connection.byteWatch(), new HttpRequestDecoder(new HttpDecoderConfig()
@@ -54,8 +54,18 @@
 
     @Override
     protected ClientConnection dispensable(ClientConnection newest) {
-        LinkedHashSet<ClientConnection> from = idle.isEmpty() ? unfinished : idle;
-        return from.isEmpty() ? null : from.iterator().next();
+        ClientConnection between = firstQuiet(idle);
+        return between != null ? between : firstQuiet(unfinished);
+    }
+
+    /** Nothing that is taken, or that its client has sent, is given up for another. */
+    private static ClientConnection firstQuiet(LinkedHashSet<ClientConnection> from) {
+        for (ClientConnection c : from) {
+            if (c.quiet()) {
+                return c;
+            }
+        }
+        return null;
     }
 
     @Override
--- a/src/main/java/onyxpaddle/http/HttpUpstream.java
+++ b/src/main/java/onyxpaddle/http/HttpUpstream.java
@@ -9,7 +9,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -28,6 +27,7 @@
 import onyxpaddle.node.Roster;
 import onyxpaddle.node.Sockets;
 import onyxpaddle.node.Upstream;
+import onyxpaddle.socket.PollableChannel;
 
 /** A pool's connections to its servers: dials them, keeps idle ones for further requests, and drops those too old. */
 public final class HttpUpstream implements Upstream {
@@ -82,7 +82,7 @@
         this.dialect = dialect;
         this.mostIdle = mostIdle;
         this.mostIdleCount = mostIdleCount;
-        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        bootstrap = new Bootstrap().group(loop).channel(PollableChannel.class)
             .option(ChannelOption.ALLOCATOR, allocator)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, dialTimeout / 1_000_000))
@@ -190,13 +190,13 @@
         dial.channel().closeFuture().addListener(f -> budget.servers().giveBack(1));
         attempt.carrier = dial;
         dial.addListener(f -> {
-            if (attempt.ended()) {
-                dial.channel().close();
-            } else if (!f.isSuccess()) {
+            if (!f.isSuccess()) {
                 dial.channel().close();
                 dispatcher.ended(attempt, Outcome.CONNECT_FAILED, null);
+            } else if (!dispatcher.mayBegin(attempt)) {
+                dial.channel().close();
             } else {
-                ServerConnection c = new ServerConnection(this, attempt.server, dial.channel());
+                ServerConnection c = new ServerConnection(this, attempt.server, (PollableChannel) dial.channel());
                 open.add(c);
                 c.start(attempt);
             }
--- a/src/main/java/onyxpaddle/http/IncomingBody.java
+++ b/src/main/java/onyxpaddle/http/IncomingBody.java
@@ -68,6 +68,11 @@
         return exchange;
     }
 
+    /** Whether its client is read no further, until the server that takes it has room. */
+    boolean pauses() {
+        return pausedAt > 0;
+    }
+
     /** Whether it is passed on and its last byte has not come. */
     boolean passing() {
         return upload != null && !over;
--- a/src/main/java/onyxpaddle/http/ServerConnection.java
+++ b/src/main/java/onyxpaddle/http/ServerConnection.java
@@ -2,7 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -30,6 +30,7 @@
 import onyxpaddle.node.Exchange;
 import onyxpaddle.node.Log;
 import onyxpaddle.node.Sockets;
+import onyxpaddle.socket.PollableChannel;
 
 /**
  * One connection to a server. It carries one attempt at a time, and maps what comes back to the outcomes of the
@@ -46,7 +47,7 @@
     static final long LONGEST_STALL = 30_000_000_000L;
 
     final String server;
-    final Channel channel;
+    final PollableChannel channel;
     long idleSince;
     private final HttpUpstream all;
     /** The attempt that waits for its outcome, or null. */
@@ -77,7 +78,7 @@
     private BodyRelay relay;
     private final ReadPace pace;
 
-    ServerConnection(HttpUpstream all, String server, Channel channel) {
+    ServerConnection(HttpUpstream all, String server, PollableChannel channel) {
         this.all = all;
         this.server = server;
         this.channel = channel;
@@ -86,8 +87,12 @@
         channel.pipeline().addLast(new HttpRequestEncoder(), decoder, this);
     }
 
+    /**
+     * Whether it can carry a request now: it is looked at, since the server may have closed it, or sent what nobody asked for, since
+     * the loop last came to it. What is written to such a connection ends as a reset, and may have run.
+     */
     boolean usable() {
-        return channel.isActive() && !exchanging;
+        return !exchanging && channel.poll() == PollableChannel.Found.NOTHING;
     }
 
     void close() {
@@ -118,16 +123,21 @@
         ByteBuf body = x.body.size() == 0 ? Unpooled.EMPTY_BUFFER : x.body.whole();
         pace.startAnew();
         if (x.upload == null) {
-            channel.writeAndFlush(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri(), body, headers,
-                EmptyHttpHeaders.INSTANCE)).addListener(f -> written(next, f.isSuccess()));
+            writes(next, channel.writeAndFlush(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri(), body,
+                headers, EmptyHttpHeaders.INSTANCE)));
             return;
         }
         channel.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri(), headers));
-        relay = new BodyRelay(x.upload, channel, all.clock, last -> last.addListener(f -> written(next, f.isSuccess())),
-            () -> bodyAborted(next));
+        relay = new BodyRelay(x.upload, channel, all.clock, last -> writes(next, last), () -> bodyAborted(next));
         relay.start(body);
     }
 
+    /** The request's last byte is in this write. */
+    private void writes(Attempt of, ChannelFuture last) {
+        of.writing(last);
+        last.addListener(f -> written(of, f.isSuccess()));
+    }
+
     private void bodyAborted(Attempt of) {
         if (attempt == of) {
             end(Outcome.CONNECT_FAILED);
--- a/src/main/java/onyxpaddle/node/Attempt.java
+++ b/src/main/java/onyxpaddle/node/Attempt.java
@@ -1,5 +1,6 @@
 package onyxpaddle.node;
 
+import io.netty.util.concurrent.Future;
 
 /** One sending of a request to a server. It ends exactly once, by {@link Dispatcher#ended}. */
 public final class Attempt {
@@ -14,8 +15,11 @@
     /** What carries it, such as a dial or a connection: the upstream's own, null before and after. */
     public Object carrier;
     private final Tally tally;
+    private Future<?> writing;
     private boolean written;
     boolean ended;
+    /** It has ended, and the server has certainly not run it. */
+    boolean neverRan;
 
     Attempt(Exchange exchange, int number, String server, long sentAt, long until, Tally tally) {
         this.exchange = exchange;
@@ -26,8 +30,19 @@
         this.tally = tally;
     }
 
-    /** The operating system has the request's last byte: from here on the server may run it. */
+    /** The write that has the request's last byte. */
+    public void writing(Future<?> last) {
+        writing = last;
+    }
+
+    /**
+     * The operating system has the request's last byte: from here on the server may run it. The write itself is asked, as those who
+     * listen to it may hear so only after a reset or an answer has been read: it would count as never run, and be sent again.
+     */
     public boolean written() {
+        if (!written && writing != null && writing.isSuccess()) {
+            markWritten();
+        }
         return written;
     }
 
--- a/src/main/java/onyxpaddle/node/Caller.java
+++ b/src/main/java/onyxpaddle/node/Caller.java
@@ -5,6 +5,15 @@
     /** Served; the answer is on loan until this returns, the arrays behind its body for longer. */
     void served(Answer answer);
 
+    /**
+     * Whether it has gone, by closing its connection. Asked right before something is sent to a server for it.
+     *
+     * @param unseen the loop has not looked at its sockets for long: the connection itself is looked at, or else what is known counts
+     */
+    default boolean left(boolean unseen) {
+        return false;
+    }
+
     /** Whether an answer may be passed on to it as it comes. */
     default boolean streams() {
         return false;
--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -20,6 +20,11 @@
     private static final long GUARD = 8_000_000L;
     /** An answer is lost half a second after its time; two fifths of that are kept for its way out. */
     private static final long ALLOWED = 300_000_000L;
+    /**
+     * What came to the sockets within so long may not have been seen yet. A caller that has gone is owed that nothing begins for it from
+     * 0.1 s on; half of that is left for the way of the attempt to its server.
+     */
+    private static final long UNSEEN = 50_000_000L;
     /** How long a body that is passed on as it comes may take; its caller's front is stricter, by its pace. */
     private static final long LONGEST_UPLOAD = 900_000_000_000L;
 
@@ -248,6 +253,7 @@
             return;
         }
         attempt.ended = true;
+        attempt.neverRan = outcome.neverRan;
         attempt.carrier = null;
         stopTimer(attempt);
         Exchange x = attempt.exchange;
@@ -418,8 +424,34 @@
             ended(attempt, Outcome.NOT_SENT, null);
             return;
         }
-        attempt.timer = agenda.add(until, () -> expire(attempt));
-        upstream.send(attempt);
+        if (mayBegin(attempt)) {
+            attempt.timer = agenda.add(until, () -> expire(attempt));
+            upstream.send(attempt);
+        }
+    }
+
+    /**
+     * Whether an attempt may begin: asked as it is sent, and again by what carries it right before its first byte is written, as a dial
+     * or a queue takes time. Where it may not it has ended, unsent.
+     *
+     * <p>Guards against attempts for nobody: the caller's close lies in its socket while a timer, a time-out or another's answer
+     * starts the next attempt, or a dial comes up after the answer is given; and against a keyed request that is repeated after
+     * its servers have forgotten the key, where the time to repeat it ran out on the way. It does harm where a caller ends its
+     * sending alone and waits, as that counts as a close.
+     */
+    public boolean mayBegin(Attempt attempt) {
+        if (attempt.ended) {
+            return false;
+        }
+        Exchange x = attempt.exchange;
+        long now = clock.now();
+        if (!x.over && x.caller.left(now - clock.cameSince() > UNSEEN)) {
+            clientGone(x);
+        }
+        if (!attempt.ended && (x.over || x.keyForgotten(attempt, now))) {
+            ended(attempt, Outcome.NOT_SENT, null);
+        }
+        return !attempt.ended;
     }
 
     private void cancel(Cancel cancel) {
--- a/src/main/java/onyxpaddle/node/Exchange.java
+++ b/src/main/java/onyxpaddle/node/Exchange.java
@@ -51,6 +51,20 @@
         return caller.streams();
     }
 
+    /** Whether the servers may have forgotten its key, under which an attempt before this one may have run. */
+    boolean keyForgotten(Attempt next, long now) {
+        RequestClass about = terms.requestClass();
+        if (about.effect() != Effect.KEYED) {
+            return false;
+        }
+        for (Attempt before : attempts) {
+            if (before != next && !before.neverRan) {
+                return now >= before.sentAt + about.memory();
+            }
+        }
+        return false;
+    }
+
     public Exchange(Terms terms, Metadata head, Body body, Caller caller) {
         this(terms, head, body, caller, Integer.MAX_VALUE);
     }
--- a/src/main/java/onyxpaddle/rpc/CallerConnection.java
+++ b/src/main/java/onyxpaddle/rpc/CallerConnection.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.socket.SocketChannel;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
@@ -22,6 +21,7 @@
 import onyxpaddle.rpc.OwnError.Code;
 import onyxpaddle.rpc.RpcCalls.Taken;
 import onyxpaddle.rpc.RpcCounts.Dropped;
+import onyxpaddle.socket.PollableChannel;
 
 /**
  * One caller's connection, with many calls open at once, answered as their answers come. It is read no further while it
@@ -40,7 +40,7 @@
     private static final int READ_OVER = 4;
 
     private final RpcFront all;
-    private final SocketChannel channel;
+    private final PollableChannel channel;
     private final FrameDecoder decoder;
     private final Map<Long, OpenCall> open = new HashMap<>();
     private int notices;
@@ -72,6 +72,12 @@
                 taken.target().payload() + 5), this, taken.head().notification() ? 1 : Integer.MAX_VALUE);
         }
 
+        @Override
+        public boolean left(boolean unseen) {
+            boolean unread = unseen || !channel.config().isAutoRead();
+            return unread ? channel.poll() == PollableChannel.Found.END : !channel.isActive();
+        }
+
         @Override
         public void served(Answer answer) {
             if (msgid == NOTIFICATION) {
@@ -106,7 +112,7 @@
         }
     }
 
-    CallerConnection(RpcFront all, SocketChannel channel) {
+    CallerConnection(RpcFront all, PollableChannel channel) {
         this.all = all;
         this.channel = channel;
         decoder = new FrameDecoder(FrameLimits.forPayload(READ_OVER * all.calls.largest()), this);
@@ -129,6 +135,11 @@
         return notices > 0 || !open.isEmpty() || unread > 0;
     }
 
+    @Override
+    public boolean quiet() {
+        return !waits() && (closing || !decoder.midFrame() && channel.poll() != PollableChannel.Found.BYTES);
+    }
+
     @Override
     public void close() {
         channel.close();
@@ -372,7 +383,7 @@
         } else if (frameSince >= 0 && now - frameSince > LONGEST_FRAME + all.calls.largest() * FOR_EACH_BYTE) {
             all.counts.add(Dropped.MALFORMED, now, "caller " + channel.remoteAddress() + ": a frame did not come whole in time");
             endAfterAnswers();
-        } else if (idle() && !decoder.midFrame() && (all.ends(idleSince, now) || now - idleSince > all.calls.longestIdle)) {
+        } else if (idle() && (all.ends(idleSince, now) || now - idleSince > all.calls.longestIdle) && quiet()) {
             endAfterAnswers();
         }
     }
--- a/src/main/java/onyxpaddle/rpc/RpcConnection.java
+++ b/src/main/java/onyxpaddle/rpc/RpcConnection.java
@@ -165,9 +165,13 @@
         boolean any = false;
         while (connected && !over && !queue.isEmpty() && channel.isWritable()) {
             Call call = queue.poll();
+            if (!all.dispatcher.mayBegin(call.attempt)) {
+                calls.withdraw(call.id);
+                continue;
+            }
             call.handedOver = true;
             any = true;
-            channel.write(frame(call)).addListener(f -> written(call, f.isSuccess()));
+            call.attempt.writing(channel.write(frame(call)).addListener(f -> written(call, f.isSuccess())));
         }
         if (any) {
             channel.flush();
--- a/src/main/java/onyxpaddle/rpc/RpcFront.java
+++ b/src/main/java/onyxpaddle/rpc/RpcFront.java
@@ -1,9 +1,9 @@
 package onyxpaddle.rpc;
 
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.socket.SocketChannel;
 import onyxpaddle.front.ListeningFront;
 import onyxpaddle.node.Clock;
+import onyxpaddle.socket.PollableChannel;
 
 /**
  * The front for callers by MessagePack-RPC. The protocol has no word by which a callee says that it goes, so calls are
@@ -38,14 +38,14 @@
     }
 
     @Override
-    protected void begin(SocketChannel channel) {
+    protected void begin(PollableChannel channel) {
         channel.pipeline().addLast(new CallerConnection(this, channel));
     }
 
     @Override
     protected CallerConnection dispensable(CallerConnection newest) {
         // One without calls goes; what is taken is never given up for it.
-        return connections().stream().filter(o -> o != newest && o.idle()).findFirst().orElse(null);
+        return connections().stream().filter(o -> o != newest && o.idle() && o.quiet()).findFirst().orElse(null);
     }
 
     @Override
--- a/src/main/java/onyxpaddle/rpc/RpcUpstream.java
+++ b/src/main/java/onyxpaddle/rpc/RpcUpstream.java
@@ -9,7 +9,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -28,6 +27,7 @@
 import onyxpaddle.node.Roster;
 import onyxpaddle.node.Sockets;
 import onyxpaddle.node.Upstream;
+import onyxpaddle.socket.PollableChannel;
 
 /** A pool's connections to its servers by MessagePack-RPC: a few to each, with many calls at once. */
 public final class RpcUpstream implements Upstream {
@@ -83,7 +83,7 @@
         this.terms = terms;
         this.bridge = bridge;
         this.counts = counts;
-        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        bootstrap = new Bootstrap().group(loop).channel(PollableChannel.class)
             .option(ChannelOption.ALLOCATOR, allocator)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, terms.dialTimeout() / 1_000_000))
--- a/src/main/java/onyxpaddle/serve/Sidecar.java
+++ b/src/main/java/onyxpaddle/serve/Sidecar.java
@@ -172,6 +172,10 @@
 
     // ---- change ----
 
+    EventLoop loop() {
+        return loop;
+    }
+
     /** Reads the file again, off the event loop; a faulty one changes nothing and is told in full. */
     void reload(Path file) {
         Faults faults = new Faults();
--- /dev/null
+++ b/src/test/java/onyxpaddle/node/AttemptTest.java
@@ -0,0 +1,44 @@
+package onyxpaddle.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.util.concurrent.DefaultPromise;
+import io.netty.util.concurrent.ImmediateEventExecutor;
+import java.util.List;
+import onyxpaddle.Balancing.Effect;
+import onyxpaddle.Balancing.KeyGroup;
+import onyxpaddle.Balancing.RequestClass;
+import org.junit.jupiter.api.Test;
+
+class AttemptTest {
+    private static Attempt attempt(Tally tally) {
+        RequestClass book = new RequestClass("book", Effect.UNSAFE, KeyGroup.ALL, 0, 0, 0, 0, 1, 0, false);
+        Exchange exchange = new Exchange(new Exchange.Terms("r1", book, 1, null, 0, false), null, null, null);
+        return new Attempt(exchange, 0, "s1", 0, 1, tally);
+    }
+
+    /** A write is done once the system has its bytes; who listens to it may hear so after a reset has been read. */
+    @Test
+    void lastByteThatIsOutCountsBeforeAnyoneHasHeardSo() {
+        Tally tally = new Tally(List.of("book"));
+        Attempt attempt = attempt(tally);
+        DefaultPromise<Void> write = new DefaultPromise<>(ImmediateEventExecutor.INSTANCE);
+        attempt.writing(write);
+        assertFalse(attempt.written());
+        write.setSuccess(null);
+        assertTrue(attempt.written());
+        attempt.markWritten();
+        assertEquals(1, tally.attempts());
+    }
+
+    @Test
+    void writeThatFailedHasNotGoneOut() {
+        Attempt attempt = attempt(new Tally(List.of("book")));
+        DefaultPromise<Void> write = new DefaultPromise<>(ImmediateEventExecutor.INSTANCE);
+        attempt.writing(write);
+        write.setFailure(new java.io.IOException("reset"));
+        assertFalse(attempt.written());
+    }
+}
--- a/src/test/java/onyxpaddle/serve/BusyLoopTest.java
+++ b/src/test/java/onyxpaddle/serve/BusyLoopTest.java
@@ -5,8 +5,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import onyxpaddle.serve.Loopback.Client;
 import onyxpaddle.serve.Loopback.FakeServer;
 import org.junit.jupiter.api.Test;
@@ -25,24 +23,12 @@
                 while (!open.say("GET /ready HTTP/1.1\r\n\r\n").hear().startsWith("200")) {
                     Thread.onSpinWait();
                 }
-                CountDownLatch held = new CountDownLatch(1);
-                CountDownLatch go = new CountDownLatch(1);
-                node.loop().execute(() -> {
-                    held.countDown();
-                    try {
-                        go.await();
-                    } catch (InterruptedException e) {
-                        Thread.currentThread().interrupt();
-                    }
-                });
-                held.await();
+                HeldLoop held = new HeldLoop(node.loop());
                 long start = System.nanoTime();
                 open.say(Loopback.request("r1", "book", "Content-Length: 0"));
                 try (Client fresh = new Client(node.address())) {
                     fresh.say(Loopback.request("r2", "book", "Content-Length: 0"));
-                    // The loop stands still, as on a core that others use: this is the fault, and not a wait for something.
-                    TimeUnit.MILLISECONDS.sleep(BUSY_MS);
-                    go.countDown();
+                    held.releaseAfter(BUSY_MS);
                     assertEquals('5', open.hear().charAt(0));
                     assertInTime(start);
                     assertEquals('5', fresh.hear().charAt(0));
--- /dev/null
+++ b/src/test/java/onyxpaddle/serve/LateDialTest.java
@@ -0,0 +1,127 @@
+package onyxpaddle.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import onyxpaddle.serve.Loopback.Client;
+import onyxpaddle.serve.Loopback.FakeDiscovery;
+import onyxpaddle.serve.Loopback.FakeServer;
+import org.junit.jupiter.api.Test;
+
+/** A connection to a server that comes up late, after what was to be sent on it may no longer be. */
+class LateDialTest {
+    /** For how long servers know a key. */
+    private static final int KNOWN_MS = 400;
+
+    /** A server whose queue for connections can be filled, so that a dial hangs until it is emptied and the system tries again. */
+    private static final class FullServer implements AutoCloseable {
+        private final ServerSocket listener = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+        private final List<Socket> fill = new ArrayList<>();
+
+        private FullServer() throws Exception {
+            listener.setSoTimeout(Loopback.PATIENCE_MS);
+        }
+
+        private String address() {
+            return "127.0.0.1:" + listener.getLocalPort();
+        }
+
+        private FullServer filled() throws Exception {
+            for (int i = 0; i < 2; i++) {
+                fill.add(new Socket(listener.getInetAddress(), listener.getLocalPort()));
+            }
+            return this;
+        }
+
+        private Socket next() throws Exception {
+            Socket socket = listener.accept();
+            socket.setSoTimeout(Loopback.PATIENCE_MS);
+            return socket;
+        }
+
+        /** Takes off what filled it, and returns what came last. */
+        private Socket late() throws Exception {
+            for (Socket socket : fill) {
+                listener.accept().close();
+                socket.close();
+            }
+            return next();
+        }
+
+        @Override
+        public void close() throws java.io.IOException {
+            listener.close();
+        }
+    }
+
+    /** Requests that are taken and not answered, as the node's loop sees it. */
+    private static int unanswered(Node node) {
+        return node.loop().submit(() -> node.pools().get("").unanswered()).syncUninterruptibly().getNow();
+    }
+
+    private static Node node(FakeDiscovery discovery, String config) throws Exception {
+        Node node = Node.start(PlatformConfig.parse(config.getBytes(StandardCharsets.UTF_8), Map.of()));
+        try (Client client = new Client(node.address())) {
+            while (!client.say("GET /ready HTTP/1.1\r\n\r\n").hear().startsWith("200")) {
+                Thread.onSpinWait();
+            }
+        }
+        return node;
+    }
+
+    /** Where the site does not let attempts be given up, the dial goes on; what has not been sent need not be. */
+    @Test
+    void nothingIsWrittenForAClientThatLeftWhileItWaitedForTheDial() throws Exception {
+        try (FakeServer named = new FakeServer("s1"); FullServer full = new FullServer();
+                FakeDiscovery discovery = new FakeDiscovery(Loopback.list(1, named).replace(named.address(), full.address()))) {
+            Node node = node(discovery, Loopback.config(discovery, named).replace("\"cancel\":true", "\"cancel\":false"));
+            try (Client gone = new Client(node.address())) {
+                full.filled();
+                gone.say(Loopback.request("gone", "book", "Content-Length: 0"));
+                Loopback.await(() -> unanswered(node) == 1);
+                gone.socket.close();
+                Loopback.await(() -> unanswered(node) == 0);
+                try (Socket late = full.late()) {
+                    late.setSoTimeout(Loopback.PATIENCE_MS);
+                    assertEquals(-1, late.getInputStream().read());
+                }
+            } finally {
+                node.stop();
+            }
+        }
+    }
+
+    /** The first attempt may have run; the second is dialled within the time in which servers know the key, and comes up after it. */
+    @Test
+    void keyedRequestIsNotRepeatedAfterItsServersHaveForgottenTheKey() throws Exception {
+        try (FakeServer named = new FakeServer("s1"); FullServer full = new FullServer();
+                FakeDiscovery discovery = new FakeDiscovery(Loopback.list(1, named).replace(named.address(), full.address()))) {
+            Node node = node(discovery, Loopback.config(discovery, named).replace("\"effect\":\"non_idempotent\"",
+                "\"effect\":\"idempotency_key\",\"memorySpanS\":" + KNOWN_MS / 1000.0));
+            try (Client client = new Client(node.address())) {
+                client.say(Loopback.request("k1", "book", "Content-Length: 0", "Idempotency-Key: k"));
+                Socket first = full.next();
+                assertTrue(Loopback.head(first.getInputStream()).contains("k1"));
+                full.filled();
+                first.setSoLinger(true, 0);
+                first.close();
+                // The dial hangs for longer than the key is known: this is the fault, and not a wait for something.
+                TimeUnit.MILLISECONDS.sleep(KNOWN_MS + 100);
+                try (Socket late = full.late()) {
+                    assertEquals(-1, late.getInputStream().read());
+                }
+                assertEquals('5', client.hear().charAt(0));
+            } finally {
+                node.stop();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/onyxpaddle/serve/RpcGoneCallerTest.java
@@ -0,0 +1,31 @@
+package onyxpaddle.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import onyxpaddle.serve.RpcRig.Box;
+import onyxpaddle.standin.RpcCaller;
+import org.junit.jupiter.api.Test;
+
+/** A caller by MessagePack-RPC that has closed its connection has gone: nothing begins for it, however late the node's loop is. */
+class RpcGoneCallerTest {
+    private static final long BEHIND_MS = 250;
+
+    @Test
+    void callAndCloseThatAreReadTogetherStartNothing() throws Exception {
+        try (Box box = new Box("one"); RpcRig rig = new RpcRig(RpcRig.config("", box.rpcOnly("one"))); RpcCaller other = rig.caller()) {
+            assertTrue(other.ask("book", RpcRig.text("b1")).ok());
+            RpcCaller gone = rig.caller();
+            assertTrue(gone.ask("book", RpcRig.text("b2")).ok());
+            HeldLoop held = new HeldLoop(rig.node.loop());
+            gone.call("book", RpcRig.text("b3"));
+            gone.close();
+            held.releaseAfter(BEHIND_MS);
+            gone.ended().handle((nothing, failure) -> null).join();
+            assertTrue(other.ask("book", RpcRig.text("b4")).ok());
+            assertTrue(other.ask("book", RpcRig.text("b5")).ok());
+            assertEquals(0, box.ledger.runs("b3"));
+            assertEquals(1, box.ledger.runs("b5"));
+        }
+    }
+}
