A change of the list is heard within 6 s of discovery's return, whatever failed before

Cause: RatioBalancer paused for up to 0.8 of askEvery after a refused ask, 8 s at 10 s and 48 s at 60 s, where a change counts as told 6 s after discovery had it. Discovery gave each silent call a time of its own, 2.8 s each, so that a third in a row ended at 8.4 s; a call in a row still waited for news; and an answer that trickled could take 4.3 s.

Change: ListWatch has the times of the whole row: after a failure a call does not wait for news, and its answer has to be whole 0.7 s after it may begin at the latest. The module's pause is 2.5 s at the most, drawn from the upper half of its span as before.

--- a/src/main/java/onyxpaddle/RatioBalancer.java
+++ b/src/main/java/onyxpaddle/RatioBalancer.java
@@ -86,6 +86,8 @@
     /** How much slower a server of another zone reads, for each unit of the price of crossing. */
     private static final double CROSSING = 50;
     private static final long HOLD_STEP = 20_000_000L;
+    /** A change counts as told 6 s after discovery had it: half of that is left for the call. */
+    private static final double LONGEST_ASK_PAUSE = 2.5e9;
     private static final int MOST_TAKEN_OUT = 10_000;
 
     private final Settings settings;
@@ -198,6 +200,7 @@
             subscribed = false;
             refusedAsks = Math.min(refusedAsks + 1, 6);
             double wait = Math.min(1e9 * (1 << refusedAsks), 0.8 * settings.rules().askEvery());
+            wait = Math.min(wait, LONGEST_ASK_PAUSE);
             plan(now + (long) (wait * (0.5 + random.nextDouble() / 2)), null);
             return;
         }
--- a/src/main/java/onyxpaddle/membership/Discovery.java
+++ b/src/main/java/onyxpaddle/membership/Discovery.java
@@ -37,10 +37,7 @@
  * the module subscribes, and tells it when that failed.
  */
 public final class Discovery {
-    private static final int WAIT_MS = 2000;
-    /** How long after its wait an answer may begin; what it had to tell counts as told 2 s after the wait. */
-    private static final int ANSWER_LATE_MS = 800;
-    /** How long an answer that has begun may bring nothing, and how long it may take in all. */
+    /** How long an answer that has begun may bring nothing, and how long it may take from then on; {@link ListWatch} bounds the whole. */
     private static final int STALL_MS = 400;
     private static final int LONGEST_ANSWER_MS = 1500;
     private static final int CONNECT_MS = 500;
@@ -48,12 +45,6 @@
     private static final int LARGEST_ANSWER = 8 << 20;
     /** Between calls that tell nothing and come back at once; within the 200 ms that a watch goes on. */
     private static final int PAUSE_MS = 100;
-    /**
-     * Failed calls in a row, silent or broken off, that are made good at once where discovery is asked; from then on, and
-     * where it turns a call away, the module says when. Guards against rule 3's time, in which two silent calls just fit,
-     * being spent on a pause; does harm where silence is how an overbooked discovery fails: two calls too many a node.
-     */
-    private static final int SOON = 2;
 
     private final EventLoop loop;
     private final Bootstrap bootstrap;
@@ -69,13 +60,15 @@
     private long calledAt;
     /** When the first byte of the answer at hand came; 0 before. */
     private long beganAt;
+    /** When the answer at hand has to be whole. */
+    private long wholeBy;
     private final ListWatch watch;
 
     public Discovery(EventLoop loop, ByteBufAllocator allocator, InetSocketAddress address, boolean asked, Roster known,
             Consumer<Roster> onList, Runnable onRefused) {
         this.loop = loop;
         this.asked = asked;
-        this.watch = new ListWatch(known.seq(), !known.hosts().isEmpty(), ThreadLocalRandom.current());
+        this.watch = new ListWatch(asked, known.seq(), !known.hosts().isEmpty(), ThreadLocalRandom.current());
         this.onList = onList;
         this.onRefused = onRefused;
         host = address.getAddress().getHostAddress() + ":" + address.getPort();
@@ -153,15 +146,15 @@
     }
 
     private void write() {
-        // The first call doesn't wait for news: a node that starts is of use once it knows that its list is not old.
-        int wait = watch.asksForAll() || !watch.heard() ? 0 : WAIT_MS;
-        String uri = "/v1/endpoints" + (watch.asksForAll() ? "" : "?after=" + watch.seq() + "&wait_ms=" + wait);
+        String uri = "/v1/endpoints" + (watch.asksForAll() ? "" : "?after=" + watch.seq() + "&wait_ms=" + watch.waitMs());
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri,
             Unpooled.EMPTY_BUFFER);
         request.headers().set(HttpHeaderNames.HOST, host);
         Channel on = channel;
         beganAt = 0;
-        timeout = loop.schedule(() -> failed(on, "no answer"), wait + ANSWER_LATE_MS, TimeUnit.MILLISECONDS);
+        long now = System.nanoTime();
+        wholeBy = now + TimeUnit.MILLISECONDS.toNanos(watch.wholeByMs());
+        timeout = loop.schedule(() -> failed(on, "no answer"), watch.patienceMs(), TimeUnit.MILLISECONDS);
         on.writeAndFlush(request);
     }
 
@@ -181,8 +174,8 @@
         if (watch.failures() == 0) {
             Log.line("discovery: " + why);
         }
-        int pause = watch.failed();
-        if (asked && (turnedAway || watch.failures() > SOON)) {
+        int pause = watch.failed(turnedAway);
+        if (pause == ListWatch.MODULE) {
             onRefused.run();
         } else {
             later(pause);
@@ -248,7 +241,8 @@
             if (timeout != null && context.channel() == channel) {
                 long now = System.nanoTime();
                 beganAt = beganAt == 0 ? now : beganAt;
-                long left = LONGEST_ANSWER_MS - TimeUnit.NANOSECONDS.toMillis(now - beganAt);
+                long left = Math.min(LONGEST_ANSWER_MS - TimeUnit.NANOSECONDS.toMillis(now - beganAt),
+                    TimeUnit.NANOSECONDS.toMillis(wholeBy - now));
                 stopTimeout();
                 timeout = loop.schedule(() -> failed(context.channel(), "the list stalls"), Math.max(0, Math.min(STALL_MS, left)),
                     TimeUnit.MILLISECONDS);
--- a/src/main/java/onyxpaddle/membership/ListWatch.java
+++ b/src/main/java/onyxpaddle/membership/ListWatch.java
@@ -9,10 +9,28 @@
 final class ListWatch {
     /** The first pause after a failure, in milliseconds; within the 200 ms that a watch goes on. */
     private static final int FIRST_PAUSE_MS = 100;
-    /** What a call has to tell counts as told some 6 s later, so pauses stay well below what is left beside a silent call. */
+    /** Where discovery is asked, the module says when to call again. */
+    static final int MODULE = -1;
+    /**
+     * Failed calls in a row, silent or broken off, that are made good at once where discovery is asked; from then on, and
+     * where it turns a call away, the module says when. Guards against rule 3's time, in which two silent calls just fit,
+     * being spent on a pause; does harm where silence is how an overbooked discovery fails: two calls too many a node.
+     */
+    private static final int SOON = 2;
+    /** See {@link #patienceMs}. */
     private static final int LONGEST_PAUSE_MS = 1000;
+    /** How long a call may wait for news. */
+    private static final int WAIT_MS = 2000;
+    /** How long after its wait an answer may begin, where an agent on the node's own machine gives it. */
+    private static final int LATE_MS = 800;
+    /** The same for a call without a wait where one discovery works through the calls of all nodes in turn. */
+    private static final int IN_TURN_MS = 1500;
+    /** How long after the latest moment at which it may begin an answer is whole. */
+    private static final int REST_MS = 700;
 
     private final RandomGenerator random;
+    /** Discovery is one service that all nodes ask; else each node has an agent of its own, to which lists are pushed. */
+    private final boolean asked;
     private long seq;
     /** The version held is in doubt: the next call asks for the whole list. */
     private boolean lost;
@@ -25,7 +43,8 @@
     private long wentBackTo = -1;
 
     /** {@code seq}: the version held at the start; {@code holdsAny}: whether that names a server. */
-    ListWatch(long seq, boolean holdsAny, RandomGenerator random) {
+    ListWatch(boolean asked, long seq, boolean holdsAny, RandomGenerator random) {
+        this.asked = asked;
         this.seq = seq;
         this.holdsAny = holdsAny;
         this.random = random;
@@ -36,6 +55,33 @@
         return lost;
     }
 
+    /**
+     * How long discovery may wait for news before it answers the next call, in milliseconds. A node that starts is of use once it
+     * knows that its list is not old, and after a call that failed something may have been missed: neither waits.
+     */
+    int waitMs() {
+        return lost || !heard || failures > 0 ? 0 : WAIT_MS;
+    }
+
+    /**
+     * How long the next call waits for the first byte of its answer, in milliseconds.
+     *
+     * <p>Whatever went wrong with calls before, a change counts as told 6 s after discovery had it and could be reached. Calls that
+     * fail are one row with one time, not each with a time of its own: only the first may have waited for news. After a silent watch
+     * and two further silent calls the next goes out within 5.1 s where each node has an agent, after one further within 4.6 s where
+     * discovery is asked; and from any moment at which it can be reached again the call that was out then and the pause after it
+     * take 3.6 s at most. It does harm where a sound discovery takes longer than this to begin.
+     */
+    int patienceMs() {
+        int wait = waitMs();
+        return wait + (asked && wait == 0 ? IN_TURN_MS : LATE_MS);
+    }
+
+    /** How long after the next call its answer is whole, or counts as none, in milliseconds. */
+    int wholeByMs() {
+        return patienceMs() + REST_MS;
+    }
+
     long seq() {
         return seq;
     }
@@ -98,10 +144,16 @@
     }
 
     /**
-     * A call brought nothing: how long to wait before the next, in milliseconds. The pauses double, and each is drawn from
-     * the whole of its span ("full jitter"), since the calls of all nodes often fail in one moment.
+     * A call brought nothing: how long to wait before the next, in milliseconds, or {@link #MODULE}. The pauses double, and each is
+     * drawn from the whole of its span ("full jitter"), since the calls of all nodes often fail in one moment.
+     *
+     * @param turnedAway discovery refused it, as one that has too much to do or is down
      */
-    int failed() {
+    int failed(boolean turnedAway) {
+        if (asked && (turnedAway || failures >= SOON)) {
+            failures++;
+            return MODULE;
+        }
         int span = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS << Math.min(8, failures));
         failures++;
         return random.nextInt(span + 1);
