Tests: cold servers under thirty nodes, full descriptors, signals that cross

Change: ColdSumTest plays eight events over 30 modules with uneven traffic (a third replaced, in bursts, with nodes restarted or late, all replaced at 0.9 of the load, two left, two left after a lull, a zone cut off) and holds the sum of all nodes in each window to N + 2 roots of N + 2. FullDescriptorsIT: a process that the system allows 100 descriptors, 150 clients that hold all they get, discovery silent and back. CrossedSignalsIT: five orders of SIGTERM and SIGHUP with a request out, and SIGTERM at seven moments of a start.

--- a/src/main/java/onyxpaddle/drill/ServeProcess.java
+++ b/src/main/java/onyxpaddle/drill/ServeProcess.java
@@ -37,8 +37,17 @@
 
     /** Starts one; {@code temporary}: its {@code TMPDIR}, where processes of one node meet; {@code log}: what it writes; {@code told}: further variables. */
     public static ServeProcess start(Path config, Path temporary, Path log, Map<String, String> told) throws IOException {
+        return start(config, temporary, log, told, 0);
+    }
+
+    /** As the other; {@code descriptors}: the system lets it hold no more files and sockets than these, 0 for the usual number. */
+    public static ServeProcess start(Path config, Path temporary, Path log, Map<String, String> told, int descriptors) throws IOException {
         Path jar = jar();
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
+        List<String> command = new ArrayList<>();
+        if (descriptors > 0) {
+            command.addAll(List.of("/bin/sh", "-c", "ulimit -n " + descriptors + " && exec \"$@\"", "serve"));
+        }
+        command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
         Path classes = jar.resolveSibling("weldlink.jsa");
         if (Files.exists(classes)) {
             command.add("-XX:SharedArchiveFile=" + classes);
--- a/src/test/java/onyxpaddle/Herd.java
+++ b/src/test/java/onyxpaddle/Herd.java
@@ -1,6 +1,7 @@
 package onyxpaddle;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -26,6 +27,8 @@
     final List<RatioBalancer> nodes = new ArrayList<>();
     final List<Sent> sent = new ArrayList<>();
     final Random random;
+    /** How much of the load each node gets, as a part of the sum. */
+    private final double[] weights;
     long now = 100 * SECOND;
     int offered;
     int served;
@@ -43,14 +46,11 @@
 
     Herd(Settings plain, int nodes, long seed, Servers servers) {
         random = new Random(seed);
+        weights = new double[nodes];
+        Arrays.fill(weights, 1);
         this.servers = servers;
         for (int self = 0; self < nodes; self++) {
-            // Numbers go round the zones, so that each has its part of them.
-            String zone = plain.zones().isEmpty() ? plain.zone() : plain.zones().get(self % plain.zones().size());
-            this.nodes.add(new RatioBalancer(new Settings(zone, plain.zones(), plain.tier(), self, nodes,
-                plain.classes(), plain.tenants(), plain.overShareWorth(), plain.worthByWork(),
-                plain.mustAskMembership(), plain.weights(), plain.loadFields(), plain.crossZonePrice(), plain.tick(),
-                plain.limits(), plain.rules()), random.nextLong()));
+            this.nodes.add(module(plain, self));
         }
     }
 
@@ -74,11 +74,40 @@
         }
     }
 
+    /** From now on a node gets so many times the usual part of the load. */
+    void weight(int node, double weight) {
+        weights[node] = weight;
+    }
+
+    private int draw() {
+        double at = random.nextDouble() * Arrays.stream(weights).sum();
+        int node = 0;
+        while (node < weights.length - 1 && (at -= weights[node]) >= 0) {
+            node++;
+        }
+        return node;
+    }
+
+    /** The node's process is another one, which knows nothing but this list; what was out ends with the old one. */
+    void restart(int node, Settings plain, List<ServerEntry> list) {
+        nodes.set(node, module(plain, node));
+        handle(node, new Membership(ListKind.ALL, list));
+    }
+
+    private RatioBalancer module(Settings plain, int self) {
+        // Numbers go round the zones, so that each has its part of them.
+        String zone = plain.zones().isEmpty() ? plain.zone() : plain.zones().get(self % plain.zones().size());
+        return new RatioBalancer(new Settings(zone, plain.zones(), plain.tier(), self, weights.length,
+            plain.classes(), plain.tenants(), plain.overShareWorth(), plain.worthByWork(),
+            plain.mustAskMembership(), plain.weights(), plain.loadFields(), plain.crossZonePrice(), plain.tick(),
+            plain.limits(), plain.rules()), random.nextLong());
+    }
+
     /** Requests of the class at each node, at random moments, {@code perSecond} over all nodes, until the given time. */
     void load(String requestClass, double perSecond, long patience, long until) {
         at(now + (long) (-Math.log(1 - random.nextDouble()) / perSecond * SECOND), () -> {
             if (now < until) {
-                int node = random.nextInt(nodes.size());
+                int node = draw();
                 String id = "r" + count++;
                 offered++;
                 handle(node, new Arrival(id, requestClass, now + patience, null, 0, false));
@@ -96,6 +125,11 @@
         now = until;
     }
 
+    /** One node is told something now. */
+    void hear(int node, Event event) {
+        handle(node, event);
+    }
+
     private void handle(int node, Event event) {
         for (Action action : nodes.get(node).handle(now, event)) {
             if (action instanceof Send send) {
