--- a/src/main/java/onyxpaddle/http/HttpUpstream.java
+++ b/src/main/java/onyxpaddle/http/HttpUpstream.java
@@ -57,6 +57,8 @@
     private static final class Peer {
         InetSocketAddress address;
         long startedAt;
+        /** It drains, or is not listed any more. */
+        boolean leaves;
         /** The one used last is taken first, so that those not needed grow old and are dropped. */
         final ArrayDeque<ServerConnection> idle = new ArrayDeque<>();
     }
@@ -116,6 +118,7 @@
             if (other || host.entry().state() == ServerState.DRAINING) {
                 closeIdle(peer);
             }
+            peer.leaves = host.entry().state() == ServerState.DRAINING;
             peer.address = host.address();
             peer.startedAt = host.entry().startedAt();
         }
@@ -124,6 +127,7 @@
     private void remove(String server) {
         Peer peer = peers.remove(server);
         if (peer != null) {
+            peer.leaves = true;
             closeIdle(peer);
         }
     }
@@ -190,7 +194,8 @@
         dial.channel().closeFuture().addListener(f -> budget.servers().giveBack(1));
         attempt.carrier = dial;
         dial.addListener(f -> {
-            if (!f.isSuccess()) {
+            if (!f.isSuccess() || peer.leaves) {
+                // Told to drain while the dial was out, a server gets nothing new; nothing of the request has gone to it.
                 dial.channel().close();
                 dispatcher.ended(attempt, Outcome.CONNECT_FAILED, null);
             } else if (!dispatcher.mayBegin(attempt)) {
--- a/src/main/java/onyxpaddle/membership/Discovery.java
+++ b/src/main/java/onyxpaddle/membership/Discovery.java
@@ -64,11 +64,15 @@
     private long wholeBy;
     private final ListWatch watch;
 
-    public Discovery(EventLoop loop, ByteBufAllocator allocator, InetSocketAddress address, boolean asked, Roster known,
+    /**
+     * {@code asked}: discovery is one service that all nodes ask; {@code seq}: the version held; {@code holdsAny}: the node holds servers
+     * now, so that a whole list without any is not believed.
+     */
+    public Discovery(EventLoop loop, ByteBufAllocator allocator, InetSocketAddress address, boolean asked, long seq, boolean holdsAny,
             Consumer<Roster> onList, Runnable onRefused) {
         this.loop = loop;
         this.asked = asked;
-        this.watch = new ListWatch(asked, known.seq(), !known.hosts().isEmpty(), ThreadLocalRandom.current());
+        this.watch = new ListWatch(asked, seq, holdsAny, ThreadLocalRandom.current());
         this.onList = onList;
         this.onRefused = onRefused;
         host = address.getAddress().getHostAddress() + ":" + address.getPort();
--- a/src/main/java/onyxpaddle/serve/Node.java
+++ b/src/main/java/onyxpaddle/serve/Node.java
@@ -161,7 +161,7 @@
 
     private Discovery discovery() {
         return new Discovery(life.loop, life.allocator, config.discovery(), config.settings().mustAskMembership(),
-            config.known(), roster -> {
+            config.known().seq(), anyServer || !config.known().hosts().isEmpty(), roster -> {
                 heard = true;
                 apply(roster, roster.whole() ? ListKind.ALL : ListKind.CHANGES);
             }, () -> dispatcher.membership(ListKind.REFUSED, List.of()));
--- a/src/main/java/onyxpaddle/serve/PoolUnit.java
+++ b/src/main/java/onyxpaddle/serve/PoolUnit.java
@@ -97,7 +97,7 @@
             around.files().execute(file::readNow);
         } else if (config.discovery() != null) {
             discovery = new Discovery(around.loop(), around.allocator(),
-                Addresses.of(config.discovery().host(), config.discovery().port()), false, new Roster(0, false, List.of()), this::apply, () -> { });
+                Addresses.of(config.discovery().host(), config.discovery().port()), false, 0, false, this::apply, () -> { });
             discovery.startAnew();
         } else {
             apply(PoolSettings.roster(config.servers()));
--- a/src/test/java/onyxpaddle/serve/BrokenListsTest.java
+++ b/src/test/java/onyxpaddle/serve/BrokenListsTest.java
@@ -144,6 +144,16 @@
         }
     }
 
+    /** What a watch that fell silent would have told is asked for at once by the next call, which waits for no news. */
+    @Test
+    void callAfterASilentWatchDoesNotWaitForNews() throws Exception {
+        try (FakeServer server = new FakeServer("s1"); Loopback on = new Loopback(server)) {
+            assertTrue(on.discovery.calls.poll(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS).contains("after=1&wait_ms=0 "));
+            assertTrue(on.discovery.calls.poll(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS).contains("after=1&wait_ms=2000 "));
+            assertTrue(on.discovery.calls.poll(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS).contains("after=1&wait_ms=0 "));
+        }
+    }
+
     /** Where discovery is asked, calls that broke off are made good within rule 3's time, not by the pauses of an overbooked one. */
     @Test
     void askedDiscoveryIsCalledAgainSoonAfterItBrokeOff() throws Exception {
--- a/src/test/java/onyxpaddle/serve/LateDialTest.java
+++ b/src/test/java/onyxpaddle/serve/LateDialTest.java
@@ -99,6 +99,28 @@
         }
     }
 
+    /** A dial may take longer than the grace after which nothing new goes to a server that was told to drain. */
+    @Test
+    void nothingIsWrittenToAServerThatWasToldToDrainDuringTheDial() throws Exception {
+        try (FakeServer named = new FakeServer("s1"); FullServer full = new FullServer();
+                FakeDiscovery discovery = new FakeDiscovery(Loopback.list(1, named).replace(named.address(), full.address()))) {
+            Node node = node(discovery, Loopback.config(discovery, named));
+            try (Client client = new Client(node.address())) {
+                full.filled();
+                client.say(Loopback.request("r1", "book", "Content-Length: 0"));
+                Loopback.await(() -> unanswered(node) == 1);
+                discovery.lists.add(Loopback.list(2, named).replace(named.address(), full.address()).replace("ready", "draining"));
+                Loopback.await(() -> node.loop().submit(() -> node.pools().get("").fleet().avoided()).syncUninterruptibly().getNow() == 1);
+                try (Socket late = full.late()) {
+                    assertEquals(-1, late.getInputStream().read());
+                }
+                assertEquals('5', client.hear().charAt(0));
+            } finally {
+                node.stop();
+            }
+        }
+    }
+
     /** The first attempt may have run; the second is dialled within the time in which servers know the key, and comes up after it. */
     @Test
     void keyedRequestIsNotRepeatedAfterItsServersHaveForgottenTheKey() throws Exception {
--- a/src/test/java/onyxpaddle/serve/ReloadTest.java
+++ b/src/test/java/onyxpaddle/serve/ReloadTest.java
@@ -37,6 +37,22 @@
         }
     }
 
+    /** The file knows of no server, and neither does the discovery that it names, yet: those held stay. */
+    @Test
+    void emptyListOfTheNextDiscoveryTakesNoServerAway(@TempDir Path folder) throws Exception {
+        try (FakeServer held = new FakeServer("s1", Loopback.ok("before"), Loopback.ok("still")); FakeDiscovery next = new FakeDiscovery(Loopback.list(0));
+                Loopback on = new Loopback(held); Loopback.Client client = on.client()) {
+            assertEquals("200 before", client.say(Loopback.request("r1", "read")).hear());
+            Path file = Files.writeString(folder.resolve("config.json"), Loopback.config(next));
+            on.node.reload(Map.of("GW_CONFIG", file.toString()));
+            // It is asked again for the whole list, as the first was not believed.
+            for (int call = 0; call < 2; call++) {
+                assertEquals("GET /v1/endpoints HTTP/1.1", next.calls.poll(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS));
+            }
+            assertEquals("200 still", client.say(Loopback.request("r2", "read")).hear());
+        }
+    }
+
     @Test
     void fileThatMakesNoSenseChangesNothing(@TempDir Path folder) throws Exception {
         try (FakeServer server = new FakeServer("s1", Loopback.ok("first")); Loopback on = new Loopback(server);
