A slow look at the sockets is not one that waited: late requests keep their time

Change: a look has waited only if it was to wait, was not overslept, and took more than a quarter of the longest turn of late; else what it finds may have come since the look before.

--- a/src/main/java/onyxpaddle/front/Looks.java
+++ b/src/main/java/onyxpaddle/front/Looks.java
@@ -5,8 +5,10 @@
  * gets little of a processor, reads late what its machine has long accepted. It does no I/O and is handed the time, in nanoseconds.
  */
 final class Looks {
-    /** A look that took so long found nothing at first: what it then found has just come. */
+    /** A look of a quick loop that took so long found nothing at first: what it then found has just come. */
     private static final long WAITED = 1_000_000L;
+    /** A look that finds something at once is less of a busy turn than this part. */
+    private static final int SMALL_PART = 4;
     /** What is left of an earlier turn's length after each shorter one, in eighths. */
     private static final int FADES = 8;
 
@@ -32,13 +34,14 @@
 
     /** It has looked, and deals with what was found until it looks again. */
     void looked(long now) {
-        long over = now - begun - planned;
+        long took = now - begun;
+        long over = took - planned;
+        // On a core that gives it little a look that finds something at once takes as long as one that waits does elsewhere, and what it
+        // finds may have lain there since the look before. Only one that was to wait, and took no small part of the turns of late, has waited.
+        boolean waited = planned > 0 && over <= WAITED && took > Math.max(WAITED, longest / SMALL_PART);
+        since = last == 0 || waited ? now : last;
         if (over > WAITED) {
-            // It stood still while it waited, and something can have come all the while.
-            since = begun;
             late(over);
-        } else {
-            since = last == 0 || now - begun > WAITED ? now : last;
         }
         last = now;
     }
