Tests of crossing events share one way to wait until a node is ready

Need: three new test classes repeated the loop that asks for readiness.

Change: Loopback.Client.awaitReady; behaviour unchanged.

--- a/src/test/java/onyxpaddle/serve/CrossedConnectionTest.java
+++ b/src/test/java/onyxpaddle/serve/CrossedConnectionTest.java
@@ -21,12 +21,6 @@
     /** Of 256 descriptors, the connections from which on clients are too many. */
     private static final int CROWD = 93;
 
-    private static void awaitReady(Client client) throws Exception {
-        while (!client.say("GET /ready HTTP/1.1\r\n\r\n").hear().startsWith("200")) {
-            Thread.onSpinWait();
-        }
-    }
-
     /** The request is read first, then what the server did to the connection that would carry it. */
     @ParameterizedTest
     @ValueSource(strings = {"close", "reset", "half a line", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"})
@@ -58,8 +52,7 @@
         List<Client> idle = new ArrayList<>();
         try (FakeServer server = new FakeServer("s1", Loopback.ok("served")); Loopback on = new Loopback(server)) {
             for (int i = 1; i < CROWD; i++) {
-                idle.add(on.client());
-                awaitReady(idle.get(i - 1));
+                idle.add(on.client().awaitReady());
             }
             HeldLoop held = new HeldLoop(on.node.loop());
             idle.add(on.client());
--- a/src/test/java/onyxpaddle/serve/GoneClientTest.java
+++ b/src/test/java/onyxpaddle/serve/GoneClientTest.java
@@ -34,17 +34,11 @@
         String config = Loopback.config(discovery, servers).replace("\"aimS\":5", "\"aimS\":0.2");
         Node started = Node.start(PlatformConfig.parse(config.getBytes(StandardCharsets.UTF_8), Map.of()));
         try (Client client = new Client(started.address())) {
-            awaitReady(client);
+            client.awaitReady();
         }
         return started;
     }
 
-    private static void awaitReady(Client client) throws Exception {
-        while (!client.say("GET /ready HTTP/1.1\r\n\r\n").hear().startsWith("200")) {
-            Thread.onSpinWait();
-        }
-    }
-
     @AfterEach
     void stop() throws Exception {
         node.stop();
@@ -55,8 +49,7 @@
     /** What came before is dealt with: each question for readiness goes once round the loop. */
     private void settle() throws Exception {
         try (Client client = new Client(node.address())) {
-            awaitReady(client);
-            awaitReady(client);
+            client.awaitReady().awaitReady();
         }
     }
 
@@ -77,7 +70,7 @@
     @ValueSource(strings = {"read", "book"})
     void requestAndCloseThatAreReadTogetherStartNothing(String requestClass) throws Exception {
         try (Client gone = new Client(node.address())) {
-            awaitReady(gone);
+            gone.awaitReady();
             HeldLoop held = new HeldLoop(node.loop());
             gone.say(Loopback.request("gone", requestClass, "Content-Length: 0"));
             gone.socket.close();
--- a/src/test/java/onyxpaddle/serve/LateDialTest.java
+++ b/src/test/java/onyxpaddle/serve/LateDialTest.java
@@ -70,9 +70,7 @@
     private static Node node(FakeDiscovery discovery, String config) throws Exception {
         Node node = Node.start(PlatformConfig.parse(config.getBytes(StandardCharsets.UTF_8), Map.of()));
         try (Client client = new Client(node.address())) {
-            while (!client.say("GET /ready HTTP/1.1\r\n\r\n").hear().startsWith("200")) {
-                Thread.onSpinWait();
-            }
+            client.awaitReady();
         }
         return node;
     }
--- a/src/test/java/onyxpaddle/serve/Loopback.java
+++ b/src/test/java/onyxpaddle/serve/Loopback.java
@@ -101,6 +101,14 @@
             return this;
         }
 
+        /** Asks until the node says that it is ready: each question goes once round its loop. */
+        Client awaitReady() throws IOException {
+            while (!say("GET /ready HTTP/1.1\r\n\r\n").hear().startsWith("200")) {
+                Thread.onSpinWait();
+            }
+            return this;
+        }
+
         /** The next answer, as status and body; null where the node closes instead. */
         String hear() throws IOException {
             String head = head(socket.getInputStream());
