Looks at a connection are tested on bytes that only a look can find

Whether any look found bytes was a race between the writer, the looks and the loop's own reads: where the loop read all of it first, the test ended with "no look found anything". Every second piece is now written while the loop stands in a look, the others are left to the loop, and all that was sent is compared, with its end; before, it was as much as had come. The reset, too, is met by a look first. Seen to fail with looks that read nothing, with what came early not handed on, not read first, or read twice, and with resets ignored.

--- a/src/test/java/onyxpaddle/socket/PollableChannelTest.java
+++ b/src/test/java/onyxpaddle/socket/PollableChannelTest.java
@@ -1,5 +1,6 @@
 package onyxpaddle.socket;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -18,8 +19,11 @@
 import java.net.Socket;
 import java.util.Arrays;
 import java.util.Random;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import onyxpaddle.node.Sockets;
 import onyxpaddle.socket.PollableChannel.Found;
@@ -30,6 +34,11 @@
 /** All looks are made on a loop that does nothing else meanwhile, so that its own reads come after them. */
 class PollableChannelTest {
     private static final int PATIENCE_S = 20;
+    /** Pieces of each length; half of them are found by a look. */
+    private static final int PIECES = 20;
+    private static final int SMALL_PIECE = 1_000;
+    /** More than a look takes in, and less than sockets hold. */
+    private static final int LARGE_PIECE = 6 * Sockets.READ_SIZE;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final ByteArrayOutputStream read = new ByteArrayOutputStream();
     private final CompletableFuture<byte[]> ended = new CompletableFuture<>();
@@ -68,10 +77,11 @@
         return channel.eventLoop().submit(task).get(PATIENCE_S, TimeUnit.SECONDS);
     }
 
-    /** What the first look finds that finds anything. */
+    /** What the first look finds that finds anything; nothing where there is none in a long time. */
     private Found awaitSomething() {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S / 2);
         Found found = channel.poll();
-        while (found == Found.NOTHING) {
+        while (found == Found.NOTHING && System.nanoTime() < end) {
             found = channel.poll();
         }
         return found;
@@ -83,35 +93,54 @@
         assertTrue(channel.isActive());
     }
 
+    /**
+     * Every second piece is written while the loop stands in a look, so that only the look can find it. The others are left to the loop.
+     * The large ones are more than a look takes in: what came early is followed by what is read in its turn.
+     */
     @Test
     void bytesThatAreFoundGoThroughThePipelineOnceAndInOrder() throws Exception {
-        byte[] sent = new byte[300_000];
+        byte[] sent = new byte[PIECES * (SMALL_PIECE + LARGE_PIECE)];
         new Random(1).nextBytes(sent);
-        CompletableFuture<Void> writing = new CompletableFuture<>();
-        Thread writer = new Thread(() -> {
-            try {
-                for (int at = 0; at < sent.length; at += 1000) {
-                    peer.getOutputStream().write(sent, at, 1000);
-                }
-                peer.shutdownOutput();
-                writing.complete(null);
-            } catch (java.io.IOException e) {
-                writing.completeExceptionally(e);
+        ExecutorService writer = Executors.newSingleThreadExecutor();
+        try {
+            int at = 0;
+            for (int piece = 0; piece < 2 * PIECES; piece++) {
+                int from = at;
+                int length = piece / 2 % 2 == 0 ? SMALL_PIECE : LARGE_PIECE;
+                Callable<Void> write = () -> {
+                    peer.getOutputStream().write(sent, from, length);
+                    return null;
+                };
+                Future<Void> written = piece % 2 == 0 ? writeDuringALook(writer, write) : writer.submit(write);
+                at += length;
+                written.get(PATIENCE_S, TimeUnit.SECONDS);
+                awaitRead(at);
             }
+            assertEquals(sent.length, at);
+        } finally {
+            writer.shutdownNow();
+        }
+        peer.shutdownOutput();
+        assertArrayEquals(sent, ended.get(PATIENCE_S, TimeUnit.SECONDS));
+    }
+
+    /** The look begins before the first byte is written, and ends with the loop's turn in which it found some. */
+    private Future<Void> writeDuringALook(ExecutorService writer, Callable<Void> write) throws Exception {
+        return onLoop(() -> {
+            assertEquals(Found.NOTHING, channel.poll());
+            int before = read.size();
+            Future<Void> written = writer.submit(write);
+            assertEquals(Found.BYTES, awaitSomething());
+            assertEquals(before, read.size(), "the pipeline has had them before its turn");
+            return written;
         });
-        writer.start();
-        int seen = 0;
-        while (!ended.isDone()) {
-            seen += onLoop(channel::poll) == Found.BYTES ? 1 : 0;
-            if (read.size() == sent.length) {
-                break;
-            }
+    }
+
+    private void awaitRead(int count) throws Exception {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+        while (onLoop(read::size) < count) {
+            assertTrue(System.nanoTime() < end, "bytes that were sent are not read");
         }
-        writing.get(PATIENCE_S, TimeUnit.SECONDS);
-        assertTrue(seen > 0, "no look found anything, so nothing was tested");
-        // An end that a look finds takes what it found with it; here all but the last looks come before it.
-        byte[] got = read.toByteArray();
-        assertTrue(Arrays.equals(got, Arrays.copyOf(sent, got.length)), "other bytes than were sent");
     }
 
     @Test
@@ -146,8 +175,13 @@
     @Test
     void resetIsAnEnd() throws Exception {
         peer.setSoLinger(true, 0);
-        peer.close();
-        assertEquals(Found.END, onLoop(this::awaitSomething));
+        // The loop stands meanwhile, so that a look is the first to meet it.
+        Found found = onLoop(() -> {
+            assertEquals(Found.NOTHING, channel.poll());
+            peer.close();
+            return awaitSomething();
+        });
+        assertEquals(Found.END, found);
         ended.get(PATIENCE_S, TimeUnit.SECONDS);
     }
 
