What is not begun for a client that left is tested with the order forced

Attempts are given up after 50 ms here, and the tests raced that: the last request, a read, was sent again when its answer was held up for so long, its server had no second answer, and the node refused it at its deadline (503 after 10 s); or the first request was sent again, rightly, before the client closed. The loop now stops itself in the turn after the attempt is written, what began before that is counted, and nothing may begin after it, by the node's own count and by what the server hears. The last request is of a class that is never repeated, and the server's threads have taken their other answers before it. More is sent ahead than is read, so that the close lies behind bytes.

--- a/src/test/java/onyxpaddle/serve/GoneClientTest.java
+++ b/src/test/java/onyxpaddle/serve/GoneClientTest.java
@@ -18,6 +18,12 @@
 /** A client that has closed its connection has gone: no attempt begins for it from 0.1 s on, however late the node's loop is. */
 class GoneClientTest {
     private static final long BEHIND_MS = 250;
+    /** More than can have begun before the client leaves, so that one more could begin after it. */
+    private static final int MOST_ATTEMPTS = 20;
+    /** Requests that leave a connection to the server each. */
+    private static final int WARM = 2;
+    /** Three reads of the node fill what may wait, and a few thousand bytes and the close lie behind them. */
+    private static final int AHEAD = 56_000;
     private FakeServer server;
     private FakeDiscovery discovery;
     private Node node;
@@ -31,7 +37,8 @@
 
     /** By their aim calls take 50 ms until any has been served: what may be repeated is given up and sent again soon after that. */
     private Node node(FakeServer... servers) throws Exception {
-        String config = Loopback.config(discovery, servers).replace("\"aimS\":5", "\"aimS\":0.2");
+        String config = Loopback.config(discovery, servers).replace("\"aimS\":5", "\"aimS\":0.2")
+            .replace("\"maxAttempts\":3", "\"maxAttempts\":" + MOST_ATTEMPTS);
         Node started = Node.start(PlatformConfig.parse(config.getBytes(StandardCharsets.UTF_8), Map.of()));
         try (Client client = new Client(started.address())) {
             client.awaitReady();
@@ -53,17 +60,44 @@
         }
     }
 
-    /** Of all that was asked, the server has heard just this. */
-    private void serverHasHeardOnly(String... ids) throws Exception {
+    private long attempts() throws Exception {
+        return node.loop().submit(() -> node.tally().attempts()).get(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Lets the loop stand right after the turn in which so many attempts are written. */
+    private HeldLoop heldOnceWritten(long attempts) {
+        return HeldLoop.when(node.loop(), () -> node.tally().attempts() >= attempts);
+    }
+
+    /** Each of these attempts was this request's. */
+    private void serverHeard(String id, long count) throws Exception {
+        for (long i = 0; i < count; i++) {
+            assertTrue(server.heard().contains("X-Trace-Id: " + id + "\r\n"));
+        }
+    }
+
+    /** The server's part for attempts whose clients have left: each of its threads has taken what it writes to nobody. */
+    private void answerNobody(long attempts) throws Exception {
+        for (long i = 0; i < attempts; i++) {
+            server.answers.add(Loopback.ok("for nobody"));
+        }
+        Loopback.await(server.answers::isEmpty);
+        settle();
+    }
+
+    /**
+     * Beyond these attempts there was none, and the server has heard of none. The request that shows it is of a class that is never
+     * repeated: one that is would be sent again where the machine holds its answer up for 50 ms.
+     */
+    private void noAttemptBeyond(long written) throws Exception {
+        assertEquals(written, attempts());
         server.answers.add(Loopback.ok("last"));
         try (Client client = new Client(node.address())) {
-            assertEquals("200 last", client.say(Loopback.request("last", "read")).hear());
+            assertEquals("200 last", client.say(Loopback.request("last", "book", "Content-Length: 0")).hear());
         }
-        for (String id : ids) {
-            assertTrue(server.heard().contains("X-Trace-Id: " + id + "\r\n"));
-        }
-        assertTrue(server.heard().contains("X-Trace-Id: last\r\n"));
+        serverHeard("last", 1);
         assertEquals(0, server.heard.size(), () -> String.join("", server.heard));
+        assertEquals(written + 1, attempts());
     }
 
     @ParameterizedTest
@@ -76,7 +110,7 @@
             gone.socket.close();
             held.releaseAfter(BEHIND_MS);
             settle();
-            serverHasHeardOnly();
+            noAttemptBeyond(0);
         }
     }
 
@@ -89,9 +123,8 @@
             assertTrue(server.heard().contains("r1"));
             gone.socket.close();
             settle();
-            server.answers.add(Loopback.ok("for nobody"));
-            settle();
-            serverHasHeardOnly();
+            answerNobody(1);
+            noAttemptBeyond(1);
         }
     }
 
@@ -110,18 +143,20 @@
             assertEquals("200 warm", other.hear());
             // They rest before they are used again; the rest is the node's own, by its clock.
             TimeUnit.MILLISECONDS.sleep(30);
+            HeldLoop held = heldOnceWritten(WARM + 1);
             gone.say(Loopback.request("gone", "read"));
-            assertTrue(server.heard().contains("gone"));
-            HeldLoop held = new HeldLoop(node.loop());
+            held.awaitStanding();
+            long begun = node.tally().attempts() - WARM;
+            serverHeard("gone", begun);
             other.say(Loopback.request("other", "book", "Content-Length: 0"));
             gone.socket.close();
             held.releaseAfter(BEHIND_MS);
-            assertTrue(server.heard().contains("other"));
+            serverHeard("other", 1);
             settle();
-            server.answers.add(Loopback.ok("for nobody"));
-            server.answers.add(Loopback.ok("for the other"));
-            assertEquals('2', other.hear().charAt(0));
-            serverHasHeardOnly();
+            // Whichever of its threads comes first: the other's caller has one of them.
+            answerNobody(begun + 1);
+            assertEquals("200 for nobody", other.hear());
+            noAttemptBeyond(WARM + begun + 1);
         }
     }
 
@@ -129,17 +164,19 @@
     @Test
     void closeBehindMoreThanWaitsIsSeen() throws Exception {
         try (Client gone = new Client(node.address())) {
-            gone.say(Loopback.request("gone", "read"));
-            assertTrue(server.heard().contains("gone"));
-            gone.say(Loopback.request("ahead", "book", "Content-Length: 40000") + "x".repeat(40000));
-            settle();
-            HeldLoop held = new HeldLoop(node.loop());
+            HeldLoop beforeAll = new HeldLoop(node.loop());
+            HeldLoop held = heldOnceWritten(1);
+            // Read in one turn of the loop: the request, and of what is sent ahead as much as may wait.
+            gone.say(Loopback.request("gone", "read") + Loopback.request("ahead", "book", "Content-Length: " + AHEAD) + "x".repeat(AHEAD));
+            beforeAll.release();
+            held.awaitStanding();
+            long begun = node.tally().attempts();
+            serverHeard("gone", begun);
             gone.socket.close();
             held.releaseAfter(BEHIND_MS);
             settle();
-            server.answers.add(Loopback.ok("for nobody"));
-            settle();
-            serverHasHeardOnly();
+            answerNobody(begun);
+            noAttemptBeyond(begun);
         }
     }
 }
