--- /dev/null
+++ b/src/main/java/onyxpaddle/distribution/UpdateJson.java
@@ -0,0 +1,259 @@
+package onyxpaddle.distribution;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Updates as JSON. Keys that are not known are passed over, so that a later process may say more. Numbers of bytes and of
+ * entries are bounded, and each key may stand once.
+ *
+ * <pre>{"version":"1.7","whole":false,"more":false,"stale_ms":12,
+ * "entries":[{"key":"service/booking/pools.records","value":"attempts: 2\n","changed":"1.7"}]}</pre>
+ */
+public final class UpdateJson {
+    /** The most bytes of an update: 10,000 sections of 1.6 KB. */
+    public static final int MOST_BYTES = 16 << 20;
+    /** The most entries of an update. */
+    public static final int MOST_ENTRIES = 65_536;
+
+    /** No part of an update lies deeper; the rest is room for later ones. */
+    private static final int DEEPEST = 16;
+    private static final int LONGEST_NAME = 256;
+    /** The most epochs that a history names: one for each take-over by an operator. */
+    private static final int MOST_ENDS = 10_000;
+    private static final JsonFactory JSON = JsonFactory.builder()
+        .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+        .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(DEEPEST).maxNameLength(LONGEST_NAME)
+            .maxStringLength(Entry.LONGEST_VALUE).build())
+        .build();
+
+    private UpdateJson() {
+    }
+
+    /** The bytes of an update; may be more than {@link #MOST_BYTES}: who writes bounds what it puts in. */
+    public static byte[] write(Update update) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (JsonGenerator json = JSON.createGenerator(bytes)) {
+            json.writeStartObject();
+            json.writeStringField("version", update.version().toString());
+            json.writeBooleanField("whole", update.whole());
+            json.writeBooleanField("more", update.more());
+            json.writeNumberField("stale_ms", update.staleMs());
+            json.writeArrayFieldStart("entries");
+            for (Entry entry : update.entries()) {
+                write(json, entry);
+            }
+            json.writeEndArray();
+            if (update.history() != null) {
+                write(json, update.history());
+            }
+            json.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException("writing to memory", e);
+        }
+        return bytes.toByteArray();
+    }
+
+    private static void write(JsonGenerator json, Entry entry) throws IOException {
+        json.writeStartObject();
+        json.writeStringField("key", entry.key().toString());
+        json.writeStringField("value", entry.value());
+        json.writeStringField("changed", entry.changedAt().toString());
+        json.writeEndObject();
+    }
+
+    private static void write(JsonGenerator json, History history) throws IOException {
+        json.writeObjectFieldStart("history");
+        json.writeStringField("floor", history.floor().toString());
+        json.writeArrayFieldStart("ends");
+        for (ConfigurationVersion end : history.ends()) {
+            json.writeString(end.toString());
+        }
+        json.writeEndArray();
+        json.writeEndObject();
+    }
+
+    /** Reads an update: all of the bytes, or an error. */
+    public static Update read(byte[] bytes) throws MalformedUpdateException {
+        if (bytes.length > MOST_BYTES) {
+            throw new MalformedUpdateException("update: of " + bytes.length + " bytes; at most " + MOST_BYTES + " are taken");
+        }
+        try (JsonParser parser = JSON.createParser(bytes)) {
+            try {
+                parser.nextToken();
+                Update update = update(parser);
+                if (parser.nextToken() != null) {
+                    throw malformed(parser, "more than one document");
+                }
+                return update;
+            } catch (JsonProcessingException e) {
+                JsonLocation at = e.getLocation() == null ? parser.currentLocation() : e.getLocation();
+                throw new MalformedUpdateException(place(at, parser) + Shortened.of(e.getOriginalMessage()), e);
+            }
+        } catch (MalformedUpdateException e) {
+            throw e;
+        } catch (IOException e) {
+            throw new MalformedUpdateException("update: " + Shortened.of(String.valueOf(e.getMessage())), e);
+        }
+    }
+
+    private static Update update(JsonParser parser) throws IOException {
+        ConfigurationVersion version = null;
+        boolean whole = false;
+        boolean more = false;
+        long staleMs = Update.NEVER_HEARD;
+        List<Entry> entries = null;
+        History history = null;
+        expect(parser, JsonToken.START_OBJECT, "an object");
+        while (parser.nextToken() != JsonToken.END_OBJECT) {
+            String name = parser.currentName();
+            parser.nextToken();
+            switch (name) {
+                case "version" -> version = version(parser);
+                case "whole" -> whole = parser.getBooleanValue();
+                case "more" -> more = parser.getBooleanValue();
+                case "stale_ms" -> staleMs = staleMs(parser);
+                case "entries" -> entries = entries(parser);
+                case "history" -> history = history(parser);
+                default -> parser.skipChildren();
+            }
+        }
+        if (version == null || entries == null) {
+            throw malformed(parser, (version == null ? "`version`" : "`entries`") + " is missing");
+        }
+        for (Entry entry : entries) {
+            if (entry.changedAt().isAfter(version)) {
+                throw malformed(parser, entry.key() + " changed at " + entry.changedAt() + ", after version " + version);
+            }
+        }
+        return new Update(version, whole, more, entries, staleMs, history);
+    }
+
+    private static List<Entry> entries(JsonParser parser) throws IOException {
+        List<Entry> entries = new ArrayList<>();
+        Set<EntryKey> keys = new HashSet<>();
+        expect(parser, JsonToken.START_ARRAY, "a list");
+        while (parser.nextToken() != JsonToken.END_ARRAY) {
+            Entry entry = entry(parser);
+            if (!keys.add(entry.key())) {
+                throw malformed(parser, entry.key() + " stands twice");
+            }
+            if (entries.size() == MOST_ENTRIES) {
+                throw malformed(parser, "more than " + MOST_ENTRIES + " entries");
+            }
+            entries.add(entry);
+        }
+        return entries;
+    }
+
+    private static Entry entry(JsonParser parser) throws IOException {
+        EntryKey key = null;
+        boolean valued = false;
+        String value = null;
+        ConfigurationVersion changedAt = null;
+        expect(parser, JsonToken.START_OBJECT, "an object");
+        while (parser.nextToken() != JsonToken.END_OBJECT) {
+            String name = parser.currentName();
+            parser.nextToken();
+            switch (name) {
+                case "key" -> key = key(parser);
+                case "value" -> {
+                    valued = true;
+                    value = parser.currentToken() == JsonToken.VALUE_NULL ? null : text(parser);
+                }
+                case "changed" -> changedAt = version(parser);
+                default -> parser.skipChildren();
+            }
+        }
+        if (key == null || !valued || changedAt == null) {
+            throw malformed(parser, (key == null ? "`key`" : valued ? "`changed`" : "`value`") + " is missing");
+        }
+        return new Entry(key, value, changedAt);
+    }
+
+    private static History history(JsonParser parser) throws IOException {
+        ConfigurationVersion floor = null;
+        List<ConfigurationVersion> ends = new ArrayList<>();
+        expect(parser, JsonToken.START_OBJECT, "an object");
+        while (parser.nextToken() != JsonToken.END_OBJECT) {
+            String name = parser.currentName();
+            parser.nextToken();
+            switch (name) {
+                case "floor" -> floor = version(parser);
+                case "ends" -> ends(parser, ends);
+                default -> parser.skipChildren();
+            }
+        }
+        if (floor == null) {
+            throw malformed(parser, "`floor` is missing");
+        }
+        return new History(floor, ends);
+    }
+
+    private static void ends(JsonParser parser, List<ConfigurationVersion> ends) throws IOException {
+        expect(parser, JsonToken.START_ARRAY, "a list");
+        while (parser.nextToken() != JsonToken.END_ARRAY) {
+            if (ends.size() == MOST_ENDS) {
+                throw malformed(parser, "more than " + MOST_ENDS + " epochs");
+            }
+            ends.add(version(parser));
+        }
+    }
+
+    private static long staleMs(JsonParser parser) throws IOException {
+        long staleMs = parser.getLongValue();
+        if (staleMs < Update.NEVER_HEARD) {
+            throw malformed(parser, staleMs + " is no age");
+        }
+        return staleMs;
+    }
+
+    private static ConfigurationVersion version(JsonParser parser) throws IOException {
+        try {
+            return ConfigurationVersion.parse(text(parser));
+        } catch (IllegalArgumentException e) {
+            throw malformed(parser, e.getMessage());
+        }
+    }
+
+    private static EntryKey key(JsonParser parser) throws IOException {
+        try {
+            return EntryKey.parse(text(parser));
+        } catch (IllegalArgumentException e) {
+            throw malformed(parser, e.getMessage());
+        }
+    }
+
+    private static String text(JsonParser parser) throws IOException {
+        expect(parser, JsonToken.VALUE_STRING, "a text");
+        return parser.getText();
+    }
+
+    private static void expect(JsonParser parser, JsonToken token, String told) throws IOException {
+        if (parser.currentToken() != token) {
+            throw malformed(parser, "expected " + told);
+        }
+    }
+
+    private static MalformedUpdateException malformed(JsonParser parser, String wrong) {
+        return new MalformedUpdateException(place(parser.currentLocation(), parser) + wrong);
+    }
+
+    private static String place(JsonLocation at, JsonParser parser) {
+        String path = parser.getParsingContext().pathAsPointer().toString();
+        return "update:" + at.getLineNr() + ":" + at.getColumnNr() + ": " + (path.isEmpty() ? "" : path + ": ");
+    }
+}
--- /dev/null
+++ b/src/test/java/onyxpaddle/distribution/UpdateJsonTest.java
@@ -0,0 +1,89 @@
+package onyxpaddle.distribution;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class UpdateJsonTest {
+    private static final ConfigurationVersion AT = new ConfigurationVersion(2, 7);
+    private static final Update UPDATE = new Update(AT, true, false,
+        List.of(new Entry(EntryKey.parse("service/booking/pools.records"), "attempts: 2 # \"é\"\n", AT),
+            new Entry(EntryKey.parse("fleet/routes"), null, new ConfigurationVersion(1, 3))), 120,
+        new History(new ConfigurationVersion(1, 1), List.of(new ConfigurationVersion(1, 4))));
+
+    @Test
+    void whatIsWrittenIsRead() throws MalformedUpdateException {
+        assertEquals(UPDATE, UpdateJson.read(UpdateJson.write(UPDATE)));
+        Update forNode = new Update(AT, false, true, List.of(), Update.NEVER_HEARD);
+        assertEquals(forNode, UpdateJson.read(UpdateJson.write(forNode)));
+    }
+
+    @Test
+    void brokenOffAtAnyByteItIsNoUpdate() {
+        byte[] bytes = UpdateJson.write(UPDATE);
+        for (int length = 0; length < bytes.length; length++) {
+            byte[] part = Arrays.copyOf(bytes, length);
+            MalformedUpdateException e = assertThrows(MalformedUpdateException.class, () -> UpdateJson.read(part));
+            assertTrue(e.getMessage().startsWith("update:1:"), e.getMessage());
+        }
+    }
+
+    @Test
+    void anyByteChangedIsReadOrRefusedButNeverElse() {
+        byte[] bytes = UpdateJson.write(UPDATE);
+        for (int at = 0; at < bytes.length; at++) {
+            for (int bit = 0; bit < 8; bit++) {
+                byte[] changed = bytes.clone();
+                changed[at] ^= (byte) (1 << bit);
+                try {
+                    UpdateJson.read(changed);
+                } catch (MalformedUpdateException e) {
+                    assertTrue(e.getMessage().startsWith("update:"), e.getMessage());
+                }
+            }
+        }
+    }
+
+    @Test
+    void whatIsWrongIsSaidWithItsPlace() {
+        String entry = "{\"key\":\"fleet/routes\",\"value\":\"x\",\"changed\":\"1.1\"}";
+        refused("[]", "expected an object");
+        refused("{\"entries\":[]}", "`version` is missing");
+        refused("{\"version\":\"1.1\"}", "`entries` is missing");
+        refused("{\"version\":\"1.x\",\"entries\":[]}", "/version: `1.x` is no version");
+        refused("{\"version\":\"1.1\",\"version\":\"1.2\",\"entries\":[]}", "uplicate");
+        refused("{\"version\":\"1.1\",\"entries\":[" + entry + "," + entry + "]}", "fleet/routes stands twice");
+        refused("{\"version\":\"1.0\",\"entries\":[" + entry + "]}", "after version 1.0");
+        refused("{\"version\":\"1.1\",\"entries\":[{\"key\":\"fleet/routes\",\"changed\":\"1.1\"}]}", "/entries/0: `value` is missing");
+        refused("{\"version\":\"1.1\",\"entries\":[],\"stale_ms\":-2}", "-2 is no age");
+        refused("{\"version\":\"1.1\",\"entries\":[]} {}", "more than one document");
+        refused("{\"version\":\"1.1\",\"x\":" + "[".repeat(1000), "epth");
+    }
+
+    private static void refused(String json, String why) {
+        MalformedUpdateException e = assertThrows(MalformedUpdateException.class,
+            () -> UpdateJson.read(json.getBytes(StandardCharsets.UTF_8)));
+        assertTrue(e.getMessage().contains(why), e.getMessage());
+    }
+
+    @Test
+    void bytesEntriesAndValuesAreBounded() {
+        assertThrows(MalformedUpdateException.class, () -> UpdateJson.read(new byte[UpdateJson.MOST_BYTES + 1]));
+        List<Entry> many = new ArrayList<>();
+        for (int i = 0; i <= UpdateJson.MOST_ENTRIES; i++) {
+            many.add(new Entry(new EntryKey(Scope.NODE, "n" + i, "routes"), "x", AT));
+        }
+        byte[] most = UpdateJson.write(new Update(AT, true, false, many.subList(0, UpdateJson.MOST_ENTRIES), 0));
+        assertTrue(most.length < UpdateJson.MOST_BYTES);
+        byte[] over = UpdateJson.write(new Update(AT, true, false, many, 0));
+        assertThrows(MalformedUpdateException.class, () -> UpdateJson.read(over));
+        refused("{\"version\":\"1.1\",\"entries\":[{\"key\":\"fleet/routes\",\"value\":\"" + "x".repeat(Entry.LONGEST_VALUE + 1)
+            + "\",\"changed\":\"1.1\"}]}", "exceeds");
+    }
+}
