--- /dev/null
+++ b/src/main/java/onyxpaddle/distribution/PublisherFence.java
@@ -0,0 +1,41 @@
+package onyxpaddle.distribution;
+
+/**
+ * Keeps the highest epoch that a control process has seen, its own among them. A publisher is fenced for good once it has seen
+ * a higher one than its own. Not for several threads.
+ */
+public final class PublisherFence {
+    private final long ownEpoch;
+    private long highest;
+
+    /**
+     * @param ownEpoch a publisher's epoch; 0 for a replica, which has none and is never fenced
+     * @param highestSeen what was kept on disk; 0 for nothing
+     */
+    public PublisherFence(long ownEpoch, long highestSeen) {
+        this.ownEpoch = ownEpoch;
+        this.highest = Math.max(ownEpoch, highestSeen);
+    }
+
+    /**
+     * Hears of an epoch.
+     *
+     * @return whether it is a higher one than all before, and so has to be kept on disk
+     */
+    public boolean hear(long epoch) {
+        if (epoch <= highest) {
+            return false;
+        }
+        highest = epoch;
+        return true;
+    }
+
+    /** Whether a publisher must take no more changes and tell nothing new. */
+    public boolean fenced() {
+        return ownEpoch > 0 && highest > ownEpoch;
+    }
+
+    public long highest() {
+        return highest;
+    }
+}
