ReplicaSelector: which control process a client calls next, when, and whether it waits

Nodes and following replicas have several control processes to ask, and one that dies, stalls, refuses, falls behind or is cut off must neither keep a client from news nor send all clients to one survivor at once.

--- a/src/test/java/onyxpaddle/PackageRulesTest.java
+++ b/src/test/java/onyxpaddle/PackageRulesTest.java
@@ -22,7 +22,8 @@
         "onyxpaddle.FlatSettings", "onyxpaddle.ClassUse", "onyxpaddle.Failures", "onyxpaddle.Quota", "onyxpaddle.node.SharedLimit", "onyxpaddle.node.Budget", "onyxpaddle.node.InFlightLimit",
         "onyxpaddle.node.Tally", "onyxpaddle.front.Attention", "onyxpaddle.membership.ListWatch",
         "onyxpaddle.bgp.Fsm", "onyxpaddle.bgp.Peering", "onyxpaddle.bgp.ServiceHealth", "onyxpaddle.bgp.AnnouncePolicy", "onyxpaddle.bgp.Prefix",
-        "onyxpaddle.rpc.CallTable", "onyxpaddle.rpc.ConnectionChoice");
+        "onyxpaddle.rpc.CallTable", "onyxpaddle.rpc.ConnectionChoice",
+        "onyxpaddle.distribution.ReplicaSelector");
 
     private static final DescribedPredicate<JavaClass> DECIDES = DescribedPredicate.describe("decide",
         c -> DECIDERS.stream().anyMatch(name -> c.getName().equals(name) || c.getName().startsWith(name + "$"))
--- /dev/null
+++ b/src/test/java/onyxpaddle/distribution/ReplicaSelectorTest.java
@@ -0,0 +1,264 @@
+package onyxpaddle.distribution;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Random;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.LongRange;
+import onyxpaddle.distribution.ReplicaSelector.Answered;
+import onyxpaddle.distribution.ReplicaSelector.Behind;
+import onyxpaddle.distribution.ReplicaSelector.Busy;
+import onyxpaddle.distribution.ReplicaSelector.Call;
+import onyxpaddle.distribution.ReplicaSelector.Failed;
+import onyxpaddle.distribution.ReplicaSelector.Outcome;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Which replica a client calls next, when, and whether it waits there. */
+class ReplicaSelectorTest {
+    private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+    private static final List<String> FOUR = List.of("10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80", "10.0.0.4:80");
+    private static final Answered FRESH = new Answered(0, false);
+    private static final Answered STALE = new Answered(60_000, false);
+
+    /** A clock that wraps around within the test. */
+    private long now = Long.MAX_VALUE - 5 * SECOND;
+    private final ReplicaSelector selector = new ReplicaSelector("node-1", FOUR, new SplittableRandom(7));
+
+    private Call after(Call call, Outcome outcome) {
+        now += call.delay() + SECOND / 100;
+        return selector.next(now, outcome);
+    }
+
+    @Test
+    void staysAndWaitsWhereItIsAnswered() {
+        Call first = selector.first();
+        assertEquals(0, first.waitMs());
+        Call second = after(first, FRESH);
+        assertEquals(new Call(first.replica(), 0, 2000, false), second);
+        assertEquals(2800, second.patienceMs());
+        assertEquals(second, after(second, FRESH));
+    }
+
+    @Test
+    void pagesAreAskedForAtTheSameReplicaAtOnce() {
+        Call first = selector.first();
+        assertEquals(new Call(first.replica(), 0, 0, false), after(first, new Answered(0, true)));
+    }
+
+    @Test
+    void goesToAnotherReplicaAfterAFailureAndStaysThere() {
+        Call first = selector.first();
+        Call second = after(first, new Failed());
+        assertNotEquals(first.replica(), second.replica());
+        assertEquals(0, second.waitMs());
+        assertTrue(second.delay() <= SECOND / 4);
+        assertEquals(1, selector.failures());
+        assertEquals(second.replica(), after(second, FRESH).replica());
+        assertEquals(0, selector.failures());
+    }
+
+    @Test
+    void triesEveryReplicaBeforeOneAgain() {
+        Call call = selector.first();
+        boolean[] tried = new boolean[FOUR.size()];
+        for (int i = 0; i < FOUR.size(); i++) {
+            assertFalse(tried[call.replica()]);
+            tried[call.replica()] = true;
+            call = after(call, new Failed());
+        }
+    }
+
+    @Test
+    void oneReplicaAloneIsCalledAgainWithDelays() {
+        ReplicaSelector alone = new ReplicaSelector("node-1", List.of("10.0.0.1:80"), new SplittableRandom(7));
+        Call call = alone.first();
+        long all = 0;
+        for (int i = 0; i < 40; i++) {
+            call = alone.next(now, new Failed());
+            all += call.delay();
+            now += call.delay();
+        }
+        assertEquals(0, call.replica());
+        assertTrue(all > 40 * SECOND, "in all " + all);
+    }
+
+    /** The replica that gave a time is left alone until then, as long as there are others. */
+    @Test
+    void retryAfterIsKept() {
+        Call first = selector.first();
+        Call call = after(first, new Busy(3));
+        long until = now + 3 * SECOND;
+        while (until - now - call.delay() > SECOND) {
+            assertNotEquals(first.replica(), call.replica());
+            call = after(call, new Failed());
+        }
+    }
+
+    @Test
+    void whereAllAreBusyTheEarliestIsCalledInItsTime() {
+        Call call = selector.first();
+        long least = now;
+        int earliest = -1;
+        for (int seconds : new int[] {9, 4, 7, 8}) {
+            if (seconds == 4) {
+                earliest = call.replica();
+            }
+            call = after(call, new Busy(seconds));
+            least = seconds == 4 ? now + 4 * SECOND : least;
+        }
+        assertEquals(earliest, call.replica());
+        long after = now + call.delay() - least;
+        assertTrue(after >= 0 && after <= 4 * SECOND, "called " + after + " after its time");
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {Long.MIN_VALUE, -1, 0, 31_536_000, Long.MAX_VALUE})
+    void retryAfterThatMakesNoSenseIsBounded(long seconds) {
+        ReplicaSelector alone = new ReplicaSelector("node-1", List.of("10.0.0.1:80"), new SplittableRandom(7));
+        alone.first();
+        long longest = 0;
+        long sum = 0;
+        for (int i = 0; i < 100; i++) {
+            Call call = alone.next(now, new Busy(seconds));
+            now += call.delay();
+            longest = Math.max(longest, call.delay());
+            sum += call.delay();
+        }
+        assertTrue(longest <= 11 * SECOND, "waited " + longest);
+        assertTrue(sum >= 100 * SECOND, "called 100 times within " + sum);
+    }
+
+    @Test
+    void leavesAReplicaThatIsBehind() {
+        Call first = after(selector.first(), FRESH);
+        Call second = after(first, new Behind());
+        assertNotEquals(first.replica(), second.replica());
+        assertEquals(1, selector.failures());
+    }
+
+    @Test
+    void looksForAFresherReplicaAndStaysThere() {
+        Call probe = after(selector.first(), STALE);
+        assertTrue(probe.probe());
+        assertEquals(0, probe.waitMs());
+        Call next = after(probe, FRESH);
+        assertEquals(new Call(probe.replica(), 0, 2000, false), next);
+    }
+
+    @Test
+    void staysWhereNoOtherIsFresher() {
+        Call first = selector.first();
+        Call probe = after(first, STALE);
+        assertEquals(new Call(first.replica(), 0, 2000, false), after(probe, new Answered(-1, false)));
+    }
+
+    @Test
+    void probeThatFailsCostsNothingElse() {
+        Call first = selector.first();
+        Call probe = after(first, STALE);
+        assertEquals(new Call(first.replica(), 0, 2000, false), after(probe, new Failed()));
+        assertEquals(0, selector.failures());
+    }
+
+    @Test
+    void neverHeardFromThePublisherIsStale() {
+        assertTrue(after(selector.first(), new Answered(-1, false)).probe());
+    }
+
+    @Test
+    void allStaleAreAskedInTurnAndSeldom() {
+        Call call = selector.first();
+        long start = now;
+        int probes = 0;
+        boolean[] probed = new boolean[FOUR.size()];
+        int home = call.replica();
+        while (now - start < 100 * SECOND) {
+            now += call.probe() ? 0 : 2 * SECOND;
+            call = after(call, STALE);
+            probes += call.probe() ? 1 : 0;
+            probed[call.replica()] = true;
+            assertTrue(call.probe() || call.replica() == home);
+        }
+        assertTrue(probes >= 10 && probes <= 16, probes + " probes in 100 s");
+        assertTrue(probed[0] && probed[1] && probed[2] && probed[3]);
+    }
+
+    @Test
+    void comesBackToItsPreferredReplicaAfterAWhile() {
+        Call first = selector.first();
+        Call call = after(after(first, new Failed()), FRESH);
+        assertNotEquals(first.replica(), call.replica());
+        long start = now;
+        while (!call.probe()) {
+            now += 2 * SECOND;
+            call = after(call, FRESH);
+        }
+        assertTrue(now - start >= 58 * SECOND && now - start <= 125 * SECOND, "after " + (now - start));
+        assertEquals(first.replica(), call.replica());
+        assertEquals(new Call(first.replica(), 0, 2000, false), after(call, FRESH));
+    }
+
+    @Test
+    void orderOfTheListDoesNotMatter() {
+        for (int i = 0; i < 100; i++) {
+            Call one = new ReplicaSelector("node-" + i, FOUR, new SplittableRandom(1)).first();
+            List<String> other = List.of(FOUR.get(2), FOUR.get(0), FOUR.get(3), FOUR.get(1));
+            Call two = new ReplicaSelector("node-" + i, other, new SplittableRandom(2)).first();
+            assertEquals(FOUR.get(one.replica()), other.get(two.replica()));
+        }
+    }
+
+    /**
+     * Whatever replicas do, in any order: the call is for one of them and in bounded time, at most one probe goes out in 2 s, and one in
+     * succession, and as soon as all answer fresh the client waits at one.
+     */
+    @Property(tries = 300)
+    void anyOutcomesKeepTheBounds(@ForAll long seed, @ForAll @IntRange(min = 1, max = 9) int replicas,
+            @ForAll @LongRange(min = 1, max = 3_000_000_000L) long longestCall) {
+        Random outcomes = new Random(seed);
+        List<String> addresses = java.util.stream.IntStream.range(0, replicas).mapToObj(i -> "10.0.0." + i + ":80").toList();
+        ReplicaSelector any = new ReplicaSelector("n" + seed, addresses, new SplittableRandom(seed));
+        long time = outcomes.nextLong();
+        long lastProbe = time - 100 * SECOND;
+        Call call = any.first();
+        for (int i = 0; i < 500; i++) {
+            time += call.delay() + outcomes.nextLong(longestCall);
+            boolean probed = call.probe();
+            call = any.next(time, outcome(outcomes));
+            assertTrue(call.replica() >= 0 && call.replica() < replicas);
+            assertTrue(call.delay() >= 0 && call.delay() <= 11 * SECOND, "delay " + call.delay());
+            assertTrue(call.waitMs() == 0 || call.waitMs() == 2000);
+            if (call.probe() && !probed) {
+                assertTrue(time - lastProbe >= 2 * SECOND, "probe after " + (time - lastProbe));
+                lastProbe = time;
+            }
+        }
+        time += call.delay();
+        for (int i = 0; i < 3; i++) {
+            call = any.next(time, FRESH);
+        }
+        assertEquals(2000, call.waitMs());
+        assertEquals(0, any.failures());
+    }
+
+    private static Outcome outcome(Random random) {
+        return switch (random.nextInt(6)) {
+            case 0 -> new Failed();
+            case 1 -> new Behind();
+            case 2 -> new Busy(random.nextInt(5) == 0 ? random.nextLong() : random.nextInt(20));
+            case 3 -> STALE;
+            case 4 -> new Answered(random.nextLong(), random.nextInt(3) == 0);
+            default -> FRESH;
+        };
+    }
+}
