Discovery: its HTTP client is a class of its own, for other watches to use

Need: following the configuration of control processes takes the same client: one GET at a time over a kept connection, with bounds for the connection, the first byte, a stall and the whole answer.

The client moves from Discovery to watch.WatchCall; what to ask, what an answer means and when to call again stay in Discovery. No change of behaviour but one log text ("the answer stalls" for "the list stalls"). The platform's start loads two classes more (WatchCall and its listener); the inner ones move along.

--- a/src/main/java/onyxpaddle/membership/Discovery.java
+++ b/src/main/java/onyxpaddle/membership/Discovery.java
@@ -1,26 +1,9 @@
 package onyxpaddle.membership;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -29,6 +12,7 @@
 import java.util.function.Consumer;
 import onyxpaddle.node.Log;
 import onyxpaddle.node.Roster;
+import onyxpaddle.watch.WatchCall;
 
 /**
  * Keeps the list of servers up to date: one call at a time, each a watch from the version held, the next at once
@@ -36,32 +20,21 @@
  * told soon after its wait. Where lists are pushed it goes on by itself; where discovery is asked it calls when
  * the module subscribes, and tells it when that failed.
  */
-public final class Discovery {
-    /** How long an answer that has begun may bring nothing, and how long it may take from then on; {@link ListWatch} bounds the whole. */
-    private static final int STALL_MS = 400;
-    private static final int LONGEST_ANSWER_MS = 1500;
-    private static final int CONNECT_MS = 500;
+public final class Discovery implements WatchCall.Listener {
     /** Some 10,000 servers, indented and with long names. It bounds what an answer without end can make the node hold. */
     private static final int LARGEST_ANSWER = 8 << 20;
     /** Between calls that tell nothing and come back at once; within the 200 ms that a watch goes on. */
     private static final int PAUSE_MS = 100;
 
     private final EventLoop loop;
-    private final Bootstrap bootstrap;
-    private final String host;
+    private final WatchCall calls;
     private final boolean asked;
     private final Consumer<Roster> onList;
     private final Runnable onRefused;
-    private Channel channel;
-    private Future<?> timeout;
     private Future<?> nextCall;
     private boolean calling;
     private boolean stopped;
     private long calledAt;
-    /** When the first byte of the answer at hand came; 0 before. */
-    private long beganAt;
-    /** When the answer at hand has to be whole. */
-    private long wholeBy;
     private final ListWatch watch;
 
     /**
@@ -75,19 +48,7 @@
         this.watch = new ListWatch(asked, seq, holdsAny, ThreadLocalRandom.current());
         this.onList = onList;
         this.onRefused = onRefused;
-        host = address.getAddress().getHostAddress() + ":" + address.getPort();
-        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-            .option(ChannelOption.ALLOCATOR, allocator)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
-            .remoteAddress(address)
-            .handler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel ch) {
-                    ch.pipeline().addLast(new Progress(), new HttpClientCodec(), new HttpObjectAggregator(LARGEST_ANSWER),
-                        new Answers());
-                }
-            });
+        calls = new WatchCall(loop, allocator, address, LARGEST_ANSWER, this);
     }
 
     public void start() {
@@ -109,14 +70,10 @@
     public void stop() {
         stopped = true;
         calling = false;
-        stopTimeout();
         if (nextCall != null) {
             nextCall.cancel(false);
         }
-        if (channel != null) {
-            channel.close();
-            channel = null;
-        }
+        calls.drop();
     }
 
     /** The module asks for changes from now on. */
@@ -132,49 +89,15 @@
         }
         calling = true;
         calledAt = System.nanoTime();
-        if (channel != null && channel.isActive()) {
-            write();
-            return;
-        }
-        ChannelFuture dial = bootstrap.connect();
-        channel = dial.channel();
-        dial.addListener(f -> {
-            if (channel != dial.channel()) {
-                dial.channel().close();
-            } else if (f.isSuccess()) {
-                write();
-            } else {
-                failed(dial.channel(), "cannot connect", true);
-            }
-        });
-    }
-
-    private void write() {
         String uri = "/v1/endpoints" + (watch.asksForAll() ? "" : "?after=" + watch.seq() + "&wait_ms=" + watch.waitMs());
-        DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri,
-            Unpooled.EMPTY_BUFFER);
-        request.headers().set(HttpHeaderNames.HOST, host);
-        Channel on = channel;
-        beganAt = 0;
-        long now = System.nanoTime();
-        wholeBy = now + TimeUnit.MILLISECONDS.toNanos(watch.wholeByMs());
-        timeout = loop.schedule(() -> failed(on, "no answer"), watch.patienceMs(), TimeUnit.MILLISECONDS);
-        on.writeAndFlush(request);
-    }
-
-    private void failed(Channel on, String why) {
-        failed(on, why, false);
+        calls.call(uri, watch.patienceMs(), watch.wholeByMs());
     }
 
     /** Ends a call that brought nothing; what is held stays valid. {@code turnedAway}: discovery has too much to do. */
-    private void failed(Channel on, String why, boolean turnedAway) {
-        if (!calling || on != channel) {
-            return;
-        }
+    @Override
+    public void failed(String why, boolean turnedAway) {
         calling = false;
-        stopTimeout();
-        channel = null;
-        on.close();
+        calls.drop();
         if (watch.failures() == 0) {
             Log.line("discovery: " + why);
         }
@@ -191,20 +114,10 @@
         nextCall = loop.schedule(this::call, millis, TimeUnit.MILLISECONDS);
     }
 
-    private void stopTimeout() {
-        if (timeout != null) {
-            timeout.cancel(false);
-            timeout = null;
-        }
-    }
-
-    private void answered(Channel on, FullHttpResponse response) {
-        if (!calling || on != channel || timeout == null) {
-            on.close();
-            return;
-        }
-        if (response.status().code() != 200 || response.decoderResult().isFailure()) {
-            failed(on, "answered " + response.status().code(), response.status().code() != 200);
+    @Override
+    public void answered(FullHttpResponse response) {
+        if (response.status().code() != 200) {
+            failed("answered " + response.status().code(), true);
             return;
         }
         Roster roster;
@@ -212,65 +125,21 @@
             roster = RosterJson.parse(ByteBufUtil.getBytes(response.content()));
         } catch (IOException e) {
             watch.unreadable();
-            failed(on, "not a list");
+            failed("not a list", false);
             return;
         }
         int failures = watch.failures();
         String fault = watch.judge(roster.whole(), roster.seq(), roster.hosts().isEmpty());
         if (fault != null) {
-            failed(on, fault);
+            failed(fault, false);
             return;
         }
-        stopTimeout();
         if (failures > 0) {
             Log.line("discovery: answers again after " + failures + " failed calls");
         }
-        if (!HttpUtil.isKeepAlive(response)) {
-            channel = null;
-            on.close();
-        }
         onList.accept(roster);
         boolean idle = roster.hosts().isEmpty()
             && System.nanoTime() - calledAt < TimeUnit.MILLISECONDS.toNanos(PAUSE_MS);
         later(idle ? PAUSE_MS : 0);
     }
-
-    /**
-     * Watches bytes as they come. Guards against an answer that begins and stalls, which would be waited for while what it
-     * tells counts as told; should cover one that trickles, too. It does harm where a sound discovery pauses that long.
-     */
-    private final class Progress extends ChannelInboundHandlerAdapter {
-        @Override
-        public void channelRead(ChannelHandlerContext context, Object message) {
-            if (timeout != null && context.channel() == channel) {
-                long now = System.nanoTime();
-                beganAt = beganAt == 0 ? now : beganAt;
-                long left = Math.min(LONGEST_ANSWER_MS - TimeUnit.NANOSECONDS.toMillis(now - beganAt),
-                    TimeUnit.NANOSECONDS.toMillis(wholeBy - now));
-                stopTimeout();
-                timeout = loop.schedule(() -> failed(context.channel(), "the list stalls"), Math.max(0, Math.min(STALL_MS, left)),
-                    TimeUnit.MILLISECONDS);
-            }
-            context.fireChannelRead(message);
-        }
-    }
-
-    private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
-        @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-            answered(context.channel(), response);
-        }
-
-        @Override
-        public void channelInactive(ChannelHandlerContext context) {
-            if (timeout != null) {
-                failed(context.channel(), "connection broke");
-            }
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            context.close();
-        }
-    }
 }
