--- a/src/main/java/onyxpaddle/config/Value.java
+++ b/src/main/java/onyxpaddle/config/Value.java
@@ -12,7 +12,7 @@
     /** Text as it stands in the file; {@code quoted} text is never a number, a span or a word of the format. */
     record Scalar(Place place, String path, String text, boolean quoted) implements Value {
         /** Whether it is there but says nothing, such as {@code limits:} with nothing below. */
-        boolean blank() {
+        public boolean blank() {
             return !quoted && (text.isEmpty() || text.equals("~") || text.equals("null"));
         }
     }
--- a/src/test/java/onyxpaddle/PackageRulesTest.java
+++ b/src/test/java/onyxpaddle/PackageRulesTest.java
@@ -23,7 +23,7 @@
         "onyxpaddle.node.Tally", "onyxpaddle.front.Attention", "onyxpaddle.membership.ListWatch",
         "onyxpaddle.bgp.Fsm", "onyxpaddle.bgp.Peering", "onyxpaddle.bgp.ServiceHealth", "onyxpaddle.bgp.AnnouncePolicy", "onyxpaddle.bgp.Prefix",
         "onyxpaddle.rpc.CallTable", "onyxpaddle.rpc.ConnectionChoice",
-        "onyxpaddle.distribution.ReplicaSelector");
+        "onyxpaddle.distribution.ReplicaSelector", "onyxpaddle.distribution.ConfigurationOverlay");
 
     private static final DescribedPredicate<JavaClass> DECIDES = DescribedPredicate.describe("decide",
         c -> DECIDERS.stream().anyMatch(name -> c.getName().equals(name) || c.getName().startsWith(name + "$"))
