--- a/src/main/java/onyxpaddle/command/Lupinmount.java
+++ b/src/main/java/onyxpaddle/command/Lupinmount.java
@@ -2,9 +2,11 @@
 
 import java.io.PrintWriter;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.Callable;
 import onyxpaddle.config.HostPort;
 import onyxpaddle.measure.Measure;
+import onyxpaddle.serve.DistributedNode;
 import onyxpaddle.serve.Sidecar;
 import onyxpaddle.sidecar.CommandRun;
 import onyxpaddle.sidecar.RpcCommand;
@@ -14,6 +16,7 @@
 import picocli.CommandLine.IVersionProvider;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Spec;
 
 /** All of the program's commands, in one tree. The platform's {@code serve} and the simulator's adapter don't come by here. */
@@ -46,8 +49,13 @@
     /** Runs a node by a file; without one, as the platform's environment says. */
     @Command(name = "serve", mixinStandardHelpOptions = true, description = {"Runs a node until SIGTERM; SIGHUP reads the file again.",
         "Without --config it is told by GW_CONFIG and the other variables of its platform."},
-        footer = "%nExample: lupinmount serve --config /tmp/nodes/booking.yaml --admin 127.0.0.1:9801")
+        footer = {"%nExamples: lupinmount serve --config /tmp/nodes/booking.yaml --admin 127.0.0.1:9801",
+            "          lupinmount serve --config /tmp/nodes/booking.yaml --control 127.0.0.1:8200,127.0.0.1:8201 --service booking"
+                + " --state /tmp/state"})
     static final class Serve implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+
         @Option(names = "--config", required = true, paramLabel = "FILE", description = "the node's configuration")
         private Path file;
 
@@ -55,9 +63,28 @@
             description = "where operators call, in place of the file's: for a second process beside the first")
         private HostPort admin;
 
+        @Option(names = "--control", split = ",", paramLabel = "ADDRESS", converter = Door.Address.class,
+            description = "control processes whose entries are laid over the file; any number, separated by commas")
+        private List<HostPort> control;
+
+        @Option(names = "--service", paramLabel = "NAME", defaultValue = "",
+            description = "the service beside which this node runs, whose entries concern it; with --control")
+        private String service;
+
+        @Option(names = "--state", paramLabel = "DIR",
+            description = "where the entries in force are kept for a start without any control process; with --control")
+        private Path state;
+
         @Override
         public Integer call() {
-            Sidecar.main(file, admin);
+            if (control == null) {
+                if (!service.isEmpty() || state != null) {
+                    throw new ParameterException(spec.commandLine(), "--service and --state belong to --control, which is missing");
+                }
+                Sidecar.main(file, admin);
+            } else {
+                DistributedNode.main(file, admin, control, service, state);
+            }
             return -1;
         }
     }
--- a/src/main/java/onyxpaddle/serve/Sidecar.java
+++ b/src/main/java/onyxpaddle/serve/Sidecar.java
@@ -192,6 +192,11 @@
         });
     }
 
+    /** Counts a change that came by another way than {@link #reload}. */
+    void reloaded(boolean taken) {
+        loop.execute(() -> life.reloaded(taken));
+    }
+
     /**
      * Moves to a configuration. What comes is null once it is in force, or why nothing was changed. Of several that
      * come while one is under way, the newest alone is followed up; the others are done when it is.
--- /dev/null
+++ b/src/test/java/onyxpaddle/serve/HollowNode.java
@@ -0,0 +1,103 @@
+package onyxpaddle.serve;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.nio.file.Path;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.stream.Stream;
+import onyxpaddle.config.Faults;
+import onyxpaddle.config.MachineLimits;
+import onyxpaddle.config.NodeConfig;
+import onyxpaddle.config.SourceFile;
+import onyxpaddle.config.Value;
+import onyxpaddle.distribution.FakeReplica;
+import onyxpaddle.distribution.Interest;
+import onyxpaddle.node.Sockets;
+
+/** A node without a data path: it notes the configurations that come. */
+final class HollowNode implements AutoCloseable {
+    static final String BASE = """
+        version: 1
+        name: n1
+        listeners:
+          in: {address: "127.0.0.1:8080"}
+        classes:
+          look: {effect: safe, deadline: 5 s}
+        pools:
+          app: {servers: ["127.0.0.1:7001"], attempts: 2}
+        routes:
+          - {name: look, listener: in, path: /, pool: app, class: look}
+        """;
+
+    final List<NodeConfig> applied = new CopyOnWriteArrayList<>();
+    final DistributedConfiguration configuration;
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final ExecutorService worker = Executors.newSingleThreadExecutor();
+    private volatile CompletableFuture<String> held;
+
+    /** {@code state}: where it keeps entries; null for nowhere. */
+    HollowNode(Path state, FakeReplica... replicas) {
+        this(state, Stream.of(replicas).map(FakeReplica::address).toList());
+    }
+
+    HollowNode(Path state, List<InetSocketAddress> replicas) {
+        this(BASE, state, replicas);
+    }
+
+    HollowNode(String base, Path state, List<InetSocketAddress> replicas) {
+        configuration = new DistributedConfiguration(
+            new DistributedConfiguration.Origin(new Interest("n1", "booking"), parsed(base), Path.of("."), MachineLimits.UNKNOWN, state),
+            new DistributedConfiguration.Control(group.next(), Sockets.allocator(), replicas), worker, this::apply);
+    }
+
+    static Value parsed(String text) {
+        Faults faults = new Faults();
+        Value value = SourceFile.parse("node.yaml", text, faults);
+        if (faults.any()) {
+            throw new IllegalArgumentException(faults.list().toString());
+        }
+        return value;
+    }
+
+    private CompletableFuture<String> apply(NodeConfig config) {
+        applied.add(config);
+        CompletableFuture<String> outcome = held == null ? CompletableFuture.completedFuture(null) : held;
+        held = null;
+        return outcome;
+    }
+
+    /** The next configuration comes into force, or not, as this says. */
+    CompletableFuture<String> hold() {
+        held = new CompletableFuture<>();
+        return held;
+    }
+
+    CompletableFuture<Void> start() {
+        return configuration.start();
+    }
+
+    /** Of the pool `app`, as configurations came. */
+    List<Integer> attempts() {
+        return applied.stream().map(config -> config.pools().get("app").attempts()).toList();
+    }
+
+    void awaitAttempts(int attempts) throws InterruptedException {
+        Loopback.await(() -> {
+            List<Integer> all = attempts();
+            return !all.isEmpty() && all.get(all.size() - 1) == attempts;
+        });
+    }
+
+    @Override
+    public void close() throws Exception {
+        configuration.stop();
+        group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS).sync();
+        worker.shutdown();
+        worker.awaitTermination(20, java.util.concurrent.TimeUnit.SECONDS);
+    }
+}
