--- a/src/test/java/onyxpaddle/serve/DistributedConfigurationTest.java
+++ b/src/test/java/onyxpaddle/serve/DistributedConfigurationTest.java
@@ -116,6 +116,23 @@
         }
     }
 
+    /** Whatever comes back at once, answers are followed by at most four calls a second: seven further calls take 1.75 s. */
+    @Test
+    void callsAfterAnswersAreSpaced() throws Exception {
+        try (FakeReplica replica = new FakeReplica(); HollowNode node = new HollowNode(null, replica)) {
+            String nothing = FakeReplica.ok(new Update(version(1, 0), false, false, List.of(), 0));
+            String whole = FakeReplica.ok(replica.table().whole(new Interest("n1", "booking"), 0));
+            replica.answers(whole, nothing, nothing, nothing, nothing, nothing, nothing, nothing);
+            long start = System.nanoTime();
+            node.start();
+            for (int i = 0; i < 8; i++) {
+                replica.calls.take();
+            }
+            long took = System.nanoTime() - start;
+            assertTrue(took >= TimeUnit.MILLISECONDS.toNanos(1700), "eight calls in " + took / 1e9 + " s");
+        }
+    }
+
     // ---- what is broken ----
 
     @ParameterizedTest
