The control process: serves, follows and publishes configuration; its commands

Need: all nodes are to have a change of configuration in force within 8 s, and operators are to see where it is.

--- /dev/null
+++ b/src/main/java/onyxpaddle/control/ChangeJson.java
@@ -0,0 +1,162 @@
+package onyxpaddle.control;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import onyxpaddle.distribution.ConfigurationTable.Change;
+import onyxpaddle.distribution.ConfigurationVersion;
+import onyxpaddle.distribution.Entry;
+import onyxpaddle.distribution.EntryKey;
+
+/** Changes as JSON: {@code {"base":"1.7","changes":[{"key":"fleet/routes","value":"…"}]}}; a null value removes the entry. */
+public final class ChangeJson {
+    /** The most bytes of the changes of one version. */
+    public static final int MOST_BYTES = 2 << 20;
+    private static final int MOST_CHANGES = 10_000;
+    private static final int DEEPEST = 8;
+    private static final JsonFactory JSON = JsonFactory.builder().enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+        .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(DEEPEST).maxStringLength(Entry.LONGEST_VALUE).build())
+        .build();
+
+    private ChangeJson() {
+    }
+
+    public static byte[] write(ChangeRequest request) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (JsonGenerator json = JSON.createGenerator(bytes)) {
+            json.writeStartObject();
+            if (request.base() != null) {
+                json.writeStringField("base", request.base().toString());
+            }
+            json.writeArrayFieldStart("changes");
+            for (Change change : request.changes()) {
+                json.writeStartObject();
+                json.writeStringField("key", change.key().toString());
+                json.writeStringField("value", change.value());
+                json.writeEndObject();
+            }
+            json.writeEndArray();
+            json.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException("writing to memory", e);
+        }
+        return bytes.toByteArray();
+    }
+
+    static ChangeRequest read(byte[] bytes) throws BadRequestException {
+        try (JsonParser parser = JSON.createParser(bytes)) {
+            parser.nextToken();
+            ChangeRequest request = request(parser);
+            if (parser.nextToken() != null) {
+                throw wrong(parser, "more than one document");
+            }
+            return request;
+        } catch (JsonProcessingException e) {
+            throw new BadRequestException("changes: " + e.getOriginalMessage().replaceAll("\\p{Cntrl}", " "));
+        } catch (IOException e) {
+            throw new BadRequestException("changes: " + e.getMessage());
+        }
+    }
+
+    private static ChangeRequest request(JsonParser parser) throws IOException, BadRequestException {
+        ConfigurationVersion base = null;
+        List<Change> changes = List.of();
+        expect(parser, JsonToken.START_OBJECT, "an object");
+        while (parser.nextToken() != JsonToken.END_OBJECT) {
+            String name = parser.currentName();
+            parser.nextToken();
+            switch (name) {
+                case "base" -> base = version(parser);
+                case "changes" -> changes = changes(parser);
+                default -> throw wrong(parser, "a key that is not known; `base` or `changes`");
+            }
+        }
+        if (changes.isEmpty()) {
+            throw wrong(parser, "no changes");
+        }
+        return new ChangeRequest(base, changes);
+    }
+
+    private static List<Change> changes(JsonParser parser) throws IOException, BadRequestException {
+        List<Change> changes = new ArrayList<>();
+        Set<EntryKey> keys = new HashSet<>();
+        expect(parser, JsonToken.START_ARRAY, "a list");
+        while (parser.nextToken() != JsonToken.END_ARRAY) {
+            Change change = change(parser);
+            if (!keys.add(change.key())) {
+                throw wrong(parser, change.key() + " stands twice");
+            }
+            if (changes.size() == MOST_CHANGES) {
+                throw wrong(parser, "more than " + MOST_CHANGES + " changes");
+            }
+            changes.add(change);
+        }
+        return changes;
+    }
+
+    private static Change change(JsonParser parser) throws IOException, BadRequestException {
+        EntryKey key = null;
+        boolean valued = false;
+        String value = null;
+        expect(parser, JsonToken.START_OBJECT, "an object");
+        while (parser.nextToken() != JsonToken.END_OBJECT) {
+            String name = parser.currentName();
+            parser.nextToken();
+            switch (name) {
+                case "key" -> key = key(parser);
+                case "value" -> {
+                    valued = true;
+                    value = parser.currentToken() == JsonToken.VALUE_NULL ? null : text(parser);
+                }
+                default -> throw wrong(parser, "a key that is not known; `key` or `value`");
+            }
+        }
+        if (key == null || !valued) {
+            throw wrong(parser, (key == null ? "`key`" : "`value`") + " is missing");
+        }
+        return new Change(key, value);
+    }
+
+    private static EntryKey key(JsonParser parser) throws IOException, BadRequestException {
+        try {
+            return EntryKey.parse(text(parser));
+        } catch (IllegalArgumentException e) {
+            throw wrong(parser, e.getMessage());
+        }
+    }
+
+    private static ConfigurationVersion version(JsonParser parser) throws IOException, BadRequestException {
+        try {
+            return ConfigurationVersion.parse(text(parser));
+        } catch (IllegalArgumentException e) {
+            throw wrong(parser, e.getMessage());
+        }
+    }
+
+    private static String text(JsonParser parser) throws IOException, BadRequestException {
+        expect(parser, JsonToken.VALUE_STRING, "a text");
+        return parser.getText();
+    }
+
+    private static void expect(JsonParser parser, JsonToken token, String told) throws BadRequestException {
+        if (parser.currentToken() != token) {
+            throw wrong(parser, "expected " + told);
+        }
+    }
+
+    private static BadRequestException wrong(JsonParser parser, String wrong) {
+        return new BadRequestException("changes:" + parser.currentLocation().getLineNr() + ":"
+            + parser.currentLocation().getColumnNr() + ": " + parser.getParsingContext().pathAsPointer() + ": " + wrong);
+    }
+}
--- /dev/null
+++ b/src/main/java/onyxpaddle/control/StateStore.java
@@ -0,0 +1,76 @@
+package onyxpaddle.control;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import onyxpaddle.distribution.ConfigurationTable;
+import onyxpaddle.distribution.Interest;
+import onyxpaddle.distribution.MalformedUpdateException;
+import onyxpaddle.distribution.SnapshotFile;
+import onyxpaddle.distribution.SnapshotFile.FellBack;
+import onyxpaddle.distribution.SnapshotFile.Found;
+import onyxpaddle.distribution.SnapshotFile.Sound;
+import onyxpaddle.distribution.SnapshotFile.Torn;
+import onyxpaddle.distribution.UpdateJson;
+
+/** A control process's state on disk: its table, and the highest epoch that it has seen. One thread at a time; waits for the disk. */
+final class StateStore {
+    /**
+     * What was found.
+     *
+     * @param table {@code EMPTY} for none
+     * @param epoch the highest that was seen; 0 for none
+     * @param damage what can't be read; null where all can
+     */
+    record Loaded(ConfigurationTable table, long epoch, String damage) {
+    }
+
+    private final SnapshotFile tables;
+    private final SnapshotFile epochs;
+
+    StateStore(Path folder) {
+        tables = new SnapshotFile(folder, "configuration");
+        epochs = new SnapshotFile(folder, "epoch");
+    }
+
+    Loaded load() {
+        Found table = tables.read();
+        Found epoch = epochs.read();
+        String damage = damage(table) != null ? damage(table) : damage(epoch);
+        try {
+            byte[] text = bytes(epoch);
+            return new Loaded(table(bytes(table)), text == null ? 0 : Long.parseLong(new String(text, StandardCharsets.US_ASCII)), damage);
+        } catch (MalformedUpdateException | NumberFormatException e) {
+            return new Loaded(ConfigurationTable.EMPTY, 0, "the state on disk can't be read: " + e.getMessage());
+        }
+    }
+
+    private static ConfigurationTable table(byte[] bytes) throws MalformedUpdateException {
+        return bytes == null ? ConfigurationTable.EMPTY : ConfigurationTable.EMPTY.apply(UpdateJson.read(bytes)).table();
+    }
+
+    private static byte[] bytes(Found found) {
+        return found instanceof Sound sound ? sound.bytes() : found instanceof FellBack back ? back.bytes() : null;
+    }
+
+    private static String damage(Found found) {
+        return found instanceof FellBack back ? back.damage() : found instanceof Torn torn ? torn.damage() : null;
+    }
+
+    /** The bytes of a table as they are kept; more than {@link UpdateJson#MOST_BYTES} can't be read again. */
+    static byte[] encoded(ConfigurationTable table) {
+        return UpdateJson.write(table.whole(Interest.ALL, 0));
+    }
+
+    void write(ConfigurationTable table) throws IOException {
+        byte[] bytes = encoded(table);
+        if (bytes.length > UpdateJson.MOST_BYTES) {
+            throw new IOException("the configuration has " + bytes.length + " bytes; at most " + UpdateJson.MOST_BYTES + " are kept");
+        }
+        tables.write(bytes);
+    }
+
+    void writeEpoch(long epoch) throws IOException {
+        epochs.write(Long.toString(epoch).getBytes(StandardCharsets.US_ASCII));
+    }
+}
--- a/src/test/java/onyxpaddle/PackageRulesTest.java
+++ b/src/test/java/onyxpaddle/PackageRulesTest.java
@@ -23,6 +23,10 @@
         "onyxpaddle.node.Tally", "onyxpaddle.front.Attention", "onyxpaddle.membership.ListWatch",
         "onyxpaddle.bgp.Fsm", "onyxpaddle.bgp.Peering", "onyxpaddle.bgp.ServiceHealth", "onyxpaddle.bgp.AnnouncePolicy", "onyxpaddle.bgp.Prefix",
         "onyxpaddle.rpc.CallTable", "onyxpaddle.rpc.ConnectionChoice",
+        "onyxpaddle.distribution.ConfigurationTable", "onyxpaddle.distribution.WholeAnswerPacer", "onyxpaddle.distribution.PublisherFence",
+        "onyxpaddle.distribution.UpdatePages", "onyxpaddle.distribution.UpdateAssembly", "onyxpaddle.distribution.ConfigurationVersion",
+        "onyxpaddle.distribution.EntryKey", "onyxpaddle.distribution.Interest", "onyxpaddle.distribution.History",
+        "onyxpaddle.control.Telling", "onyxpaddle.control.Reports", "onyxpaddle.control.FleetStatus",
         "onyxpaddle.distribution.ReplicaSelector", "onyxpaddle.distribution.ConfigurationOverlay");
 
     private static final DescribedPredicate<JavaClass> DECIDES = DescribedPredicate.describe("decide",
@@ -62,6 +66,15 @@
             .orShould().dependOnClassesThat().haveFullyQualifiedName("java.time.Clock").check(ALL);
     }
 
+    @Test
+    void nodesKnowNoControlProcess() {
+        noClasses().that().resideOutsideOfPackages("onyxpaddle.control..", "onyxpaddle.command..").should().dependOnClassesThat()
+            .resideInAPackage("onyxpaddle.control..").check(ALL);
+        classes().that().resideInAPackage("onyxpaddle.control").should().onlyDependOnClassesThat(
+            resideInAPackage("onyxpaddle.control").or(resideInAPackage("onyxpaddle.distribution")).or(resideInAPackage("onyxpaddle.config"))
+                .or(resideInAPackage("onyxpaddle.node")).or(DescribedPredicate.not(resideInAPackage("onyxpaddle..")))).check(ALL);
+    }
+
     @Test
     void noPackagesKnowEachOther() {
         slices().matching("onyxpaddle.(*)..").should().beFreeOfCycles().check(ALL);
