A pool that goes keeps its request for as long as the test wants

Its server answered after 300 ms, within which the change had to be made, another request served and the pools counted: on a busy machine the answer came first, and none was ending any more. The server now holds its answer until that has been seen. Seen to fail where pools are let go of with requests out.

--- a/src/test/java/onyxpaddle/serve/SidecarReloadTest.java
+++ b/src/test/java/onyxpaddle/serve/SidecarReloadTest.java
@@ -94,7 +94,7 @@
 
     @Test
     void poolThatGoesWithRequestsInFlightStillAnswersThem() throws Exception {
-        try (StandInServer old = new StandInServer("old", 0).delay(300, 0);
+        try (StandInServer old = new StandInServer("old", 0).held(true);
                 StandInServer next = new StandInServer("next", 0); SidecarRig rig = new SidecarRig(SidecarRig.simple("", old));
                 Client kept = new Client(rig.node.address("in"))) {
             kept.say("POST /visits HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx");
@@ -103,6 +103,7 @@
             assertNull(rig.node.change(SidecarRig.config(other)).get(PATIENCE_S, TimeUnit.SECONDS));
             assertEquals("next POST /visits 1 bytes\n", rig.post("/visits", "y").body());
             assertEquals(1, rig.node.stillEnding());
+            old.held(false);
             assertEquals("200 old POST /visits 1 bytes\n", kept.hear());
             await(() -> rig.node.stillEnding() == 0);
         }
