--- a/src/test/java/onyxpaddle/distribution/ReplicaSelectorTest.java
+++ b/src/test/java/onyxpaddle/distribution/ReplicaSelectorTest.java
@@ -95,13 +95,18 @@
     /** The replica that gave a time is left alone until then, as long as there are others. */
     @Test
     void retryAfterIsKept() {
-        Call first = selector.first();
-        Call call = after(first, new Busy(3));
-        long until = now + 3 * SECOND;
-        while (until - now - call.delay() > SECOND) {
-            assertNotEquals(first.replica(), call.replica());
-            call = after(call, new Failed());
+        ReplicaSelector two = new ReplicaSelector("node-1", FOUR.subList(0, 2), new SplittableRandom(7));
+        int busy = two.first().replica();
+        Call call = two.next(now, new Busy(8));
+        long until = now + 8 * SECOND;
+        int calls = 0;
+        while (until - now - call.delay() > 0) {
+            assertNotEquals(busy, call.replica());
+            now += call.delay();
+            call = two.next(now, new Failed());
+            calls++;
         }
+        assertTrue(calls >= 3, calls + " calls at the other one");
     }
 
     @Test
