Relays and links of the drill can be used by other tests of processes

Cause: tests of processes outside the drill need the same relays, with cuts of their own kinds. Change: Relay and Link are public, Link can be extended, each public item says what it is. No behaviour changes.

--- a/src/main/java/onyxpaddle/drill/Link.java
+++ b/src/main/java/onyxpaddle/drill/Link.java
@@ -4,7 +4,7 @@
 import onyxpaddle.drill.Drill.Cut;
 
 /** What the links from the nodes of one site to the boxes of another do now. Read by relays, set by the schedule. */
-final class Link {
+public class Link {
     private volatile Cut cut;
     private volatile double size;
 
@@ -18,7 +18,7 @@
     }
 
     /** Whether bytes of that direction are held back now. */
-    boolean holds(boolean toBox) {
+    public boolean holds(boolean toBox) {
         Cut now = cut;
         return now == Cut.SILENT || now == Cut.SILENT_THEN_RESET || now == Cut.ONE_WAY && toBox;
     }
@@ -32,8 +32,8 @@
         return cut != Cut.DELAYED ? 0 : (long) (size * 1e6 * (1 + ThreadLocalRandom.current().nextDouble() / 2));
     }
 
-    /** How long so many bytes take, in nanoseconds. */
-    long takes(int bytes) {
+    /** How long so many bytes take, in nanoseconds; asked once for each piece that comes, in either direction. */
+    public long takes(int bytes) {
         return cut != Cut.SLOW ? 0 : (long) (bytes / (size * 1024) * 1e9);
     }
 }
--- a/src/main/java/onyxpaddle/drill/Relay.java
+++ b/src/main/java/onyxpaddle/drill/Relay.java
@@ -29,7 +29,7 @@
  * <p>A silent link takes new connections all the same, as loopback can't be made to drop their first packet: to a node they
  * come up and stay silent.
  */
-final class Relay implements AutoCloseable {
+public final class Relay implements AutoCloseable {
     private static final int MOST_HELD = 1 << 20;
     private static final long LOOK_MS = 2;
 
@@ -42,8 +42,16 @@
     private final Channel listener;
     private final Set<Channel> open = new LinkedHashSet<>();
 
-    /** {@code box}: where it listens now, null where it doesn't. */
-    Relay(EventLoop loop, Link link, String node, Supplier<InetSocketAddress> box, Map<SocketAddress, String> callers) throws InterruptedException {
+    /**
+     * Listens from now on.
+     *
+     * @param link what the way does now, asked by {@code loop} for each piece
+     * @param node who comes by it
+     * @param box where it listens now, null where it doesn't
+     * @param callers gets the address that each connection to the box comes from, for as long as it is open; safe for several threads
+     */
+    public Relay(EventLoop loop, Link link, String node, Supplier<InetSocketAddress> box, Map<SocketAddress, String> callers)
+            throws InterruptedException {
         this.loop = loop;
         this.link = link;
         this.node = node;
@@ -60,7 +68,8 @@
             }).bind("127.0.0.1", 0).sync().channel();
     }
 
-    String address() {
+    /** Where it listens, as configurations word it. */
+    public String address() {
         return "127.0.0.1:" + ((InetSocketAddress) listener.localAddress()).getPort();
     }
 
@@ -102,7 +111,7 @@
     }
 
     /** Ends all its connections by a reset. */
-    void reset() {
+    public void reset() {
         loop.execute(() -> List.copyOf(open).forEach(Relay::reset));
     }
 
