A harness of control processes and nodes as built, with links that can be cut

Need: the hard cases of configuration distribution are to be shown by processes, not by objects in one JVM.

--- /dev/null
+++ b/src/test/java/onyxpaddle/control/ControlFleet.java
@@ -0,0 +1,101 @@
+package onyxpaddle.control;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** Control processes and nodes of the program as built, with a link for each that calls another. All end with it, by their ids. */
+final class ControlFleet implements AutoCloseable {
+    /** Who calls, and what it calls. */
+    private record Way(ControlProcess from, ControlProcess to) {
+    }
+
+    private final Path folder;
+    private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EchoServer backend = new EchoServer();
+    private final List<ControlProcess> controls = new ArrayList<>();
+    private final List<ConfiguredNode> nodes = new ArrayList<>();
+    private final Map<Way, CuttableLink> between = new LinkedHashMap<>();
+
+    ControlFleet(Path folder) throws IOException {
+        this.folder = folder;
+    }
+
+    /** A control machine; nothing runs there yet. */
+    ControlProcess machine(String name) throws IOException {
+        ControlProcess control = new ControlProcess(name, folder.resolve(name));
+        controls.add(control);
+        return control;
+    }
+
+    /** Starts a replica that follows these, each over a link that later starts use too. */
+    ControlProcess startReplica(ControlProcess replica, ControlProcess... follows) throws Exception {
+        List<String> addresses = new ArrayList<>();
+        for (ControlProcess followed : follows) {
+            Way way = new Way(replica, followed);
+            if (!between.containsKey(way)) {
+                between.put(way, new CuttableLink(loops.next(), replica.name(), followed.address()));
+            }
+            addresses.add(between.get(way).address());
+        }
+        return replica.startReplica(addresses);
+    }
+
+    /** The link by which a replica follows another control process. */
+    CuttableLink link(ControlProcess from, ControlProcess to) {
+        return between.get(new Way(from, to));
+    }
+
+    /** Starts a node that these tell, each over a link of its own. */
+    ConfiguredNode startNode(String name, ControlProcess... told) throws Exception {
+        ConfiguredNode node = new ConfiguredNode(name, folder.resolve(name), backend);
+        nodes.add(node);
+        for (ControlProcess control : told) {
+            node.addLink(control, new CuttableLink(loops.next(), name, control.address()));
+        }
+        return node.start();
+    }
+
+    List<ConfiguredNode> nodes() {
+        return List.copyOf(nodes);
+    }
+
+    /** Waits until all nodes have the routes to that path in force; returns after how many milliseconds the last one had them. */
+    long awaitInForce(String path) throws InterruptedException {
+        long begin = System.nanoTime();
+        for (ConfiguredNode node : nodes) {
+            node.awaitInForce(path);
+        }
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begin);
+    }
+
+    /** Delivers all that is held between any two. */
+    void heal() {
+        between.values().forEach(CuttableLink::heal);
+        nodes.forEach(node -> node.links().forEach(CuttableLink::heal));
+    }
+
+    @Override
+    public void close() {
+        try {
+            for (ConfiguredNode node : nodes) {
+                node.end();
+            }
+            for (ControlProcess control : controls) {
+                control.end();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            between.values().forEach(CuttableLink::close);
+            backend.close();
+            loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/onyxpaddle/control/ControlProcess.java
@@ -0,0 +1,144 @@
+package onyxpaddle.control;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import onyxpaddle.distribution.ConfigurationVersion;
+import onyxpaddle.distribution.Update;
+import onyxpaddle.distribution.UpdateJson;
+import onyxpaddle.drill.ServeProcess;
+
+/** One control machine: an address, a disk, and the process that runs there now. A later start finds the same address and disk. */
+final class ControlProcess {
+    /** What a process answered. */
+    record Answer(int status, String body) {
+    }
+
+    private static final Duration LONGEST_CALL = Duration.ofSeconds(30);
+    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(LONGEST_CALL).build();
+    private final String name;
+    private final InetSocketAddress address = ServeProcess.freePort();
+    private final Path folder;
+    private ProgramProcess process;
+
+    /** {@code folder}: where its log and its state lie. */
+    ControlProcess(String name, Path folder) throws IOException {
+        this.name = name;
+        this.folder = Files.createDirectories(folder);
+    }
+
+    String name() {
+        return name;
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    Path state() {
+        return folder.resolve("state");
+    }
+
+    /** Starts it as publisher of the first epoch; {@code follows}: as for a replica, to hear of higher epochs. */
+    ControlProcess startPublisher() throws IOException {
+        return start(List.of("--publisher", "--epoch", "1"));
+    }
+
+    /** Starts it as publisher of that epoch, which goes on from what another process has. */
+    ControlProcess startTakeOver(long epoch, ControlProcess from) throws IOException {
+        return start(List.of("--publisher", "--epoch", Long.toString(epoch), "--take-over-from", ServeProcess.text(from.address)));
+    }
+
+    /** Starts it as a replica; {@code follows}: addresses. */
+    ControlProcess startReplica(List<String> follows) throws IOException {
+        return start(List.of("--follow", String.join(",", follows)));
+    }
+
+    private ControlProcess start(List<String> role) throws IOException {
+        List<String> arguments = new ArrayList<>(List.of("control", "serve", "--listen", ServeProcess.text(address), "--state",
+            state().toString()));
+        arguments.addAll(role);
+        process = ProgramProcess.start(folder.resolve(name + ".log"), arguments);
+        return this;
+    }
+
+    /** Waits until it answers; fails where it ends instead. */
+    ControlProcess awaitAnswering() throws InterruptedException {
+        Await.until(name + " answers", () -> {
+            if (!process.isAlive()) {
+                throw new AssertionError(name + " ended: " + process.log());
+            }
+            return get("/v1/status").status() == 200;
+        }, process::log);
+        return this;
+    }
+
+    ProgramProcess process() {
+        return process;
+    }
+
+    // ---- calls ----
+
+    Answer get(String path) throws IOException, InterruptedException {
+        return call(request(path).GET().build());
+    }
+
+    /** Publishes; the answer comes once it is durable here and {@code acks} replicas have it. */
+    Answer post(Changes changes, int acks) throws IOException, InterruptedException {
+        String query = acks == 0 ? "" : "?acks=" + acks + "&wait_ms=10000";
+        return call(request("/v1/changes" + query).POST(BodyPublishers.ofString(changes.json())).build());
+    }
+
+    private HttpRequest.Builder request(String path) {
+        return HttpRequest.newBuilder(URI.create("http://" + ServeProcess.text(address) + path)).timeout(LONGEST_CALL);
+    }
+
+    private Answer call(HttpRequest request) throws IOException, InterruptedException {
+        HttpResponse<String> response = client.send(request, BodyHandlers.ofString());
+        return new Answer(response.statusCode(), response.body());
+    }
+
+    /** Publishes and returns the version; fails for anything but 200. */
+    ConfigurationVersion publish(Changes changes) throws IOException, InterruptedException {
+        Answer answer = post(changes, 0);
+        if (answer.status() != 200) {
+            throw new AssertionError(name + " answered a sound change: " + answer);
+        }
+        return ControlStatus.versionOf(answer.body());
+    }
+
+    ControlStatus status() throws IOException, InterruptedException {
+        Answer answer = get("/v1/status");
+        if (answer.status() != 200) {
+            throw new IOException(name + " has no status: " + answer);
+        }
+        return ControlStatus.of(answer.body());
+    }
+
+    /** What it tells somebody at that version who is neither a node nor a replica; it is listed as a node of that name. */
+    Update told(ConfigurationVersion after) throws Exception {
+        Answer answer = get("/v1/configuration?node=probe&service=" + Changes.SERVICE + "&epoch=" + after.epoch() + "&after=" + after.number()
+            + "&wait_ms=0");
+        if (answer.status() != 200) {
+            throw new IOException(name + " tells nothing: " + answer);
+        }
+        return UpdateJson.read(answer.body().getBytes(java.nio.charset.StandardCharsets.UTF_8));
+    }
+
+    /** Ends what runs there, if anything does. */
+    void end() throws InterruptedException {
+        if (process != null) {
+            process.kill();
+        }
+    }
+}
