--- a/src/test/java/onyxpaddle/PackageRulesTest.java
+++ b/src/test/java/onyxpaddle/PackageRulesTest.java
@@ -22,7 +22,12 @@
         "onyxpaddle.FlatSettings", "onyxpaddle.ClassUse", "onyxpaddle.Failures", "onyxpaddle.Quota", "onyxpaddle.node.SharedLimit", "onyxpaddle.node.Budget", "onyxpaddle.node.InFlightLimit",
         "onyxpaddle.node.Tally", "onyxpaddle.front.Attention", "onyxpaddle.membership.ListWatch",
         "onyxpaddle.bgp.Fsm", "onyxpaddle.bgp.Peering", "onyxpaddle.bgp.ServiceHealth", "onyxpaddle.bgp.AnnouncePolicy", "onyxpaddle.bgp.Prefix",
-        "onyxpaddle.rpc.CallTable", "onyxpaddle.rpc.ConnectionChoice");
+        "onyxpaddle.rpc.CallTable", "onyxpaddle.rpc.ConnectionChoice",
+        "onyxpaddle.distribution.ConfigurationTable", "onyxpaddle.distribution.WholeAnswerPacer", "onyxpaddle.distribution.PublisherFence",
+        "onyxpaddle.distribution.UpdatePages", "onyxpaddle.distribution.UpdateAssembly", "onyxpaddle.distribution.ConfigurationVersion",
+        "onyxpaddle.distribution.EntryKey", "onyxpaddle.distribution.Interest", "onyxpaddle.distribution.History",
+        "onyxpaddle.control.Telling", "onyxpaddle.control.Reports", "onyxpaddle.control.FleetStatus",
+        "onyxpaddle.distribution.ReplicaSelector", "onyxpaddle.distribution.ConfigurationOverlay");
 
     private static final DescribedPredicate<JavaClass> DECIDES = DescribedPredicate.describe("decide",
         c -> DECIDERS.stream().anyMatch(name -> c.getName().equals(name) || c.getName().startsWith(name + "$"))
@@ -61,6 +66,15 @@
             .orShould().dependOnClassesThat().haveFullyQualifiedName("java.time.Clock").check(ALL);
     }
 
+    @Test
+    void nodesKnowNoControlProcess() {
+        noClasses().that().resideOutsideOfPackages("onyxpaddle.control..", "onyxpaddle.command..").should().dependOnClassesThat()
+            .resideInAPackage("onyxpaddle.control..").check(ALL);
+        classes().that().resideInAPackage("onyxpaddle.control").should().onlyDependOnClassesThat(
+            resideInAPackage("onyxpaddle.control").or(resideInAPackage("onyxpaddle.distribution")).or(resideInAPackage("onyxpaddle.config"))
+                .or(resideInAPackage("onyxpaddle.node")).or(DescribedPredicate.not(resideInAPackage("onyxpaddle..")))).check(ALL);
+    }
+
     @Test
     void noPackagesKnowEachOther() {
         slices().matching("onyxpaddle.(*)..").should().beFreeOfCycles().check(ALL);
