A node names a faulty entry before what follows from it in its own file

Cause: DistributedConfiguration.bringIntoForce reported the first fault by the order of places, and an absolute path of the node's file sorts before an entry's key: of a route to an unknown pool only 'no route leads to this pool' in the node's file was told to control processes. Change: ConfigurationOverlay.entriesFirst, used for the log and the report. Result: ConfigurationChangesIT.aChangeThatOnlyANodeCanSeeIsWrongStaysOutOfForce failed before and passes.

--- a/src/main/java/onyxpaddle/distribution/ConfigurationOverlay.java
+++ b/src/main/java/onyxpaddle/distribution/ConfigurationOverlay.java
@@ -5,6 +5,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import onyxpaddle.config.Fault;
 import onyxpaddle.config.Faults;
 import onyxpaddle.config.Place;
 import onyxpaddle.config.SourceFile;
@@ -45,6 +48,15 @@
         return new Mapping(mapping.place(), mapping.path(), overlay.values, overlay.keys);
     }
 
+    /**
+     * Faults of a tree with entries laid over it, those first that stand in an entry: a fault in the node's own file, such as a
+     * pool that no route leads to, is often but what follows from one.
+     */
+    public static List<Fault> entriesFirst(List<Entry> entries, List<Fault> faults) {
+        Set<String> laid = entries.stream().map(entry -> entry.key().toString()).collect(Collectors.toSet());
+        return faults.stream().sorted(Comparator.comparing(fault -> !laid.contains(fault.place().file()))).toList();
+    }
+
     private void lay(Entry entry) {
         EntryKey key = entry.key();
         Place place = new Place(key.toString(), 1, 1);
--- a/src/main/java/onyxpaddle/serve/DistributedConfiguration.java
+++ b/src/main/java/onyxpaddle/serve/DistributedConfiguration.java
@@ -217,7 +217,8 @@
         NodeConfig config = read(entries, faults);
         if (config == null) {
             Log.line("configuration: " + told(table) + " is refused, as it is at fault:");
-            List<String> why = faults.list().stream().limit(MOST_FAULTS_LOGGED).map(Fault::toString).toList();
+            List<String> why = ConfigurationOverlay.entriesFirst(entries, faults.list()).stream().limit(MOST_FAULTS_LOGGED)
+                .map(Fault::toString).toList();
             why.forEach(Log::line);
             refused(table, entries, why, true);
             proceed();
