A publisher that took over announces its epoch to those it took over from

Cause: only followers and nodes of the new epoch that happened to call the old publisher told it (ControlCalls.configuration); after a parting by resets its replica and node went on with it for more than a minute, as its answers were fresh (ReplicaSelector looks elsewhere only where what it holds is stale, or after 60 to 120 s).

--- a/src/main/java/onyxpaddle/control/ControlProcess.java
+++ b/src/main/java/onyxpaddle/control/ControlProcess.java
@@ -30,6 +30,7 @@
     private ControlCalls calls;
     private ControlServer server;
     private ConfigurationWatch watch;
+    private EpochAnnouncement announcement;
     private boolean closed;
 
     private ControlProcess(ControlSettings settings, FileChannel lock) {
@@ -89,6 +90,9 @@
             watch = new Follower(loop, disk, store, telling, System::nanoTime, calls::news).watch(settings, allocator);
             watch.start();
         }
+        if (!settings.takeOverFrom().isEmpty()) {
+            announcement = new EpochAnnouncement(settings, loop, telling);
+        }
         Log.line("control: " + settings.id() + ", " + (settings.publisher() ? "the publisher of epoch " + settings.epoch() : "a replica")
             + ", at " + address().getHostString() + ":" + address().getPort() + " with version " + telling.version());
     }
@@ -108,6 +112,9 @@
         if (watch != null) {
             watch.stop();
         }
+        if (announcement != null) {
+            announcement.close();
+        }
         if (server != null && server.listening()) {
             server.stopListening();
         }
--- a/src/main/java/onyxpaddle/drill/Link.java
+++ b/src/main/java/onyxpaddle/drill/Link.java
@@ -23,7 +23,8 @@
         return now == Cut.SILENT || now == Cut.SILENT_THEN_RESET || now == Cut.ONE_WAY && toBox;
     }
 
-    boolean refuses() {
+    /** Whether connections are refused now. */
+    public boolean refuses() {
         return cut == Cut.REFUSED;
     }
 
--- a/src/test/java/onyxpaddle/control/ControlDisksIT.java
+++ b/src/test/java/onyxpaddle/control/ControlDisksIT.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.stream.Stream;
 import onyxpaddle.distribution.ConfigurationVersion;
+import onyxpaddle.drill.ServeProcess;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.BeforeEach;
@@ -149,7 +150,7 @@
         assertEquals(78, publisher.process().exitCode());
         assertTrue(publisher.process().log().contains("--take-over-from"), publisher.process().log());
         // As it says: a higher epoch, from what the replica has.
-        publisher.startTakeOver(2, replica).awaitAnswering();
+        publisher.startTakeOver(2, ServeProcess.text(replica.address())).awaitAnswering();
         publisher.publish(next());
         node.awaitInForce(newest());
     }
--- a/src/test/java/onyxpaddle/control/ControlFleet.java
+++ b/src/test/java/onyxpaddle/control/ControlFleet.java
@@ -21,6 +21,7 @@
     private final EchoServer backend = new EchoServer();
     private final List<ControlMachine> controls = new ArrayList<>();
     private final List<ConfiguredNode> nodes = new ArrayList<>();
+    private final List<CuttableLink> further = new ArrayList<>();
     private final Map<Way, CuttableLink> between = new LinkedHashMap<>();
 
     ControlFleet(Path folder) throws IOException {
@@ -47,6 +48,13 @@
         return replica.startReplica(addresses);
     }
 
+    /** A further way to a control process, for one that does not follow it. */
+    CuttableLink linkTo(ControlMachine to) throws InterruptedException {
+        CuttableLink link = new CuttableLink(loops.next(), "other", to.address());
+        further.add(link);
+        return link;
+    }
+
     /** The link by which a replica follows another control process. */
     CuttableLink link(ControlMachine from, ControlMachine to) {
         return between.get(new Way(from, to));
@@ -94,6 +102,7 @@
             Thread.currentThread().interrupt();
         } finally {
             between.values().forEach(CuttableLink::close);
+            further.forEach(CuttableLink::close);
             backend.close();
             loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
         }
--- a/src/test/java/onyxpaddle/control/ControlMachine.java
+++ b/src/test/java/onyxpaddle/control/ControlMachine.java
@@ -62,9 +62,9 @@
         return start(List.of("--publisher", "--epoch", "1"));
     }
 
-    /** Starts it as publisher of that epoch, which goes on from what another process has. */
-    ControlMachine startTakeOver(long epoch, ControlMachine from) throws IOException {
-        return start(List.of("--publisher", "--epoch", Long.toString(epoch), "--take-over-from", ServeProcess.text(from.address)));
+    /** Starts it as publisher of that epoch, which goes on from what other processes have; {@code from}: their addresses. */
+    ControlMachine startTakeOver(long epoch, String... from) throws IOException {
+        return start(List.of("--publisher", "--epoch", Long.toString(epoch), "--take-over-from", String.join(",", from)));
     }
 
     /** Starts it as a replica; {@code follows}: addresses. */
--- a/src/test/java/onyxpaddle/control/CuttableLink.java
+++ b/src/test/java/onyxpaddle/control/CuttableLink.java
@@ -18,12 +18,18 @@
         private volatile long lastNanos = Long.MIN_VALUE;
         private volatile boolean holdsRequests;
         private volatile boolean holdsAnswers;
+        private volatile boolean refuses;
 
         @Override
         public boolean holds(boolean toBox) {
             return toBox ? holdsRequests : holdsAnswers;
         }
 
+        @Override
+        public boolean refuses() {
+            return refuses;
+        }
+
         @Override
         public long takes(int count) {
             bytes.addAndGet(count);
@@ -55,8 +61,15 @@
         gate.holdsAnswers = true;
     }
 
+    /** From now on connections are refused; those that are open are reset, so that nothing of them comes late. */
+    void refuse() {
+        gate.refuses = true;
+        relay.reset();
+    }
+
     /** Delivers what was held, and passes everything on again. */
     void heal() {
+        gate.refuses = false;
         gate.holdsRequests = false;
         gate.holdsAnswers = false;
     }
--- a/src/test/java/onyxpaddle/control/ProgramProcess.java
+++ b/src/test/java/onyxpaddle/control/ProgramProcess.java
@@ -32,7 +32,10 @@
             .redirectOutput(Redirect.appendTo(log.toFile()));
         builder.environment().keySet().removeIf(name -> name.startsWith("GW_"));
         builder.environment().put("TMPDIR", log.getParent().toString());
-        return new ProgramProcess(builder.start(), log, begin);
+        Process process = builder.start();
+        // Also where the tests are ended from outside; does nothing for one that has ended.
+        Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
+        return new ProgramProcess(process, log, begin);
     }
 
     private static List<String> command(List<String> arguments) {
--- a/src/test/java/onyxpaddle/control/TakeOverIT.java
+++ b/src/test/java/onyxpaddle/control/TakeOverIT.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import onyxpaddle.distribution.ConfigurationVersion;
+import onyxpaddle.drill.ServeProcess;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -56,7 +57,7 @@
             old.process().signal("STOP");
             long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(STOPPED_MS);
             heir.process().kill();
-            heir.startTakeOver(2, replica).awaitAnswering();
+            heir.startTakeOver(2, ServeProcess.text(replica.address())).awaitAnswering();
             ConfigurationVersion taken = heir.publish(next());
             assertEquals(2, taken.epoch());
             assertTrue(taken.number() > last.number(), "numbers go on: " + last + ", " + taken);
@@ -85,6 +86,50 @@
         }
     }
 
+    /**
+     * The publisher is cut off together with a replica and a node, replaced on the other side, and takes a change meanwhile that the
+     * other side never had. Once joined, all of its side come over to the next epoch, and that change is nowhere any more.
+     */
+    @Test
+    void theSideOfAReplacedPublisherComesOverOnceTheRegionsAreJoined(@TempDir Path folder) throws Exception {
+        try (ControlFleet fleet = new ControlFleet(folder)) {
+            ControlMachine old = fleet.machine("old").startPublisher();
+            ControlMachine beside = fleet.machine("beside");
+            ControlMachine heir = fleet.machine("heir");
+            ControlMachine replica = fleet.machine("replica");
+            fleet.startReplica(beside, old, heir, replica);
+            fleet.startReplica(heir, old, beside, replica);
+            fleet.startReplica(replica, old, beside, heir);
+            ConfiguredNode near = fleet.startNode("near", old, beside, heir, replica);
+            ConfiguredNode far = fleet.startNode("far", old, beside, heir, replica);
+            old.awaitAnswering();
+            ConfigurationVersion last = old.publish(next());
+            fleet.awaitInForce(newest());
+            awaitVersion(replica, last);
+
+            List<CuttableLink> across = List.of(fleet.link(beside, heir), fleet.link(beside, replica), fleet.link(heir, old),
+                fleet.link(heir, beside), fleet.link(replica, old), fleet.link(replica, beside), near.link(heir), near.link(replica),
+                far.link(old), far.link(beside));
+            across.forEach(CuttableLink::refuse);
+            heir.process().kill();
+            CuttableLink announced = fleet.linkTo(old);
+            announced.refuse();
+            heir.startTakeOver(2, ServeProcess.text(replica.address()), announced.address()).awaitAnswering();
+            heir.publish(next());
+            far.awaitInForce(newest());
+            assertEquals(202, old.post(Changes.of(Changes.ROUTES, Changes.routesTo("/stray")), 2).status(), "no two replicas have it");
+            near.awaitInForce("/stray");
+
+            across.forEach(CuttableLink::heal);
+            announced.heal();
+            long joined = near.awaitInForce(newest());
+            System.out.println("the side of the replaced publisher: the next epoch is in force in " + joined + " ms");
+            assertTrue(joined <= PROMISED_MS, "the next epoch was in force " + joined + " ms after the regions were joined");
+            awaitVersion(beside, heir.status().version());
+            assertEquals(410, old.post(next(), 0).status());
+        }
+    }
+
     /** Two of four are cut off for the time of three changes: their nodes go on, say how old their news are, and get all of it after. */
     @Test
     void regionsArePartedAndJoined(@TempDir Path folder) throws Exception {
