A fenced publisher's news have no age, so that its callers look elsewhere at once

Cause: Telling.hear let the age of a fenced publisher's news begin at 0: its replicas and nodes went on with it for the 5 s after which news count as old, and were without the next epoch for 7131 ms after regions were joined. Change: it has heard of no publisher (stale_ms -1).

--- a/src/main/java/onyxpaddle/control/ControlCalls.java
+++ b/src/main/java/onyxpaddle/control/ControlCalls.java
@@ -76,7 +76,7 @@
         if (!settings.id().equals(request.replica())) {
             reports.hear(request, now);
         }
-        boolean higher = telling.hear(request.after(), now) | telling.hear(request.inForce(), now);
+        boolean higher = telling.hear(request.after()) | telling.hear(request.inForce());
         if (higher) {
             keepEpoch();
         }
--- a/src/main/java/onyxpaddle/control/Telling.java
+++ b/src/main/java/onyxpaddle/control/Telling.java
@@ -86,7 +86,7 @@
         heard = true;
     }
 
-    /** As in {@link Update}. A fenced publisher is none: its news grow old from then on. */
+    /** As in {@link Update}. A fenced publisher is none, and has heard of none: its callers look elsewhere at once. */
     long staleMs(long now) {
         if (publisher && !stopped()) {
             return 0;
@@ -99,15 +99,10 @@
      *
      * @return whether an epoch was seen that is higher than all before, and is to be kept on disk
      */
-    boolean hear(ConfigurationVersion held, long now) {
-        boolean before = stopped();
+    boolean hear(ConfigurationVersion held) {
         // A publisher tells only its own versions: one of its epoch beyond its last is of before its disk lost it.
         lostChanges |= publisher && held.epoch() == table.version().epoch() && held.isAfter(table.version());
-        boolean higher = fence.hear(held.epoch());
-        if (publisher && !before && stopped()) {
-            heard(0, now);
-        }
-        return higher;
+        return fence.hear(held.epoch());
     }
 
     /** Whether this publisher may publish no more. */
