--- a/src/test/java/onyxpaddle/serve/HollowNode.java
+++ b/src/test/java/onyxpaddle/serve/HollowNode.java
@@ -94,10 +94,14 @@
     }
 
     @Override
-    public void close() throws Exception {
+    public void close() {
         configuration.stop();
-        group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS).sync();
+        group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS).syncUninterruptibly();
         worker.shutdown();
-        worker.awaitTermination(20, java.util.concurrent.TimeUnit.SECONDS);
+        try {
+            worker.awaitTermination(20, java.util.concurrent.TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 }
