--- a/src/main/java/onyxpaddle/control/ChangeCheck.java
+++ b/src/main/java/onyxpaddle/control/ChangeCheck.java
@@ -11,6 +11,7 @@
 import onyxpaddle.config.ShapeCheck;
 import onyxpaddle.config.SourceFile;
 import onyxpaddle.config.Value;
+import onyxpaddle.config.Value.Scalar;
 import onyxpaddle.distribution.ConfigurationTable.Change;
 import onyxpaddle.distribution.EntryKey;
 
@@ -33,7 +34,8 @@
             return;
         }
         Value value = SourceFile.parse(name, change.value(), faults);
-        if (value != null) {
+        // The text `null` takes away what the node's file or a wider scope has.
+        if (value != null && !(value instanceof Scalar scalar && scalar.blank())) {
             ShapeCheck.check(value, shape, faults);
         }
     }
--- /dev/null
+++ b/src/test/java/onyxpaddle/control/WakeTest.java
@@ -0,0 +1,109 @@
+package onyxpaddle.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import onyxpaddle.config.HostPort;
+import onyxpaddle.distribution.ConfigurationTable;
+import onyxpaddle.distribution.ConfigurationTable.Change;
+import onyxpaddle.distribution.ConfigurationVersion;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** As many nodes as a large fleet has, all of which wait; on one clock that is moved by hand. */
+class WakeTest {
+    private static final int NODES = 4_200;
+
+    @TempDir
+    private Path folder;
+    private final EmbeddedChannel clock = new EmbeddedChannel();
+    private final EventLoop loop = clock.eventLoop();
+    private final DiskThread disk = new DiskThread();
+    private final ConfigurationTable first = ConfigurationTable.first(1);
+    private final Telling telling = new Telling(0, 0, first, true, ControlSettings.USUAL_WHOLE_RATE);
+    private ControlCalls calls;
+    private final List<EmbeddedChannel> nodes = new ArrayList<>();
+
+    @AfterEach
+    void end() {
+        nodes.forEach(EmbeddedChannel::finishAndReleaseAll);
+        clock.finishAndReleaseAll();
+        disk.close();
+    }
+
+    private void allWait() {
+        clock.freezeTime();
+        HostPort none = new HostPort("127.0.0.1", 0);
+        ControlSettings settings = new ControlSettings(none, "r1", folder, 0, List.of(), List.of(none), ControlSettings.USUAL_WHOLE_RATE);
+        calls = new ControlCalls(settings, loop, disk, new StateStore(folder), telling, () -> 0);
+        for (int i = 0; i < NODES; i++) {
+            EmbeddedChannel node = new EmbeddedChannel(new HttpServerCodec(), new ControlConnection(calls));
+            nodes.add(node);
+            String service = i % 2 == 0 ? "booking" : "reminders";
+            String call = "GET " + ControlRig.uri("n" + i, service, first.version(), 10_000) + " HTTP/1.1\r\n\r\n";
+            node.writeInbound(Unpooled.copiedBuffer(call, StandardCharsets.US_ASCII));
+        }
+        assertEquals(0, answered("").size());
+    }
+
+    private List<String> answered(String part) {
+        List<String> answers = new ArrayList<>();
+        for (EmbeddedChannel node : nodes) {
+            StringBuilder text = new StringBuilder();
+            for (ByteBuf bytes = node.readOutbound(); bytes != null; bytes = node.readOutbound()) {
+                text.append(bytes.toString(StandardCharsets.US_ASCII));
+                bytes.release();
+            }
+            if (text.length() > 0) {
+                assertTrue(text.toString().startsWith("HTTP/1.1 200") && text.indexOf(part) > 0, text.toString());
+                answers.add(text.toString());
+            }
+        }
+        return answers;
+    }
+
+    @Test
+    void aChangeAnswersAllThatItConcernsInOnePassAndNoOther() {
+        allWait();
+        telling.durable(first.changed(1, List.of(new Change(ControlRig.CLASS, ControlRig.deadline(100)))));
+        calls.news();
+        assertEquals(NODES / 2, answered("\"version\":\"1.1\",\"whole\":false,\"more\":false,\"stale_ms\":-1,\"entries\":[{\"key\":\"service/booking").size());
+        telling.durable(telling.table().changed(1, List.of(new Change(ControlRig.OTHER, ControlRig.deadline(100)))));
+        calls.news();
+        assertEquals(NODES / 2, answered("\"version\":\"1.2\"").size());
+    }
+
+    @Test
+    void atTheEndOfTheirWaitAllAreToldTheVersion() {
+        allWait();
+        telling.durable(first.changed(1, List.of()));
+        calls.news();
+        clock.advanceTimeBy(9_999, TimeUnit.MILLISECONDS);
+        clock.runScheduledPendingTasks();
+        assertEquals(0, answered("").size());
+        clock.advanceTimeBy(2, TimeUnit.MILLISECONDS);
+        clock.runScheduledPendingTasks();
+        assertEquals(NODES, answered("\"version\":\"1.1\"").size());
+    }
+
+    @Test
+    void whoIsGoneIsForgotten() {
+        allWait();
+        nodes.forEach(EmbeddedChannel::close);
+        telling.durable(first.changed(1, List.of(new Change(ControlRig.CLASS, ControlRig.deadline(100)))));
+        calls.news();
+        assertEquals(0, answered("").size());
+        assertEquals(new ConfigurationVersion(1, 1), telling.version());
+    }
+}
