Scale runs: hollow nodes, a list service that counts, slopes and events

Need: what a node and the list service need as fleet, lists, services and changes grow was known from single trials only. Change: package scale and `bin/measure scale`: the program's own list watch, discovery client, configuration check and module in hollow nodes over real sockets, real `serve` processes beside them, lines fitted and foretold, events, three faults to put in.

--- a/src/main/java/onyxpaddle/measure/Measure.java
+++ b/src/main/java/onyxpaddle/measure/Measure.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
+import onyxpaddle.scale.SeededFault;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -27,6 +28,7 @@
 
     static {
         ALL.put("sites", new SitesMeasurement());
+        ALL.put("scale", new ScaleMeasurement());
     }
 
     @Spec
@@ -41,6 +43,9 @@
     @Option(names = "--json", paramLabel = "FILE", description = "keeps the figures")
     private Path json;
 
+    @Option(names = "--fault", paramLabel = "NAME", description = "of `scale`: puts a fault in, by which it has to fall short")
+    private String fault;
+
     @Override
     public Integer call() {
         if (name == null) {
@@ -50,12 +55,12 @@
         if (!ALL.containsKey(name)) {
             throw new ParameterException(spec.commandLine(), "no measurement " + name + "; there are " + String.join(", ", ALL.keySet()));
         }
+        if (fault != null && !name.equals("scale")) {
+            throw new ParameterException(spec.commandLine(), "only `scale` has faults to put in");
+        }
         Figures figures = new Figures();
         try {
-            ALL.get(name).run(figures, longer ? 5 : 1);
-            if (json != null) {
-                figures.json(json, name);
-            }
+            measure(figures);
         } catch (Exception e) {
             System.out.println(name + " falls short: cannot run: " + e);
             return 1;
@@ -64,4 +69,15 @@
         System.out.println(holds ? name + " holds" : name + " falls short: " + String.join("; ", figures.shortOf()));
         return holds ? 0 : 1;
     }
+
+    private void measure(Figures figures) throws Exception {
+        if (name.equals("scale")) {
+            ScaleMeasurement.run(figures, longer, fault == null ? SeededFault.NONE : SeededFault.of(fault), json);
+            return;
+        }
+        ALL.get(name).run(figures, longer ? 5 : 1);
+        if (json != null) {
+            figures.json(json, name);
+        }
+    }
 }
