Scale runs: compiler threads stay, and scenarios can run side by side

Cause: processor time is summed over living threads, and a compiler thread that ends takes its part out of the sum. Change: processes that are measured keep their compiler threads; two scenarios side by side have one place.

--- a/src/main/java/onyxpaddle/scale/ChildProcess.java
+++ b/src/main/java/onyxpaddle/scale/ChildProcess.java
@@ -25,7 +25,8 @@
     ChildProcess(Class<?> main, int heapMiB, Class<R> replies, String... args) throws IOException {
         this.replies = replies;
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
-            "-XX:TieredStopAtLevel=1", "-Xmx" + heapMiB + "m", "-Xss512k", "-XX:-UsePerfData", "-Dio.netty.leakDetection.level=disabled",
+            "-XX:TieredStopAtLevel=1", "-Xmx" + heapMiB + "m", "-Xss512k", "-XX:-UsePerfData",
+            ProcessCost.KEEP_COMPILERS, "-Dio.netty.leakDetection.level=disabled",
             "-cp", System.getProperty("java.class.path"), main.getName()));
         command.addAll(List.of(args));
         process = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.DISCARD).start();
--- a/src/main/java/onyxpaddle/scale/ProcessCost.java
+++ b/src/main/java/onyxpaddle/scale/ProcessCost.java
@@ -9,6 +9,9 @@
 
 /** What processes have used, by the system's own counts (Linux: {@code /proc}). */
 final class ProcessCost {
+    /** A compiler thread that ends takes its processor time out of the sum over threads, so the processes that are measured keep theirs. */
+    static final String KEEP_COMPILERS = "-XX:-UseDynamicNumberOfCompilerThreads";
+
     private ProcessCost() {
     }
 
--- a/src/main/java/onyxpaddle/scale/ScaleRun.java
+++ b/src/main/java/onyxpaddle/scale/ScaleRun.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import onyxpaddle.config.MachineLimits;
@@ -44,7 +43,12 @@
         FleetLayout layout = new FleetLayout(size.eventNodes());
         try (ScaleFleet fleet = new ScaleFleet(layout, size.largest(), size.listCapacity(), fault)) {
             pids.addAll(fleet.pids());
-            slopes(fleet);
+            ScaleScenario slopes = new ListServiceSlopes(fleet, size);
+            if (size.realNodes()) {
+                sideBySide(slopes, this::realNodes);
+            } else {
+                slopes.run(result);
+            }
             new FleetEvents(fleet, size, result).run(result);
         } finally {
             memory.interrupt();
@@ -76,38 +80,33 @@
         result.setting("windowSeconds", size.calmMs() / 1_000.0);
     }
 
-    /** The list service's, and beside them those of real nodes, which have a list service of their own. */
-    private void slopes(ScaleFleet fleet) throws Exception {
+    /** Plays two scenarios at once: each measures processes of its own, by their own counts. */
+    private void sideBySide(ScaleScenario one, ScaleScenario other) throws Exception {
         List<Exception> failed = new CopyOnWriteArrayList<>();
-        Thread real = new Thread(() -> {
+        Thread beside = new Thread(() -> {
             try {
-                realNodes();
+                other.run(result);
             } catch (Exception e) {
                 failed.add(e);
             }
-        }, "scale-real");
-        if (size.realNodes()) {
-            real.start();
-        }
+        }, "scale-beside");
+        beside.start();
         try {
-            new ListServiceSlopes(fleet, size).run(result);
+            one.run(result);
         } finally {
-            real.join();
+            beside.join();
         }
         if (!failed.isEmpty()) {
             throw failed.get(0);
         }
     }
 
-    private void realNodes() throws Exception {
+    private void realNodes(ScaleResult to) throws Exception {
         try (RealNodes nodes = new RealNodes(fault)) {
             List<Long> own = nodes.pids();
             pids.addAll(own);
-            List<ScaleScenario> scenarios = new ArrayList<>(List.of(new RealNodeSlopes(nodes, REAL_WINDOW_MS, size.rounds()),
-                new ConfigurationByHand(nodes)));
-            for (ScaleScenario scenario : scenarios) {
-                scenario.run(result);
-            }
+            new RealNodeSlopes(nodes, REAL_WINDOW_MS, size.rounds()).run(to);
+            new ConfigurationByHand(nodes).run(to);
             pids.removeAll(own);
         }
     }
