Scale runs: a whole list's lines as they are, without what has gone, have a test

Cause: with gone servers left in wholes, or without their starts, no test of the stand-in failed. Change: one that compares a whole's lines with the program's own reader.

--- a/src/test/java/onyxpaddle/scale/ListTableTest.java
+++ b/src/test/java/onyxpaddle/scale/ListTableTest.java
@@ -66,6 +66,15 @@
         }
     }
 
+    @Test
+    void aWholeNamesWhatIsThereAsItIsAndNothingThatHasGone() throws IOException {
+        ListTable table = new ListTable();
+        table.put(List.of(FleetLayout.line(0, 1, 2).started(77), FleetLayout.line(0, 2, 0)));
+        table.put(List.of(FleetLayout.line(0, 2, 0).with(ListedServer.Health.GONE)));
+        List<ServerEntry> entries = RosterJson.parse(ListJson.write(table.whole())).entries();
+        assertEquals(List.of(new ServerEntry("s-00000001", "c", 0, ServerState.READY, 1, 77_000_000)), entries);
+    }
+
     @Test
     void aVersionThatIsNoneOfItsOwnGetsTheWhole() {
         ListTable table = new ListTable();
