Added time under open load: bin/measure added-time

Change: one thread that never sleeps sends Poisson arrivals, and counts each call from when it was due; straight blocks and blocks through a node in a process of its own alternate, with the same arrivals, before a small server that never sleeps either. What two straight blocks differ by is the noise; over the budget, or with the budget within it, the verdict is that it can't be judged. -Dmeasure.added-time.delay-us=1000 puts a delay between node and server.

--- a/src/main/java/onyxpaddle/measure/Measure.java
+++ b/src/main/java/onyxpaddle/measure/Measure.java
@@ -26,6 +26,7 @@
         "rpc-mixed", new RpcMixedMeasurement(), "sidecar", new SidecarMeasurement(), "upgrade", new UpgradeMeasurement()));
 
     static {
+        ALL.put("added-time", new AddedTimeMeasurement());
         ALL.put("sites", new SitesMeasurement());
     }
 
--- a/src/main/java/onyxpaddle/measure/NodeProcess.java
+++ b/src/main/java/onyxpaddle/measure/NodeProcess.java
@@ -98,6 +98,11 @@
         return startMs;
     }
 
+    /** Its process id. */
+    long pid() {
+        return process.pid();
+    }
+
     /** Its resident memory in MiB. */
     double resident() throws IOException {
         for (String line : Files.readAllLines(Path.of("/proc/" + process.pid() + "/status"))) {
