--- /dev/null
+++ b/src/main/java/onyxpaddle/capacity/AddedTimeFigures.java
@@ -0,0 +1,64 @@
+package onyxpaddle.capacity;
+
+import java.util.Map;
+import java.util.Optional;
+
+/** What {@code bin/measure added-time} gave at one rate; times in milliseconds. */
+final class AddedTimeFigures {
+    /** The rates that it measures: of a node at the mean, and of a busy one. */
+    static final int MEAN_RATE = 261;
+    static final int HOTTEST_RATE = 1_000;
+    private static final int WITHIN = 0;
+    private static final int OVER = 1;
+
+    private final MeasuredRun run;
+    private final int perSecond;
+    private final Map<String, Double> figures;
+
+    private AddedTimeFigures(MeasuredRun run, int perSecond) {
+        this.run = run;
+        this.perSecond = perSecond;
+        this.figures = run.plain();
+    }
+
+    /** Those of a run, where it has this rate. */
+    static Optional<AddedTimeFigures> of(MeasuredRun run, int perSecond) {
+        AddedTimeFigures figures = new AddedTimeFigures(run, perSecond);
+        return Double.isNaN(figures.time("added p99")) ? Optional.empty() : Optional.of(figures);
+    }
+
+    MeasuredRun run() {
+        return run;
+    }
+
+    /** A time by its name, such as {@code straight p50}; NaN where the run has none of that name. */
+    double time(String name) {
+        return plain(name + " (ms)");
+    }
+
+    double calls() {
+        return plain("calls through");
+    }
+
+    double rounds() {
+        return plain("rounds");
+    }
+
+    double coresAllowed() {
+        return figures.getOrDefault("added-time cores allowed", Double.NaN);
+    }
+
+    double coresUsedByOthers() {
+        return figures.getOrDefault("added-time cores used by others, mean", Double.NaN);
+    }
+
+    /** Whether the run could tell if the time is within its budget. */
+    boolean judged() {
+        double verdict = plain("verdict (0 within, 1 over, 2 can't be judged)");
+        return verdict == WITHIN || verdict == OVER;
+    }
+
+    private double plain(String name) {
+        return figures.getOrDefault("added-time " + perSecond + "/s " + name, Double.NaN);
+    }
+}
--- /dev/null
+++ b/src/main/java/onyxpaddle/capacity/CapacityPage.java
@@ -0,0 +1,273 @@
+package onyxpaddle.capacity;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+/** The page for operators, as Markdown: from rows to text, without any I/O. */
+final class CapacityPage {
+    private static final List<CapacityColumn> TABLE = List.of(CapacityColumn.STATE, CapacityColumn.CALLS, CapacityColumn.BYTES_IN,
+        CapacityColumn.BYTES_OUT, CapacityColumn.PROCESSOR, CapacityColumn.MEMORY);
+    private static final Map<CapacityRole, String> STATE_BOUNDS = Map.of(
+        CapacityRole.FRONT, "lines of the watched lists; one answer of a list holds 8 MiB at most (`membership`)",
+        CapacityRole.SIDECAR_MEAN, "as at a front node, of each service that it calls",
+        CapacityRole.SIDECAR_HOTTEST, "as at a front node, of each service that it calls",
+        CapacityRole.LIST_SERVICE, "all lines; the platform bounds it",
+        CapacityRole.CONFIGURATION, "none is kept but each machine's file, of 1 MiB at most (`config`)",
+        CapacityRole.FLEET_OWNER, "none is kept",
+        CapacityRole.FIGURES_READERS, "none beyond a node's own counts");
+
+    private final MeasuredRuns runs;
+    private final CapacityPlan plan;
+    private final String machine;
+    private final StringBuilder out = new StringBuilder();
+
+    private CapacityPage(MeasuredRuns runs, String machine) {
+        this.runs = runs;
+        this.plan = new CapacityPlan(runs);
+        this.machine = machine;
+    }
+
+    /** The page; {@code machine}: the state that the machine was in, in the operator's words, empty for unsaid. */
+    static String text(MeasuredRuns runs, String machine) {
+        CapacityPage page = new CapacityPage(runs, machine);
+        page.all();
+        return page.out.toString();
+    }
+
+    private void all() {
+        head();
+        top();
+        added();
+        for (CapacityRole role : CapacityRole.values()) {
+            role(role);
+        }
+        slopes();
+        reckoned();
+        sources();
+    }
+
+    private void head() {
+        out.append("""
+            # Capacity
+
+            What the fleet needs at the size to design for, and what is allowed. `lupinmount capacity render` makes this page from
+            the results of `bin/measure scale` and `bin/measure added-time`; a hand that changes a figure here is undone by its next run.
+
+                bin/measure scale --long --json target/scale.json
+                bin/measure added-time --long --json target/added-time.json
+                bin/lupinmount capacity render --figures target/scale.json --figures target/added-time.json \\
+                    --machine 'quiet, 8 cores' --out docs/CAPACITY.md
+
+            **Size:** 920 nodes, one beside each of 920 servers, 57 services, 240,000 calls a second up to 9 deep, 2,000 changes of
+            configuration and 240 restarts a day. **Budgets:** a node's control 2.6 %% of a core, 32 MB and 3 KB a second, read and
+            written together; a change of configuration in force everywhere within 8 s; 0.36 ms added for 99 in 100 calls; four
+            machines for control.
+
+            **Control** is the watch of lists, configuration, leases and figures: all that a node does if nobody calls. It is told
+            apart by two nodes of the same build in the same run, one that watches lists and one whose servers are fixed: what the
+            first needs more is control (`cpuControl`, `memoryControl`). Bytes are counted at the other end of the control
+            connections, which carry nothing else.
+
+            **How to read a figure:** without a mark it was measured at this size, or on real nodes where the fleet's size plays no
+            part. *(at N nodes)*: measured with so many, and shown as it was there. *(slope)*: a fitted line at this size, up to twice
+            the largest size measured. *(extrapolated)*: beyond that. *(reckoned)*: arithmetic from what is given. *not measured*: in
+            no run. How many services a node calls is not given: one list at a front node, %d at the mean and %d at the hottest are
+            assumed ([questions](questions.md)).
+            """.formatted(CapacityRole.SIDECAR_MEAN.watched(), CapacityRole.SIDECAR_HOTTEST.watched()));
+        if (!machine.isEmpty()) {
+            line("");
+            line("**Machine:** " + machine.replaceAll("\\p{Cntrl}", " "));
+        }
+    }
+
+    private void top() {
+        line("");
+        line("## Over budget, or without a mechanism");
+        line("");
+        table("Role", "When", "Need / budget", "Mechanism", "Time given");
+        List<CapacityRow> rows = plan.top();
+        for (List<CapacityRow> alike : alike(rows)) {
+            CapacityRow row = alike.get(0);
+            String when = alike.stream().map(r -> r.event().title()).collect(Collectors.joining("; "));
+            cells(row.role().title(), when, row.ratioText(), row.mechanism(), timeGiven(row));
+        }
+        line("");
+        line(rows.isEmpty() ? "Nothing is over its budget, and each role has a mechanism." : first(rows.get(0)));
+    }
+
+    /** Rows in sequence of which the page says the same but for the event. */
+    private static List<List<CapacityRow>> alike(List<CapacityRow> rows) {
+        List<List<CapacityRow>> groups = new ArrayList<>();
+        CapacityRow before = null;
+        for (CapacityRow row : rows) {
+            boolean same = before != null && before.role() == row.role() && before.ratioText().equals(row.ratioText())
+                && timeGiven(before).equals(timeGiven(row));
+            if (!same) {
+                groups.add(new ArrayList<>());
+            }
+            groups.get(groups.size() - 1).add(row);
+            before = row;
+        }
+        return groups;
+    }
+
+    private static String timeGiven(CapacityRow row) {
+        return Double.isNaN(row.namedTime()) ? "" : String.format(Locale.ROOT, "%.0f s", row.namedTime());
+    }
+
+    /** Why what stands on top comes first. */
+    private static String first(CapacityRow row) {
+        StringBuilder text = new StringBuilder("**What comes first: ").append(row.role().title().toLowerCase(Locale.ROOT))
+            .append(", ").append(row.event().title()).append(".** ");
+        if (row.carried()) {
+            return text.append("Every role has a mechanism, and this one is furthest over its budget: ").append(row.ratioText()).append('.')
+                .toString();
+        }
+        text.append("No package carries it");
+        if (!Double.isNaN(row.namedTime())) {
+            text.append(", and of what nothing carries it is the one that a time is given for (")
+                .append(timeGiven(row)).append(')');
+        }
+        text.append(row.why().isEmpty() ? ". What it needs was not measured." : ": " + row.why() + ".");
+        if (row.role() == CapacityRole.CONFIGURATION) {
+            text.append(String.format(Locale.ROOT, " 2,000 changes a day at 920 nodes are %.1f deliveries a second (reckoned), "
+                + "each of them a file and a SIGHUP by hand.", DesignSize.deliveriesPerSecond()));
+        }
+        return text.toString();
+    }
+
+    private void added() {
+        line("");
+        line("## Time that a node adds to a call");
+        line("");
+        line("Open load; budget " + DesignSize.ADDED_MS + " ms for 99 in 100. Noise is what two blocks of straight calls differ by; all in");
+        line("ms, medians of the rounds. Where the noise is over the budget, or the budget within the noise, nothing is judged.");
+        line("");
+        table("Calls/s", "Straight p50, p99, p99.9", "Through p50, p99, p99.9", "Added p50", "Added p99 (lowest to highest round)",
+            "Noise p50, p99", "Need / budget", "Calls, rounds", "Cores: allowed, used by others", "Run");
+        for (int rate : List.of(AddedTimeFigures.MEAN_RATE, AddedTimeFigures.HOTTEST_RATE)) {
+            runs.addedTime(rate).ifPresentOrElse(figures -> added(rate, figures),
+                () -> cells(String.valueOf(rate), "not measured", "", "", "", "", "", "", "", ""));
+        }
+    }
+
+    private void added(int rate, AddedTimeFigures figures) {
+        String added = times(figures, "added p99") + " (" + times(figures, "added p99 lowest round") + " to "
+            + times(figures, "added p99 highest round") + ")";
+        String ratio = figures.judged() ? CapacityCell.number(figures.time("added p99") / DesignSize.ADDED_MS) : "can't be judged here";
+        cells(String.valueOf(rate), times(figures, "straight p50", "straight p99", "straight p99.9"),
+            times(figures, "through p50", "through p99", "through p99.9"), times(figures, "added p50"), added,
+            times(figures, "noise p50", "noise p99"), ratio, CapacityCell.number(figures.calls()) + ", " + (int) figures.rounds(),
+            (int) figures.coresAllowed() + ", " + CapacityCell.number(figures.coresUsedByOthers()), figures.run().file());
+    }
+
+    private static String times(AddedTimeFigures figures, String... names) {
+        List<String> times = new ArrayList<>();
+        for (String name : names) {
+            double time = figures.time(name);
+            times.add(Double.isNaN(time) ? "not measured" : CapacityCell.number(time));
+        }
+        return String.join(", ", times);
+    }
+
+    private void role(CapacityRole role) {
+        line("");
+        line("## " + role.title());
+        line("");
+        List<CapacityRow> rows = plan.rows().stream().filter(row -> row.role() == role).toList();
+        line("Mechanism: " + rows.get(0).mechanism() + ". State: " + STATE_BOUNDS.get(role) + ".");
+        line("");
+        List<CapacityColumn> columns = new ArrayList<>(TABLE);
+        columns.add(role.node() ? CapacityColumn.WORST_8S : CapacityColumn.MOST_CALLS);
+        if (!role.node()) {
+            columns.add(CapacityColumn.CURRENT);
+        }
+        List<String> titles = new ArrayList<>(List.of("When"));
+        columns.forEach(column -> titles.add(column.title()));
+        titles.add("Need / budget");
+        table(titles.toArray(String[]::new));
+        for (CapacityRow row : rows) {
+            List<String> texts = new ArrayList<>(List.of(row.event().title()));
+            columns.forEach(column -> texts.add(row.cells().get(column).text()));
+            texts.add(row.ratioText());
+            cells(texts.toArray(String[]::new));
+        }
+    }
+
+    private void slopes() {
+        line("");
+        line("## Slopes");
+        line("");
+        line("Least squares over the sizes up to the last but one; the last was foretold and then measured, and \"apart\" is by how much");
+        line("of the measured value. A row that is not linear gives no figure for a size that was not measured.");
+        line("");
+        table("Row", "A unit more", "At none", "Residual", "R2", "Sizes", "Foretold: apart", "");
+        for (String row : runs.slopeRows()) {
+            runs.slope(row).ifPresent(this::slope);
+        }
+        if (runs.slopeRows().isEmpty()) {
+            cells("not measured", "", "", "", "", "", "", "");
+        }
+    }
+
+    private void slope(MeasuredSlope slope) {
+        String sizes = CapacityCell.number(slope.smallest()) + " to " + CapacityCell.number(slope.largest()) + " " + slope.over();
+        cells("`" + slope.row() + "`", CapacityCell.number(slope.slope()) + " " + slope.unit(), CapacityCell.number(slope.intercept()),
+            CapacityCell.number(slope.residual()), CapacityCell.number(slope.rSquared()), sizes,
+            Double.isNaN(slope.apart()) ? "not measured" : CapacityCell.number(slope.apart()),
+            slope.linear() ? "linear" : "**not linear**");
+    }
+
+    private void reckoned() {
+        line("");
+        line("## Reckoned");
+        line("");
+        line("Arithmetic from what is given; no run is behind these.");
+        line("");
+        table("What", "How", "Value", "Value / budget");
+        Reckoning.all().forEach(r -> cells(r.what(), r.how(), CapacityCell.number(r.value()) + " " + r.unit(), r.ratio()));
+    }
+
+    private void sources() {
+        line("");
+        line("## Runs");
+        line("");
+        table("File", "Measurement", "Nodes", "Servers", "Real nodes", "Cores", "Rounds", "Window", "Verdict");
+        for (MeasuredRun run : runs.all()) {
+            String shortOf = run.shortOf().isEmpty() ? "" : ": " + String.join(", ", run.shortOf());
+            String verdict = run.holds() ? "holds" : "falls short" + shortOf;
+            String window = run.settings().containsKey("windowSeconds") ? setting(run, "windowSeconds") + " s" : "";
+            cells(run.file(), run.measurement(), setting(run, "nodes"), setting(run, "servers"), setting(run, "realNodes"),
+                setting(run, "cores"), setting(run, "rounds"), window, verdict);
+        }
+        if (runs.all().isEmpty()) {
+            cells("none", "", "", "", "", "", "", "", "");
+        }
+    }
+
+    private static String setting(MeasuredRun run, String name) {
+        Double value = run.settings().get(name);
+        return value == null ? "" : CapacityCell.number(value);
+    }
+
+    private void table(String... titles) {
+        cells(titles);
+        line("| " + "--- | ".repeat(titles.length).trim());
+    }
+
+    private void cells(String... texts) {
+        List<String> safe = new ArrayList<>();
+        for (String text : texts) {
+            // What comes from a file must not end a cell or a line.
+            safe.add(text.replace("|", "\\|").replaceAll("\\p{Cntrl}", " "));
+        }
+        line("| " + String.join(" | ", safe) + " |");
+    }
+
+    private void line(String text) {
+        out.append(text).append('\n');
+    }
+}
--- a/src/main/java/onyxpaddle/command/Lupinmount.java
+++ b/src/main/java/onyxpaddle/command/Lupinmount.java
@@ -18,8 +18,8 @@
 
 /** All of the program's commands, in one tree. The platform's {@code serve} and the simulator's adapter don't come by here. */
 @Command(name = "lupinmount", mixinStandardHelpOptions = true, versionProvider = Lupinmount.Version.class,
-    synopsisSubcommandLabel = "COMMAND", subcommands = {Lupinmount.Serve.class, NodeCommand.class, BgpCommand.class, DrillCommand.class, SitesCommand.class, SiteCommand.class,
-        Measure.class},
+    synopsisSubcommandLabel = "COMMAND", subcommands = {Lupinmount.Serve.class, NodeCommand.class, BgpCommand.class, DrillCommand.class,
+        SitesCommand.class, SiteCommand.class, CapacityCommand.class, Measure.class},
     description = "A load-balancing node, and what belongs to it.",
     exitCodeListHeading = "%nExit codes:%n",
     exitCodeList = {"0:done, or the answer is yes", "1:cannot run, or the answer is no", "64:wrong usage", "78:faults in a file"})
--- a/src/test/java/onyxpaddle/scale/OpenLoadTest.java
+++ b/src/test/java/onyxpaddle/scale/OpenLoadTest.java
@@ -58,6 +58,7 @@
         server.stall(0, 3_600 * SECOND);
         OpenLoadResult result = new OpenLoad(server::connect, 2, server::now).run(everyMillisecond(5));
         assertEquals(5, result.unanswered());
+        assertEquals(5, result.latencies().getTotalCount());
         assertTrue(result.latencies().getMinValue() >= OpenLoad.PATIENCE_NANOS * 0.99);
     }
 
