--- a/src/main/java/onyxpaddle/capacity/CapacityCell.java
+++ b/src/main/java/onyxpaddle/capacity/CapacityCell.java
@@ -11,12 +11,15 @@
  * @param budget what is allowed, in {@code unit}; NaN where none is given
  */
 record CapacityCell(double value, String unit, Origin origin, String from, double budget) {
+    /** Less than this is what arithmetic of doubles leaves over. */
+    private static final double LEAST_SHOWN = 1e-9;
+
     /** Where a need comes from. */
     enum Origin {
         /** Measured at the size to design for. */
         MEASURED,
-        /** Measured with fewer nodes than that, and shown as it was there. */
-        MEASURED_SMALLER,
+        /** Measured with fewer nodes than that, or at another pace; {@code from} says which. */
+        MEASURED_OTHERWISE,
         /** From a slope, up to twice the largest size measured. */
         SLOPE,
         /** From a slope, beyond that. */
@@ -48,7 +51,7 @@
             case NOT_MEASURED -> "not measured";
             case CANNOT_JUDGE -> "can't be judged here (" + from + ")";
             case MEASURED -> figure();
-            case MEASURED_SMALLER -> figure() + " (" + from + ")";
+            case MEASURED_OTHERWISE -> figure() + " (" + from + ")";
             case SLOPE -> figure() + " (slope)";
             case EXTRAPOLATED -> figure() + " (extrapolated)";
             case RECKONED -> figure() + " (reckoned)";
@@ -61,9 +64,12 @@
 
     /** Three digits that count, without an exponent. */
     static String number(double value) {
-        double size = Math.abs(value);
+        if (Double.isNaN(value)) {
+            return "none";
+        }
+        double size = Math.abs(value) < LEAST_SHOWN ? 0 : Math.abs(value);
         String form = size >= 100 ? "%,.0f" : size >= 10 ? "%.1f" : size >= 1 ? "%.2f" : size >= 0.1 || size == 0 ? "%.3f" : "%.2g";
-        String text = String.format(Locale.ROOT, form, value);
+        String text = String.format(Locale.ROOT, form, size == 0 ? 0 : value);
         return text.contains("e") ? new java.math.BigDecimal(text).toPlainString() : text;
     }
 }
--- a/src/main/java/onyxpaddle/capacity/CapacityPage.java
+++ b/src/main/java/onyxpaddle/capacity/CapacityPage.java
@@ -1,6 +1,7 @@
 package onyxpaddle.capacity;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -68,14 +69,18 @@
 
             **Control** is the watch of lists, configuration, leases and figures: all that a node does if nobody calls. It is told
             apart by two nodes of the same build in the same run, one that watches lists and one whose servers are fixed: what the
-            first needs more is control (`cpuControl`, `memoryControl`). Bytes are counted at the other end of the control
-            connections, which carry nothing else.
+            first needs more is control (`cpuControl`, `memoryControl`). Memory is what two processes hold resident, which differs by
+            some MiB from one to the next, so that what is told apart may be below 0. Bytes are counted at the other end of the
+            control connections, which carry nothing else.
 
             **How to read a figure:** without a mark it was measured at this size, or on real nodes where the fleet's size plays no
             part. *(at N nodes)*: measured with so many, and shown as it was there. *(slope)*: a fitted line at this size, up to twice
             the largest size measured. *(extrapolated)*: beyond that. *(reckoned)*: arithmetic from what is given. *not measured*: in
-            no run. How many services a node calls is not given: one list at a front node, %d at the mean and %d at the hottest are
-            assumed ([questions](questions.md)).
+            no run. Events are played within seconds, and their rates are of that time: a node's budget of bytes is held against the
+            most that it read in 8 s (24,000 B), its processor time is spread over 8 s at least. The restarts of a day are played
+            *(made faster)*; *(by the day's pace)* is what they add to calm, spread over the day. How many services a node calls is
+            not given: one list at a front node, %d at the mean and %d at the hottest are assumed ([questions](questions.md)). The
+            list service's processor time is held against one core for each of the four machines, as their cores are not given.
             """.formatted(CapacityRole.SIDECAR_MEAN.watched(), CapacityRole.SIDECAR_HOTTEST.watched()));
         if (!machine.isEmpty()) {
             line("");
@@ -143,8 +148,13 @@
         line("");
         line("## Time that a node adds to a call");
         line("");
-        line("Open load; budget " + DesignSize.ADDED_MS + " ms for 99 in 100. Noise is what two blocks of straight calls differ by; all in");
-        line("ms, medians of the rounds. Where the noise is over the budget, or the budget within the noise, nothing is judged.");
+        out.append("""
+            Calls of many independent callers, who don't wait for each other's answers, counted from when each was due; straight to a
+            small server and through a node before it, in turn. Noise is what two straight blocks differ by. All in ms, medians of the
+            rounds; the budget is 0.36 ms for 99 in 100. Where the noise is over the budget, or the budget within the noise, or calls
+            failed, nothing is judged. `LUPINMOUNT_JAVA_OPTS=-Dmeasure.added-time.delay-us=1000 bin/measure added-time` has a
+            millisecond put between node and server, and must fall short.
+            """);
         line("");
         table("Calls/s", "Straight p50, p99, p99.9", "Through p50, p99, p99.9", "Added p50", "Added p99 (lowest to highest round)",
             "Noise p50, p99", "Need / budget", "Calls, rounds", "Cores: allowed, used by others", "Run");
@@ -189,12 +199,18 @@
         columns.forEach(column -> titles.add(column.title()));
         titles.add("Need / budget");
         table(titles.toArray(String[]::new));
+        Map<List<String>, String> whenByTexts = new LinkedHashMap<>();
         for (CapacityRow row : rows) {
-            List<String> texts = new ArrayList<>(List.of(row.event().title()));
+            List<String> texts = new ArrayList<>();
             columns.forEach(column -> texts.add(row.cells().get(column).text()));
             texts.add(row.ratioText());
-            cells(texts.toArray(String[]::new));
+            whenByTexts.merge(texts, row.event().title(), (before, next) -> before + "; " + next);
         }
+        whenByTexts.forEach((texts, when) -> {
+            List<String> all = new ArrayList<>(List.of(when));
+            all.addAll(texts);
+            cells(all.toArray(String[]::new));
+        });
     }
 
     private void slopes() {
--- a/src/main/java/onyxpaddle/capacity/CapacityPlan.java
+++ b/src/main/java/onyxpaddle/capacity/CapacityPlan.java
@@ -6,6 +6,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import onyxpaddle.capacity.CapacityCell.Origin;
 import onyxpaddle.capacity.MeasuredRuns.Found;
 
@@ -17,11 +19,15 @@
         CapacityColumn.BYTES_IN, CapacityColumn.BYTES_OUT, CapacityColumn.PROCESSOR, CapacityColumn.MEMORY, CapacityColumn.CURRENT);
     /** A slope's row is {@code ROLE.OVER.QUANTITY}; those of nodes have this role. */
     private static final String NODE_SLOPES = "sidecar";
+    /** Bytes of a whole list's text over its lines. */
+    private static final String STATE_SLOPE = "sidecar.servers.bytesAWhole";
 
     private final MeasuredRuns runs;
+    private final EventCost events;
 
     CapacityPlan(MeasuredRuns runs) {
         this.runs = runs;
+        this.events = new EventCost(runs);
     }
 
     /** All rows, role by role and event by event. */
@@ -48,7 +54,8 @@
         for (CapacityColumn column : role.node() ? NODE_COLUMNS : OTHER_COLUMNS) {
             cells.put(column, cell(role, event, column));
         }
-        if (role.node() || role == CapacityRole.LIST_SERVICE) {
+        // What is over within seconds has its budget in the bytes of 8 s.
+        if (event == CapacityEvent.CALM || event == CapacityEvent.RESTART && (role.node() || role == CapacityRole.LIST_SERVICE)) {
             bytes(role, cells);
         }
         if (event == CapacityEvent.CALM && role == CapacityRole.SIDECAR_MEAN) {
@@ -77,6 +84,9 @@
     }
 
     private CapacityCell cell(CapacityRole role, CapacityEvent event, CapacityColumn column) {
+        if (role == CapacityRole.CONFIGURATION && event == CapacityEvent.CALM && column == CapacityColumn.CALLS) {
+            return new CapacityCell(DesignSize.deliveriesPerSecond(), "deliveries/s", Origin.RECKONED, "", Double.NaN);
+        }
         double budget = budget(role, column);
         Optional<Found> whole = column.quantities().stream().map(q -> runs.figure(role.key(), event.key(), q)).flatMap(Optional::stream)
             .findFirst();
@@ -88,27 +98,20 @@
             }
         }
         if (whole.isEmpty()) {
-            boolean byChanges = role.node() && column == CapacityColumn.PROCESSOR && event != CapacityEvent.CALM;
-            return byChanges ? byChanges(role, event).within(budget) : CapacityCell.notMeasured();
+            boolean fromChanges = role.node() && column == CapacityColumn.PROCESSOR;
+            return fromChanges ? events.processor(role, event).within(budget) : CapacityCell.notMeasured();
         }
         Found found = whole.get();
-        return new CapacityCell(found.figure().value(), unit(found.figure()), atSize ? Origin.MEASURED : Origin.MEASURED_SMALLER,
-            "at " + found.run().nodes() + " nodes", budget);
-    }
-
-    /** A node's processor time in an event: what it needs when calm, and what the changes that it was told cost by their slope. */
-    private CapacityCell byChanges(CapacityRole role, CapacityEvent event) {
-        Optional<Found> calm = runs.figure(role.key(), CapacityEvent.CALM.key(), "cpuControl");
-        Optional<Found> differences = runs.figure(role.key(), event.key(), "differences");
-        Optional<Found> seconds = runs.figure(CapacityRole.LIST_SERVICE.key(), event.key(), "seconds");
-        Optional<MeasuredSlope> slope = runs.slope(NODE_SLOPES + ".changes.cpu").filter(MeasuredSlope::linear);
-        if (calm.isEmpty() || differences.isEmpty() || seconds.isEmpty() || slope.isEmpty()) {
-            return CapacityCell.notMeasured();
+        if (EventCost.madeFaster(event, column)) {
+            Optional<CapacityCell> paced = events.byTheDaysPace(found);
+            return paced.orElseGet(CapacityCell::notMeasured);
         }
-        double perSecond = differences.get().figure().value() / seconds.get().figure().value();
-        double value = calm.get().figure().value() + slope.get().slope() * perSecond;
-        return new CapacityCell(value, slope.get().unit(), slope.get().extrapolated(perSecond) ? Origin.EXTRAPOLATED : Origin.SLOPE,
-            slope.get().row(), Double.NaN);
+        boolean faster = event == CapacityEvent.RESTART;
+        String from = Stream.of(atSize ? "" : "at " + found.run().nodes() + " nodes", faster ? "made faster" : "")
+            .filter(words -> !words.isEmpty()).collect(Collectors.joining(", "));
+        boolean counts = !faster && (role.node() || role == CapacityRole.CONFIGURATION || atSize);
+        return new CapacityCell(found.figure().value(), unit(found.figure()), from.isEmpty() ? Origin.MEASURED : Origin.MEASURED_OTHERWISE,
+            from, counts ? budget : Double.NaN);
     }
 
     /** Its unit, and of what it is where that is not a second. */
@@ -120,10 +123,11 @@
         };
     }
 
-    /** What one real node needs when calm does not depend on how many others there are. */
+    /** What was measured at real nodes, one by one, does not depend on how many others there are. */
     private static boolean perNodeOfRealNodes(CapacityRole role, CapacityEvent event, CapacityColumn column) {
         boolean own = column == CapacityColumn.PROCESSOR || column == CapacityColumn.MEMORY;
-        return event == CapacityEvent.CALM && own && (role.node() || role == CapacityRole.FIGURES_READERS);
+        return event == CapacityEvent.CALM && own && role.node() || role == CapacityRole.FIGURES_READERS
+            || role == CapacityRole.CONFIGURATION && event == CapacityEvent.CHANGE;
     }
 
     private Optional<CapacityCell> bySlope(CapacityRole role, CapacityColumn column) {
@@ -152,7 +156,7 @@
             return;
         }
         Origin weaker = in.origin().compareTo(out.origin()) > 0 ? in.origin() : out.origin();
-        double fleet = weaker == Origin.MEASURED_SMALLER ? Double.NaN : DesignSize.fleetBytesPerSecond();
+        double fleet = weaker == Origin.MEASURED_OTHERWISE ? Double.NaN : DesignSize.fleetBytesPerSecond();
         cells.put(CapacityColumn.BYTES, new CapacityCell(in.value() + out.value(), in.unit(), weaker, in.from(),
             role.node() ? DesignSize.NODE_BYTES_PER_SECOND : fleet));
     }
@@ -173,13 +177,14 @@
         if (measured.isPresent()) {
             Found found = measured.get();
             return new CapacityCell(found.figure().value(), found.figure().unit(),
-                found.atSize() ? Origin.MEASURED : Origin.MEASURED_SMALLER, "at " + found.run().nodes() + " nodes", Double.NaN);
+                found.atSize() ? Origin.MEASURED : Origin.MEASURED_OTHERWISE, "at " + found.run().nodes() + " nodes", Double.NaN);
         }
-        if (role.node()) {
-            return new CapacityCell(role.lines() * DesignSize.LINE_BYTES, "B", Origin.RECKONED, "", Double.NaN);
+        if (!role.node() && role != CapacityRole.LIST_SERVICE) {
+            return CapacityCell.notMeasured();
         }
-        return role == CapacityRole.LIST_SERVICE ? new CapacityCell(DesignSize.wholeListBytes(), "B", Origin.RECKONED, "", Double.NaN)
-            : CapacityCell.notMeasured();
+        double lines = role.node() ? role.lines() : DesignSize.SERVERS;
+        return onLine(STATE_SLOPE, lines)
+            .orElseGet(() -> new CapacityCell(lines * DesignSize.LINE_BYTES, "B", Origin.RECKONED, "", Double.NaN));
     }
 
     private static double budget(CapacityRole role, CapacityColumn column) {
@@ -187,7 +192,7 @@
             return DesignSize.IN_FORCE_S;
         }
         if (!role.node()) {
-            return Double.NaN;
+            return column == CapacityColumn.PROCESSOR && role == CapacityRole.LIST_SERVICE ? DesignSize.machinesCorePercent() : Double.NaN;
         }
         return switch (column) {
             case PROCESSOR -> DesignSize.NODE_CORE_PERCENT;
--- a/src/main/java/onyxpaddle/capacity/CapacityRow.java
+++ b/src/main/java/onyxpaddle/capacity/CapacityRow.java
@@ -63,12 +63,20 @@
         }
         CapacityColumn worst = worst();
         if (worst == null) {
-            boolean unjudged = cells.values().stream().anyMatch(cell -> cell.origin() == CapacityCell.Origin.CANNOT_JUDGE);
-            return unjudged ? "can't be judged here" : "not measured";
+            return withoutRatio();
         }
         return CapacityCell.number(ratio()) + " (" + worst.title().toLowerCase(java.util.Locale.ROOT) + ")";
     }
 
+    private String withoutRatio() {
+        if (cells.values().stream().anyMatch(cell -> cell.origin() == CapacityCell.Origin.CANNOT_JUDGE)) {
+            return "can't be judged here";
+        }
+        boolean measured = cells.values().stream().anyMatch(cell -> cell.origin() != CapacityCell.Origin.NOT_MEASURED
+            && cell.origin() != CapacityCell.Origin.RECKONED);
+        return measured ? "no budget at this size" : "not measured";
+    }
+
     /** The packages that carry it, or none. */
     String mechanism() {
         if (!carried()) {
--- a/src/main/java/onyxpaddle/capacity/DesignSize.java
+++ b/src/main/java/onyxpaddle/capacity/DesignSize.java
@@ -31,6 +31,8 @@
     /** How long a watch of a list waits before it asks again ({@code membership.ListWatch}). */
     static final double WATCH_S = 2;
 
+    private static final double PERCENT_OF_A_CORE = 100;
+
     private DesignSize() {
     }
 
@@ -60,6 +62,11 @@
         return NODE_BYTES_PER_SECOND * NODES;
     }
 
+    /** One core for each of the control machines: the least that they have, as how many isn't given. */
+    static double machinesCorePercent() {
+        return CONTROL_MACHINES * PERCENT_OF_A_CORE;
+    }
+
     /** What each of the control machines then carries. */
     static double machineBytesPerSecond() {
         return fleetBytesPerSecond() / CONTROL_MACHINES;
