--- a/src/main/java/onyxpaddle/capacity/AddedTimeFigures.java
+++ b/src/main/java/onyxpaddle/capacity/AddedTimeFigures.java
@@ -40,6 +40,11 @@
         return plain("calls through");
     }
 
+    /** Calls that failed or had no answer, straight and through the node. */
+    double failed() {
+        return plain("calls failed");
+    }
+
     double rounds() {
         return plain("rounds");
     }
--- a/src/main/java/onyxpaddle/capacity/CapacityCell.java
+++ b/src/main/java/onyxpaddle/capacity/CapacityCell.java
@@ -45,6 +45,11 @@
         return origin == Origin.NOT_MEASURED || origin == Origin.CANNOT_JUDGE ? Double.NaN : value / budget;
     }
 
+    /** Whether it was read off a fitted line, whose row {@code from} is. */
+    boolean onSlope() {
+        return origin == Origin.SLOPE || origin == Origin.EXTRAPOLATED;
+    }
+
     /** As the page shows it. */
     String text() {
         return switch (origin) {
--- a/src/main/java/onyxpaddle/capacity/CapacityPage.java
+++ b/src/main/java/onyxpaddle/capacity/CapacityPage.java
@@ -157,7 +157,7 @@
             """);
         line("");
         table("Calls/s", "Straight p50, p99, p99.9", "Through p50, p99, p99.9", "Added p50", "Added p99 (lowest to highest round)",
-            "Noise p50, p99", "Need / budget", "Calls, rounds", "Cores: allowed, used by others", "Run");
+            "Noise p50, p99", "Need / budget", "Calls, failed, rounds", "Cores: allowed, used by others", "Run");
         for (int rate : List.of(AddedTimeFigures.MEAN_RATE, AddedTimeFigures.HOTTEST_RATE)) {
             runs.addedTime(rate).ifPresentOrElse(figures -> added(rate, figures),
                 () -> cells(String.valueOf(rate), "not measured", "", "", "", "", "", "", "", ""));
@@ -170,7 +170,8 @@
         String ratio = figures.judged() ? CapacityCell.number(figures.time("added p99") / DesignSize.ADDED_MS) : "can't be judged here";
         cells(String.valueOf(rate), times(figures, "straight p50", "straight p99", "straight p99.9"),
             times(figures, "through p50", "through p99", "through p99.9"), times(figures, "added p50"), added,
-            times(figures, "noise p50", "noise p99"), ratio, CapacityCell.number(figures.calls()) + ", " + (int) figures.rounds(),
+            times(figures, "noise p50", "noise p99"), ratio,
+            CapacityCell.number(figures.calls()) + ", " + CapacityCell.number(figures.failed()) + ", " + (int) figures.rounds(),
             (int) figures.coresAllowed() + ", " + CapacityCell.number(figures.coresUsedByOthers()), figures.run().file());
     }
 
@@ -189,6 +190,11 @@
         line("");
         List<CapacityRow> rows = plan.rows().stream().filter(row -> row.role() == role).toList();
         line("Mechanism: " + rows.get(0).mechanism() + ". State: " + STATE_BOUNDS.get(role) + ".");
+        String slopes = rows.stream().flatMap(row -> row.cells().values().stream()).filter(CapacityCell::onSlope)
+            .map(cell -> "`" + cell.from() + "`").distinct().collect(Collectors.joining(", "));
+        if (!slopes.isEmpty()) {
+            line("Slopes that its figures come from, with residual and sizes [below](#slopes): " + slopes + ".");
+        }
         line("");
         List<CapacityColumn> columns = new ArrayList<>(TABLE);
         columns.add(role.node() ? CapacityColumn.WORST_8S : CapacityColumn.MOST_CALLS);
--- a/src/test/java/onyxpaddle/capacity/CapacityPageTest.java
+++ b/src/test/java/onyxpaddle/capacity/CapacityPageTest.java
@@ -117,6 +117,8 @@
     void aSlopeSaysWhatItRestsOnAndWhatIsBeyondTwiceTheLargestSizeIsExtrapolated() {
         assertTrue(calmCalls(slope(400, "linear")).contains("(extrapolated)"));
         assertTrue(calmCalls(slope(460, "linear")).contains("462 calls/s (slope)"));
+        assertTrue(section(page(scale(100, slope(400, "linear"))), "## List service")
+            .contains("[below](#slopes): `list-service.nodes.calls`."));
         String slopes = section(page(scale(100, slope(400, "linear"))), "## Slopes");
         assertTrue(slopes.contains(
             "| `list-service.nodes.calls` | 0.500 calls/s | 2.00 | 0.250 | 0.999 | 50.0 to 400 nodes | 0.040 | linear |"), slopes);
