--- a/src/test/java/onyxpaddle/http/FrontRig.java
+++ b/src/test/java/onyxpaddle/http/FrontRig.java
@@ -203,8 +203,12 @@
 
         /** The status of the next answer; {@link #ENDED} where the node has ended the connection in order. */
         int hear() throws IOException {
+            return hear(socket.getInputStream());
+        }
+
+        /** The same, of any connection. */
+        static int hear(InputStream in) throws IOException {
             ByteArrayOutputStream head = new ByteArrayOutputStream();
-            InputStream in = socket.getInputStream();
             while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
                 int next = in.read();
                 if (next < 0) {
