--- a/src/test/java/onyxpaddle/serve/LateDialTest.java
+++ b/src/test/java/onyxpaddle/serve/LateDialTest.java
@@ -3,12 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import onyxpaddle.serve.Loopback.Client;
@@ -21,47 +17,6 @@
     /** For how long servers know a key. */
     private static final int KNOWN_MS = 400;
 
-    /** A server whose queue for connections can be filled, so that a dial hangs until it is emptied and the system tries again. */
-    private static final class FullServer implements AutoCloseable {
-        private final ServerSocket listener = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
-        private final List<Socket> fill = new ArrayList<>();
-
-        private FullServer() throws Exception {
-            listener.setSoTimeout(Loopback.PATIENCE_MS);
-        }
-
-        private String address() {
-            return "127.0.0.1:" + listener.getLocalPort();
-        }
-
-        private FullServer filled() throws Exception {
-            for (int i = 0; i < 2; i++) {
-                fill.add(new Socket(listener.getInetAddress(), listener.getLocalPort()));
-            }
-            return this;
-        }
-
-        private Socket next() throws Exception {
-            Socket socket = listener.accept();
-            socket.setSoTimeout(Loopback.PATIENCE_MS);
-            return socket;
-        }
-
-        /** Takes off what filled it, and returns what came last. */
-        private Socket late() throws Exception {
-            for (Socket socket : fill) {
-                listener.accept().close();
-                socket.close();
-            }
-            return next();
-        }
-
-        @Override
-        public void close() throws java.io.IOException {
-            listener.close();
-        }
-    }
-
     /** Requests that are taken and not answered, as the node's loop sees it. */
     private static int unanswered(Node node) {
         return node.loop().submit(() -> node.pools().get("").unanswered()).syncUninterruptibly().getNow();
--- /dev/null
+++ b/src/test/java/onyxpaddle/serve/ScriptedDiscovery.java
@@ -0,0 +1,95 @@
+package onyxpaddle.serve;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import onyxpaddle.serve.Loopback.FakeDiscovery;
+import onyxpaddle.serve.Loopback.FakeServer;
+
+/** Discovery that deals with one call after another, on whichever connection it comes, as its script says; then it lets calls wait. */
+final class ScriptedDiscovery extends Loopback.Peer {
+    /** What it does with a call. */
+    sealed interface Step {
+    }
+
+    /** Answers with this list. */
+    record Tells(String list) implements Step {
+    }
+
+    /** Says nothing, and leaves the connection open. */
+    record FallsSilent() implements Step {
+    }
+
+    /** Ends the connection with no answer. */
+    record Ends() implements Step {
+    }
+
+    final BlockingQueue<String> calls = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Step> script = new LinkedBlockingQueue<>();
+    private final CountDownLatch closed = new CountDownLatch(1);
+
+    ScriptedDiscovery(Step... steps) throws IOException {
+        then(steps);
+    }
+
+    ScriptedDiscovery then(Step... steps) {
+        script.addAll(List.of(steps));
+        return this;
+    }
+
+    /** One server among changes. */
+    static Step change(int version, FakeServer server, String health) {
+        return new Tells(Loopback.list(version, server).replace("\"whole\":true", "\"whole\":false")
+            .replace("\"health\":\"ready\"", "\"health\":\"" + health + "\""));
+    }
+
+    /** A ready node that this is the discovery of, and that knows these servers. */
+    Node node(FakeServer... known) throws Exception {
+        try (FakeDiscovery other = new FakeDiscovery("")) {
+            Node node = Node.start(PlatformConfig.parse(Loopback.config(other, known).getBytes(StandardCharsets.UTF_8),
+                Map.of("GW_DISCOVERY", address())));
+            try (Loopback.Client client = new Loopback.Client(node.address())) {
+                client.awaitReady();
+            }
+            return node;
+        }
+    }
+
+    /** Waits for a call that asks for what came after this version: what it told of this version is in force then. */
+    void awaitCallAfter(int version) throws InterruptedException {
+        String call;
+        do {
+            call = calls.poll(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS);
+            if (call == null) {
+                throw new AssertionError("version " + version + " is never in force");
+            }
+        } while (!call.contains("?after=" + version + "&"));
+    }
+
+    @Override
+    void serve(Socket socket) throws Exception {
+        for (String head = Loopback.head(socket.getInputStream()); head != null; head = Loopback.head(socket.getInputStream())) {
+            calls.add(head.split("\r\n")[0]);
+            Step step = script.take();
+            if (step instanceof Tells tells) {
+                socket.getOutputStream().write(Loopback.ok(tells.list()).getBytes(StandardCharsets.UTF_8));
+            } else if (step instanceof FallsSilent) {
+                closed.await();
+            } else {
+                return;
+            }
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        closed.countDown();
+        super.close();
+    }
+}
