What an attempt tells its server of its time counts from when its request can have come

At fault: ServerConnection.start and RpcConnection's envelope told the node's own wait, which Dispatcher.arrived lengthens by up to 0.3 s for a request that came in a late turn. After a slow attempt, a late dial and a wait for a place the time was right. Change: Exchange.timeLeft counts from when the last byte came at the earliest, but for 50 ms; how long the node itself waits is as it was. Discovery in the tests of lists repeats what it told last, as a call given up on a busy machine had taken a step of its script with it.

--- a/src/main/java/onyxpaddle/http/ServerConnection.java
+++ b/src/main/java/onyxpaddle/http/ServerConnection.java
@@ -119,7 +119,7 @@
         decoder.expect(head.method().equals(HttpMethod.HEAD));
         long length = x.upload == null ? x.body.size() : x.upload.length();
         HttpHeaders headers = all.dialect.forServer(head, length, channel.remoteAddress(),
-            Math.min(x.patience(), next.until - startedAt));
+            Math.min(x.timeLeft(startedAt), next.until - startedAt));
         ByteBuf body = x.body.size() == 0 ? Unpooled.EMPTY_BUFFER : x.body.whole();
         pace.startAnew();
         if (x.upload == null) {
--- a/src/main/java/onyxpaddle/node/Exchange.java
+++ b/src/main/java/onyxpaddle/node/Exchange.java
@@ -12,6 +12,9 @@
             boolean clientRetry) {
     }
 
+    /** A request may have come so much later than it can have come at the earliest; a third of what may be told too much. */
+    private static final long UNSURE = 50_000_000L;
+
     public final String id;
     final Terms terms;
     /** Whether running twice does no harm. */
@@ -41,6 +44,15 @@
         return terms.patience();
     }
 
+    /**
+     * How much of its time a server may be told is left to its caller, in nanoseconds, 0 at the least: counted from when the last byte
+     * came at the earliest, but for {@link #UNSURE}. The node itself may wait for longer, see {@link Dispatcher#arrived}; a server that
+     * is told so works on for nobody. Of a body that is passed on as it comes it is the whole time, which begins with its end.
+     */
+    public long timeLeft(long now) {
+        return upload != null ? terms.patience() : Math.max(0, Math.min(terms.patience(), came + UNSURE + terms.patience() - now));
+    }
+
     /** When its caller's time is up, by the node's clock. */
     public long deadline() {
         return deadline;
--- a/src/main/java/onyxpaddle/rpc/RpcConnection.java
+++ b/src/main/java/onyxpaddle/rpc/RpcConnection.java
@@ -196,7 +196,8 @@
         }
         MsgPack.array(out, head.params() + (all.terms.envelope() ? 1 : 0));
         if (all.terms.envelope()) {
-            double left = Math.max(0, call.attempt.until - all.clock.now()) / 1e6;
+            long now = all.clock.now();
+            double left = Math.max(0, Math.min(call.attempt.exchange.timeLeft(now), call.attempt.until - now)) / 1e6;
             Envelope from = head.envelope();
             new Envelope(left, from.key(), from.tenant(), from.retry(), Double.NaN).write(out);
         }
--- a/src/test/java/onyxpaddle/serve/ScriptedDiscovery.java
+++ b/src/test/java/onyxpaddle/serve/ScriptedDiscovery.java
@@ -12,7 +12,10 @@
 import onyxpaddle.serve.Loopback.FakeDiscovery;
 import onyxpaddle.serve.Loopback.FakeServer;
 
-/** Discovery that deals with one call after another, on whichever connection it comes, as its script says; then it lets calls wait. */
+/**
+ * Discovery that deals with one call after another, on whichever connection it comes, as its script says. After that it lets watches
+ * wait, and tells a call that waits for no news what it told last: the caller may have given up the call that had it.
+ */
 final class ScriptedDiscovery extends Loopback.Peer {
     /** What it does with a call. */
     sealed interface Step {
@@ -32,6 +35,7 @@
 
     final BlockingQueue<String> calls = new LinkedBlockingQueue<>();
     private final BlockingQueue<Step> script = new LinkedBlockingQueue<>();
+    private volatile Tells last;
     private final CountDownLatch closed = new CountDownLatch(1);
 
     ScriptedDiscovery(Step... steps) throws IOException {
@@ -63,10 +67,11 @@
 
     /** Waits for a call that asks for what came after this version: what it told of this version is in force then. */
     void awaitCallAfter(int version) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Loopback.PATIENCE_MS);
         String call;
         do {
-            call = calls.poll(Loopback.PATIENCE_MS, TimeUnit.MILLISECONDS);
-            if (call == null) {
+            call = calls.poll(end - System.nanoTime(), TimeUnit.NANOSECONDS);
+            if (call == null || System.nanoTime() > end) {
                 throw new AssertionError("version " + version + " is never in force");
             }
         } while (!call.contains("?after=" + version + "&"));
@@ -76,8 +81,12 @@
     void serve(Socket socket) throws Exception {
         for (String head = Loopback.head(socket.getInputStream()); head != null; head = Loopback.head(socket.getInputStream())) {
             calls.add(head.split("\r\n")[0]);
-            Step step = script.take();
+            boolean watches = head.contains("wait_ms=") && !head.contains("wait_ms=0 ");
+            Step again = watches ? null : last;
+            Step next = again == null ? script.take() : script.poll();
+            Step step = next == null ? again : next;
             if (step instanceof Tells tells) {
+                last = tells;
                 socket.getOutputStream().write(Loopback.ok(tells.list()).getBytes(StandardCharsets.UTF_8));
             } else if (step instanceof FallsSilent) {
                 closed.await();
