--- a/src/main/java/onyxpaddle/command/ControlCommand.java
+++ b/src/main/java/onyxpaddle/command/ControlCommand.java
@@ -57,7 +57,8 @@
         @Option(names = "--publisher", description = "takes changes; there is one publisher at a time")
         private boolean publisher;
 
-        @Option(names = "--epoch", paramLabel = "N", description = "the publisher's epoch: 1 for the first, then one more at each take-over")
+        @Option(names = "--epoch", paramLabel = "N",
+            description = "the publisher's epoch: 1 for the first, then one more at each take-over")
         private long epoch;
 
         @Option(names = "--take-over-from", paramLabel = "ADDRESS", split = ",", converter = Door.Address.class,
--- a/src/main/java/onyxpaddle/command/ControlStatus.java
+++ b/src/main/java/onyxpaddle/command/ControlStatus.java
@@ -33,14 +33,16 @@
     @Spec
     private CommandSpec spec;
 
-    @Option(names = {"-h", "--help"}, usageHelp = true, description = "shows this help; -V is left out, as --version is the configuration's here")
+    @Option(names = {"-h", "--help"}, usageHelp = true,
+        description = "shows this help; -V is left out, as --version is the configuration's here")
     private boolean help;
 
     @Option(names = "--control", required = true, split = ",", paramLabel = "ADDRESS", converter = Door.Address.class,
         description = "the control processes")
     private List<HostPort> control;
 
-    @Option(names = "--version", paramLabel = "E.N", converter = ControlCommand.Version.class, description = "the version that is waited for")
+    @Option(names = "--version", paramLabel = "E.N", converter = ControlCommand.Version.class,
+        description = "the version that is waited for")
     private ConfigurationVersion version;
 
     @Option(names = "--within", paramLabel = "TIME", converter = ControlCommand.Span.class, defaultValue = "0 ms",
--- a/src/main/java/onyxpaddle/control/ControlClient.java
+++ b/src/main/java/onyxpaddle/control/ControlClient.java
@@ -32,8 +32,8 @@
 
     /** @throws IOException where no answer comes within this time, or one of more than so many bytes */
     public Response post(HostPort at, String uri, byte[] body, Duration within, int mostBytes) throws IOException, InterruptedException {
-        return send(at, HttpRequest.newBuilder(URI.create("http://" + at + uri)).timeout(within).POST(BodyPublishers.ofByteArray(body)).build(),
-            mostBytes);
+        return send(at, HttpRequest.newBuilder(URI.create("http://" + at + uri)).timeout(within)
+            .POST(BodyPublishers.ofByteArray(body)).build(), mostBytes);
     }
 
     private Response send(HostPort at, HttpRequest request, int mostBytes) throws IOException, InterruptedException {
--- a/src/main/java/onyxpaddle/control/ControlConnection.java
+++ b/src/main/java/onyxpaddle/control/ControlConnection.java
@@ -105,7 +105,8 @@
         } else {
             body = new ByteArrayOutputStream();
             if (HttpUtil.is100ContinueExpected(head)) {
-                context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+                context.writeAndFlush(
+                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
             }
         }
     }
--- a/src/main/java/onyxpaddle/control/StatusJson.java
+++ b/src/main/java/onyxpaddle/control/StatusJson.java
@@ -105,7 +105,8 @@
                     default -> parser.skipChildren();
                 }
             }
-            return new Status(id, role.equals("publisher"), fenced, ConfigurationVersion.parse(version), staleMs, waiting, followers, nodes);
+            return new Status(id, role.equals("publisher"), fenced, ConfigurationVersion.parse(version), staleMs, waiting,
+                followers, nodes);
         } catch (IllegalArgumentException e) {
             throw new IOException("status: " + e.getMessage(), e);
         }
--- a/src/main/java/onyxpaddle/control/TakeOver.java
+++ b/src/main/java/onyxpaddle/control/TakeOver.java
@@ -65,9 +65,10 @@
         throw new IOException(at + " does not come to the end of its state");
     }
 
-    private Response call(HostPort at, ConfigurationVersion after, ConfigurationVersion pageOf) throws IOException, InterruptedException {
+    private Response call(HostPort at, ConfigurationVersion after, ConfigurationVersion pageOf)
+            throws IOException, InterruptedException {
         String page = pageOf.equals(ConfigurationVersion.NONE) ? "" : "&page_of=" + pageOf;
-        return client.get(at, "/v1/configuration?scope=all&replica=" + settings.id() + "&epoch=" + after.epoch() + "&after=" + after.number()
-            + page, WITHIN, UpdateJson.MOST_BYTES);
+        return client.get(at, "/v1/configuration?scope=all&replica=" + settings.id() + "&epoch=" + after.epoch()
+            + "&after=" + after.number() + page, WITHIN, UpdateJson.MOST_BYTES);
     }
 }
--- a/src/test/java/onyxpaddle/command/ControlCommandTest.java
+++ b/src/test/java/onyxpaddle/command/ControlCommandTest.java
@@ -54,13 +54,15 @@
     }
 
     private void node(String name, String reports) throws Exception {
-        new ControlClient().get(HostPort.parse(at), "/v1/configuration?node=" + name + "&service=booking&epoch=1&after=1" + reports, END, 1 << 20);
+        new ControlClient().get(HostPort.parse(at), "/v1/configuration?node=" + name + "&service=booking&epoch=1&after=1"
+            + reports, END, 1 << 20);
     }
 
     @Test
     void filesArePublishedAsOneVersionAndRemoved() throws Exception {
         String one = file("one.yaml", "effect: safe\ndeadline: 1 s\n");
-        assertEquals(0, run("control", "publish", "--publisher", at, "--acks", "0", "service/booking/classes.a=" + one, "fleet/classes.b=" + one), err);
+        assertEquals(0, run("control", "publish", "--publisher", at, "--acks", "0", "service/booking/classes.a=" + one,
+            "fleet/classes.b=" + one), err);
         assertEquals("1.1", out.strip());
         assertEquals(0, run("control", "publish", "--publisher", at, "--acks", "0", "--base", "1.1", "--remove", "fleet/classes.b"), err);
         assertEquals("1.2", out.strip());
--- a/src/test/java/onyxpaddle/control/PublisherTest.java
+++ b/src/test/java/onyxpaddle/control/PublisherTest.java
@@ -238,7 +238,8 @@
     void callsThatMakeNoSenseAreRefusedWithTheReason() throws Exception {
         assertEquals(400, rig.post(publisher, "", bytes("{\"changes\":[")).status());
         assertEquals(400, rig.post(publisher, "", bytes("{\"changes\":[]}")).status());
-        assertEquals(400, rig.post(publisher, "", bytes("{\"changes\":[{\"key\":\"fleet/routes\",\"key\":\"x\",\"value\":null}]}")).status());
+        String twoKeys = "{\"changes\":[{\"key\":\"fleet/routes\",\"key\":\"x\",\"value\":null}]}";
+        assertEquals(400, rig.post(publisher, "", bytes(twoKeys)).status());
         String twice = "{\"key\":\"fleet/routes\",\"value\":null}";
         assertEquals(400, rig.post(publisher, "", bytes("{\"changes\":[" + twice + "," + twice + "]}")).status());
         assertEquals(400, rig.post(publisher, "?acks=x", changes(null, new Change(CLASS, null))).status());
@@ -268,7 +269,8 @@
     @Test
     void nodesAreListedWithWhatTheyReport() throws Exception {
         ConfigurationVersion first = rig.publish(publisher, new Change(CLASS, deadline(100)));
-        rig.get(publisher, uri("n1", "booking", first, 0) + "&in_force=1.0&refused=1.1&fault=" + "a%20line%0Aand%20more" + "x".repeat(400));
+        rig.get(publisher, uri("n1", "booking", first, 0) + "&in_force=1.0&refused=1.1&fault="
+            + "a%20line%0Aand%20more" + "x".repeat(400));
         NodeReport node = rig.status(publisher).nodes().get(0);
         assertEquals("n1", node.node());
         assertEquals("booking", node.service());
--- a/src/test/java/onyxpaddle/control/WakeTest.java
+++ b/src/test/java/onyxpaddle/control/WakeTest.java
@@ -78,7 +78,8 @@
         allWait();
         telling.durable(first.changed(1, List.of(new Change(ControlRig.CLASS, ControlRig.deadline(100)))));
         calls.news();
-        assertEquals(NODES / 2, answered("\"version\":\"1.1\",\"whole\":false,\"more\":false,\"stale_ms\":-1,\"entries\":[{\"key\":\"service/booking").size());
+        assertEquals(NODES / 2, answered("\"version\":\"1.1\","
+            + "\"whole\":false,\"more\":false,\"stale_ms\":-1,\"entries\":[{\"key\":\"service/booking").size());
         telling.durable(telling.table().changed(1, List.of(new Change(ControlRig.OTHER, ControlRig.deadline(100)))));
         calls.news();
         assertEquals(NODES / 2, answered("\"version\":\"1.2\"").size());
