The pacer's test ends also where no turn is kept

Cause: without reserved turns its loop had no end, so the fault was not told but hung. Change: the bound on calls is checked at each. Seen: it fails where turns are not kept, and passes with them.

--- a/src/test/java/onyxpaddle/distribution/WholeAnswerPacerTest.java
+++ b/src/test/java/onyxpaddle/distribution/WholeAnswerPacerTest.java
@@ -37,6 +37,7 @@
         while (!calls.isEmpty()) {
             Call call = calls.remove();
             asked++;
+            assertTrue(asked <= 2_000, "each asks twice at most");
             Decision decision = pacer.ask(call.caller(), SIZE, call.at());
             if (decision instanceof Later later) {
                 // As Retry-After says it, in whole seconds.
@@ -46,7 +47,6 @@
             }
         }
         assertEquals(1_000, sent.size());
-        assertTrue(asked <= 2_000, "each asks twice at most, so " + asked + " are too many");
         assertEquals(0, pacer.reserved());
         for (int from = 0; from < sent.size(); from++) {
             long bytes = 0;
