--- a/src/test/java/onyxpaddle/serve/DistributedNodeTest.java
+++ b/src/test/java/onyxpaddle/serve/DistributedNodeTest.java
@@ -81,8 +81,8 @@
         }
 
         @Override
-        public void close() throws InterruptedException {
-            process.destroyForcibly().waitFor();
+        public void close() {
+            process.destroyForcibly().onExit().join();
         }
     }
 
--- a/src/test/java/onyxpaddle/serve/HollowNode.java
+++ b/src/test/java/onyxpaddle/serve/HollowNode.java
@@ -2,13 +2,14 @@
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import java.nio.file.Path;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import onyxpaddle.config.Faults;
 import onyxpaddle.config.MachineLimits;
@@ -93,11 +94,12 @@
         });
     }
 
+    /** Ends it; what the worker has begun is done then, so that nothing is written any more. */
     @Override
-    public void close() throws Exception {
+    public void close() {
         configuration.stop();
-        group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS).sync();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        CompletableFuture.runAsync(() -> { }, worker).join();
         worker.shutdown();
-        worker.awaitTermination(20, java.util.concurrent.TimeUnit.SECONDS);
     }
 }
