--- a/src/main/java/onyxpaddle/command/Lupinmount.java
+++ b/src/main/java/onyxpaddle/command/Lupinmount.java
@@ -22,7 +22,7 @@
 /** All of the program's commands, in one tree. The platform's {@code serve} and the simulator's adapter don't come by here. */
 @Command(name = "lupinmount", mixinStandardHelpOptions = true, versionProvider = Lupinmount.Version.class,
     synopsisSubcommandLabel = "COMMAND", subcommands = {Lupinmount.Serve.class, NodeCommand.class, BgpCommand.class, DrillCommand.class, SitesCommand.class, SiteCommand.class,
-        ControlCommand.class, Measure.class},
+        Measure.class},
     description = "A load-balancing node, and what belongs to it.",
     exitCodeListHeading = "%nExit codes:%n",
     exitCodeList = {"0:done, or the answer is yes", "1:cannot run, or the answer is no", "64:wrong usage", "78:faults in a file"})
@@ -37,6 +37,10 @@
     public static int run(String[] args, PrintWriter out, PrintWriter err) {
         CommandLine line = new CommandLine(new Lupinmount());
         line.addSubcommand(SidecarCommand.line()).addSubcommand(RpcCommand.line());
+        if (args.length == 0 || !args[0].equals("serve")) {
+            // Its options have types of `distribution`, none of which a node without control processes is to load.
+            line.addSubcommand(new ControlCommand());
+        }
         return CommandRun.run(line, args, out, err);
     }
 
