--- a/src/main/java/onyxpaddle/scale/RealNodeSlopes.java
+++ b/src/main/java/onyxpaddle/scale/RealNodeSlopes.java
@@ -9,6 +9,7 @@
 import java.util.TreeMap;
 import java.util.function.ToDoubleFunction;
 import java.util.function.ToLongFunction;
+import java.util.stream.Collectors;
 import onyxpaddle.scale.RealNodes.Member;
 import onyxpaddle.scale.RealNodes.Use;
 
@@ -225,13 +226,19 @@
             List<ListReply.Door> reals = compared.stream().filter(door -> real.contains(door.node())).toList();
             List<ListReply.Door> hollows = compared.stream().filter(door -> real.contains(door.node() - RealNodes.HOLLOW)).toList();
             String row = "hollow." + kind.name().toLowerCase(java.util.Locale.ROOT) + ".";
-            ratio(result, row + "calls", sum(hollows, ListReply.Door::calls), sum(reals, ListReply.Door::calls));
-            ratio(result, row + "bytesIn", sum(hollows, ListReply.Door::bytesIn), sum(reals, ListReply.Door::bytesIn));
-            ratio(result, row + "bytesOut", sum(hollows, ListReply.Door::bytesOut), sum(reals, ListReply.Door::bytesOut));
+            ratio(result, row + "calls", usual(hollows, ListReply.Door::calls), usual(reals, ListReply.Door::calls));
+            ratio(result, row + "bytesIn", usual(hollows, ListReply.Door::bytesIn), usual(reals, ListReply.Door::bytesIn));
+            ratio(result, row + "bytesOut", usual(hollows, ListReply.Door::bytesOut), usual(reals, ListReply.Door::bytesOut));
             ratio(result, row + "interval", interval(hollows), interval(reals));
         }
     }
 
+    /** The median over nodes, each the sum of its windows: one that stalled and fetched its list whole again does not move it. */
+    private static double usual(List<ListReply.Door> doors, ToLongFunction<ListReply.Door> of) {
+        Map<Integer, Long> byNode = doors.stream().collect(Collectors.groupingBy(ListReply.Door::node, Collectors.summingLong(of)));
+        return new SlopeFit.Point(0, byNode.values().stream().map(Long::doubleValue).toList()).median();
+    }
+
     /** Seconds from a call to the next, the mean of all. */
     private static double interval(List<ListReply.Door> doors) {
         return doors.stream().mapToDouble(ListReply.Door::meanInterval).filter(Double::isFinite).average().orElse(Double.NaN);
--- a/src/main/java/onyxpaddle/scale/RealNodes.java
+++ b/src/main/java/onyxpaddle/scale/RealNodes.java
@@ -45,7 +45,7 @@
     /** Processes whose rates of changes take turns. */
     static final int CHANGING = 5;
     static final int COMPARED_SIDECARS = 3;
-    static final int COMPARED_FRONTS = 2;
+    static final int COMPARED_FRONTS = 3;
     private static final int FRONTS = 2;
     private static final int FIXED = 2;
     /** Hollow counterparts have their numbers this much higher. */
@@ -77,7 +77,7 @@
         }
     }
 
-    /** How many processes of the program there are, and two more. */
+    /** How many processes of the program there are. */
     static int count() {
         return CHANGING + SERVERS.size() + SERVICES.size() + FRONTS + FIXED + COMPARED_SIDECARS + COMPARED_FRONTS;
     }
