--- a/src/main/java/onyxpaddle/scale/ProcessCost.java
+++ b/src/main/java/onyxpaddle/scale/ProcessCost.java
@@ -48,6 +48,17 @@
         }
     }
 
+    /** Bytes that a process has read and written by system calls so far, of sockets and files. */
+    static long transferred(long pid) throws IOException {
+        long sum = 0;
+        for (String line : Files.readAllLines(Path.of("/proc/" + pid + "/io"))) {
+            if (line.startsWith("rchar:") || line.startsWith("wchar:")) {
+                sum += Long.parseLong(line.replaceAll("[^0-9]", ""));
+            }
+        }
+        return sum;
+    }
+
     /** Resident memory now, in bytes; 0 where the process has ended. */
     static long resident(long pid) throws IOException {
         try {
--- a/src/main/java/onyxpaddle/scale/ScaleReckoning.java
+++ b/src/main/java/onyxpaddle/scale/ScaleReckoning.java
@@ -23,6 +23,8 @@
     /** A JVM's memory beside its heap, for some threads. */
     private static final int BESIDE_HEAP = 128;
     private static final int HARNESS = 256 + BESIDE_HEAP;
+    /** A control process's: 64 MB of heap, and its classes. */
+    private static final int CONTROL = 160;
     /** A real node's: 24 MB of buffers and 48 MB of heap at the most, and its classes. */
     private static final int REAL = 120;
     /** Files and sockets of a JVM that serves nobody. */
@@ -33,8 +35,8 @@
         int hollow = hollowProcesses(size);
         int lists = realNodes > 0 ? 2 : 1;
         long watches = (long) size.largest() * FleetLayout.MEAN_SERVICES * 2;
-        return new ScaleReckoning(1 + hollow + lists + realNodes, HARNESS + (long) hollow * (HOLLOW_HEAP + BESIDE_HEAP)
-            + (long) lists * (LIST_HEAP + BESIDE_HEAP) + (long) realNodes * REAL, 2 * watches + USUAL_DESCRIPTORS);
+        return new ScaleReckoning(1 + 2 * hollow + ConfigurationByControl.PROCESSES + lists + realNodes,
+            HARNESS + 2L * hollow * (HOLLOW_HEAP + BESIDE_HEAP) + (long) ConfigurationByControl.PROCESSES * CONTROL + (long) lists * (LIST_HEAP + BESIDE_HEAP) + (long) realNodes * REAL, 2 * watches + USUAL_DESCRIPTORS);
     }
 
     static int hollowProcesses(ScaleSize size) {
--- a/src/main/java/onyxpaddle/scale/ScaleRun.java
+++ b/src/main/java/onyxpaddle/scale/ScaleRun.java
@@ -49,7 +49,7 @@
             } else {
                 slopes.run(result);
             }
-            new FleetEvents(fleet, size, result).run(result);
+            sideBySide(new FleetEvents(fleet, size, result), new ConfigurationByControl(layout));
         } finally {
             memory.interrupt();
         }
