--- a/src/test/java/onyxpaddle/control/SteadyCaller.java
+++ b/src/test/java/onyxpaddle/control/SteadyCaller.java
@@ -41,6 +41,11 @@
         return answered.get();
     }
 
+    /** What the node that it calls has written, for messages. */
+    String nodeLog() {
+        return node.process().log();
+    }
+
     /** Ends it, and returns what was wrong. */
     List<String> end() throws InterruptedException {
         over = true;
