--- a/src/test/java/onyxpaddle/serve/FurtherAttemptDeadlineTest.java
+++ b/src/test/java/onyxpaddle/serve/FurtherAttemptDeadlineTest.java
@@ -92,7 +92,8 @@
                 try (Socket first = full.next()) {
                     Loopback.head(first.getInputStream());
                     full.filled();
-                    first.getOutputStream().write(NEVER_RAN.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+                    String closes = NEVER_RAN.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n");
+                    first.getOutputStream().write(closes.getBytes(StandardCharsets.US_ASCII));
                     faultLasts();
                     double left = waiting.left();
                     try (Socket late = full.late()) {
@@ -114,7 +115,8 @@
         try (FakeServer server = new FakeServer("s1") {
                 @Override
                 void serve(Socket socket) throws Exception {
-                    for (String head = Loopback.head(socket.getInputStream()); head != null; head = Loopback.head(socket.getInputStream())) {
+                    for (String head = Loopback.head(socket.getInputStream()); head != null;
+                            head = Loopback.head(socket.getInputStream())) {
                         heard.add(head);
                         if (head.contains("X-Trace-Id: fills")) {
                             free.await();
--- a/src/test/java/onyxpaddle/serve/LateSilenceTest.java
+++ b/src/test/java/onyxpaddle/serve/LateSilenceTest.java
@@ -32,7 +32,8 @@
                 Reads.reachAll(client, "before", drains, stays);
                 discovery.awaitCallAfter(SOUND);
                 long silent = System.nanoTime();
-                discovery.then(new FallsSilent(), new FallsSilent(), new FallsSilent(), ScriptedDiscovery.change(SOUND + 1, drains, "draining"));
+                discovery.then(new FallsSilent(), new FallsSilent(), new FallsSilent(),
+                    ScriptedDiscovery.change(SOUND + 1, drains, "draining"));
                 discovery.awaitCallAfter(SOUND + 1);
                 long told = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - silent);
                 assertTrue(told < TOLD_MS, told + " ms until the drain is in force");
--- a/src/test/java/onyxpaddle/serve/ReloadDrainTest.java
+++ b/src/test/java/onyxpaddle/serve/ReloadDrainTest.java
@@ -49,7 +49,8 @@
                 Reads.answeredBy(drains, stays);
                 Reads.reachAll(client, "before", drains, stays);
                 old.awaitCallAfter(40);
-                String config = Loopback.config(other, drains, stays).replace(other.address(), next.address()).replace("\"seq\":1", "\"seq\":40");
+                String config = Loopback.config(other, drains, stays).replace(other.address(), next.address())
+                    .replace("\"seq\":1", "\"seq\":40");
                 long hangup = System.nanoTime();
                 node.reload(Map.of("GW_CONFIG", Files.writeString(folder.resolve("config.json"), config).toString()));
                 next.awaitCallAfter(2);
