The page of capacity shows a change of configuration before and after its mechanism

Need: with `control` and `distribution` the carrier of configuration has a mechanism, and the page must still say why that came first. Change: the role names its packages; a section has the change by hand beside those that control processes carried, by their figures; rows of the role come from these.

--- a/src/main/java/onyxpaddle/capacity/CapacityColumn.java
+++ b/src/main/java/onyxpaddle/capacity/CapacityColumn.java
@@ -11,7 +11,7 @@
     BYTES_OUT("Bytes out a second", List.of("bytesOut", "readBytes")),
     BYTES("Bytes in and out a second", List.of()),
     WORST_8S("Most bytes in 8 s", List.of("worst8s")),
-    PROCESSOR("Processor time", List.of("cpuControl", "cpu", "changeCpuSeconds", "readCpuSeconds")),
+    PROCESSOR("Processor time", List.of("cpuControl", "cpu", "readCpuSeconds")),
     MEMORY("Memory", List.of("memoryControl", "memory")),
     CURRENT("Until the last has it", List.of("lastCurrent", "changeSeconds")),
     ADDED("Added for 99 in 100 calls", List.of());
--- a/src/main/java/onyxpaddle/capacity/CapacityPage.java
+++ b/src/main/java/onyxpaddle/capacity/CapacityPage.java
@@ -16,7 +16,7 @@
         CapacityRole.SIDECAR_MEAN, "as at a front node, of each service that it calls",
         CapacityRole.SIDECAR_HOTTEST, "as at a front node, of each service that it calls",
         CapacityRole.LIST_SERVICE, "all lines; the platform bounds it",
-        CapacityRole.CONFIGURATION, "none is kept but each machine's file, of 1 MiB at most (`config`)",
+        CapacityRole.CONFIGURATION, "the entries, 16 MiB at most, twice on each disk, and 10,000 removed ones (`distribution`)",
         CapacityRole.FLEET_OWNER, "none is kept",
         CapacityRole.FIGURES_READERS, "none beyond a node's own counts");
 
@@ -41,6 +41,7 @@
     private void all() {
         head();
         top();
+        configuration();
         added();
         for (CapacityRole role : CapacityRole.values()) {
             role(role);
@@ -137,13 +138,20 @@
                 .append(timeGiven(row)).append(')');
         }
         text.append(row.why().isEmpty() ? ". What it needs was not measured." : ": " + row.why() + ".");
-        if (row.role() == CapacityRole.CONFIGURATION) {
-            text.append(String.format(Locale.ROOT, " 2,000 changes a day at 920 nodes are %.1f deliveries a second (reckoned), "
-                + "each of them a file and a SIGHUP by hand.", DesignSize.deliveriesPerSecond()));
-        }
         return text.toString();
     }
 
+    private void configuration() {
+        ConfigurationSection section = new ConfigurationSection(runs);
+        line("");
+        line("## " + ConfigurationSection.TITLE);
+        line("");
+        line(section.why());
+        line("");
+        table(ConfigurationSection.COLUMNS.toArray(String[]::new));
+        section.rows().forEach(row -> cells(row.toArray(String[]::new)));
+    }
+
     private void added() {
         line("");
         line("## Time that a node adds to a call");
--- a/src/main/java/onyxpaddle/capacity/CapacityPlan.java
+++ b/src/main/java/onyxpaddle/capacity/CapacityPlan.java
@@ -69,26 +69,30 @@
 
     /** The one row that a time is given for. */
     private CapacityRow change(Map<CapacityColumn, CapacityCell> cells) {
-        Optional<Found> inForce = runs.figure("configuration", "change", "inForceAfter8s");
-        Optional<Found> of = runs.figure("configuration", "change", "ofNodes");
-        if (inForce.isEmpty() || of.isEmpty()) {
+        Optional<Found> inForce = runs.figure("configuration", eventKey(CapacityRole.CONFIGURATION, CapacityEvent.CHANGE), "inForceAfter8s");
+        Optional<Found> of = runs.figure("configuration", eventKey(CapacityRole.CONFIGURATION, CapacityEvent.CHANGE), "ofNodes");
+        if (of.isEmpty()) {
             return new CapacityRow(CapacityRole.CONFIGURATION, CapacityEvent.CHANGE, cells, DesignSize.IN_FORCE_S, Double.NaN, "");
         }
-        double reached = inForce.get().figure().value();
         double all = of.get().figure().value();
-        String why = String.format(Locale.ROOT,
-            "%.0f of %.0f nodes had a change in force %.0f s after it was made, without a hand on them (%s)", reached, all,
-            DesignSize.IN_FORCE_S, inForce.get().run().file());
+        double reached = inForce.map(found -> found.figure().value()).orElse(0.0);
+        String why = String.format(Locale.ROOT, "%.0f of %.0f nodes had a change in force within %.0f s (%s)", reached, all, DesignSize.IN_FORCE_S,
+            of.get().run().file());
         double atLeast = reached < all ? 1 : Double.NaN;
         return new CapacityRow(CapacityRole.CONFIGURATION, CapacityEvent.CHANGE, cells, DesignSize.IN_FORCE_S, atLeast, why);
     }
 
+    /** As results name the event: those of the control processes have a prefix, as `change` is the one by hand. */
+    private static String eventKey(CapacityRole role, CapacityEvent event) {
+        return role == CapacityRole.CONFIGURATION ? "configuration-" + event.key() : event.key();
+    }
+
     private CapacityCell cell(CapacityRole role, CapacityEvent event, CapacityColumn column) {
         if (role == CapacityRole.CONFIGURATION && event == CapacityEvent.CALM && column == CapacityColumn.CALLS) {
             return new CapacityCell(DesignSize.deliveriesPerSecond(), "deliveries/s", Origin.RECKONED, "", Double.NaN);
         }
         double budget = budget(role, column);
-        Optional<Found> whole = column.quantities().stream().map(q -> runs.figure(role.key(), event.key(), q)).flatMap(Optional::stream)
+        Optional<Found> whole = column.quantities().stream().map(q -> runs.figure(role.key(), eventKey(role, event), q)).flatMap(Optional::stream)
             .findFirst();
         boolean atSize = whole.isPresent() && (whole.get().atSize() || perNodeOfRealNodes(role, event, column));
         if (!atSize && event == CapacityEvent.CALM) {
@@ -118,7 +122,6 @@
     private static String unit(MeasuredRun.Figure figure) {
         return switch (figure.quantity()) {
             case "readBytes", "readCpuSeconds" -> figure.unit() + " a reading of one node";
-            case "changeSeconds", "changeCpuSeconds" -> figure.unit() + " at a node that is told by hand";
             default -> figure.unit();
         };
     }
@@ -126,8 +129,7 @@
     /** What was measured at real nodes, one by one, does not depend on how many others there are. */
     private static boolean perNodeOfRealNodes(CapacityRole role, CapacityEvent event, CapacityColumn column) {
         boolean own = column == CapacityColumn.PROCESSOR || column == CapacityColumn.MEMORY;
-        return event == CapacityEvent.CALM && own && role.node() || role == CapacityRole.FIGURES_READERS
-            || role == CapacityRole.CONFIGURATION && event == CapacityEvent.CHANGE;
+        return event == CapacityEvent.CALM && own && role.node() || role == CapacityRole.FIGURES_READERS;
     }
 
     private Optional<CapacityCell> bySlope(CapacityRole role, CapacityColumn column) {
@@ -173,7 +175,7 @@
     }
 
     private CapacityCell state(CapacityRole role, CapacityEvent event) {
-        Optional<Found> measured = runs.figure(role.key(), event.key(), "state");
+        Optional<Found> measured = runs.figure(role.key(), eventKey(role, event), "state");
         if (measured.isPresent()) {
             Found found = measured.get();
             return new CapacityCell(found.figure().value(), found.figure().unit(),
--- a/src/main/java/onyxpaddle/capacity/CapacityRole.java
+++ b/src/main/java/onyxpaddle/capacity/CapacityRole.java
@@ -9,7 +9,7 @@
     SIDECAR_HOTTEST("sidecar-hottest", "Node beside a server of the hottest service", List.of("membership", "serve"), 8),
     /** The platform's own; what stands in for it when measured is no part of a node. */
     LIST_SERVICE("list-service", "List service", List.of("scale"), 0),
-    CONFIGURATION("configuration", "Carrier of configuration", List.of(), 0),
+    CONFIGURATION("configuration", "Carrier of configuration", List.of("control", "distribution"), 0),
     FLEET_OWNER("fleet-owner", "Owner of fleet work", List.of(), 0),
     FIGURES_READERS("figures-readers", "Operators' reading of figures", List.of("admin"), 0);
 
