Connections at the door are taken in by sixteen again

Cause: with all taken in at once (SharedListener.acceptOn), connections that have sent half a request are met unread. Left: beyond sixteen at the door a request's time still counts from a turn later, as before.

--- a/src/main/java/onyxpaddle/front/ListeningFront.java
+++ b/src/main/java/onyxpaddle/front/ListeningFront.java
@@ -3,8 +3,6 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -94,13 +92,6 @@
             .option(SharedListener.REUSE_PORT, shared)
             .option(ChannelOption.SO_REUSEADDR, true)
             .option(ChannelOption.AUTO_READ, false)
-            .handler(new ChannelInboundHandlerAdapter() {
-                @Override
-                public void channelReadComplete(ChannelHandlerContext context) {
-                    ((SharedListener) context.channel()).readComplete();
-                    context.fireChannelReadComplete();
-                }
-            })
             .childOption(ChannelOption.ALLOCATOR, around.allocator())
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(Sockets.READ_SIZE))
--- a/src/main/java/onyxpaddle/front/SharedListener.java
+++ b/src/main/java/onyxpaddle/front/SharedListener.java
@@ -26,8 +26,6 @@
     private static final long UNREGISTERED_MS = 2;
 
     private boolean leaving;
-    /** Taken in by the read at hand. */
-    private int acceptedInRead;
 
     /** Takes in all that waits, and closes. Once, on the event loop. */
     public void leave() {
@@ -46,26 +44,9 @@
             return 0;
         }
         accepted.add(new PollableChannel(this, next));
-        acceptedInRead++;
         return 1;
     }
 
-    /** A read has ended. */
-    void readComplete() {
-        boolean full = acceptedInRead >= metadata().defaultMaxMessagesPerRead();
-        acceptedInRead = 0;
-        if (full) {
-            // More may wait than one read takes in. They came before the loop looked, as these did: they are taken in before it looks again.
-            eventLoop().execute(this::acceptOn);
-        }
-    }
-
-    private void acceptOn() {
-        if (isOpen() && !leaving && config().isAutoRead()) {
-            unsafe().read();
-        }
-    }
-
     private void takeInAndClose() {
         ServerSocketChannel listener = javaChannel();
         try {
