Updates and changes are read by one class of JSON fields

Need: the reading of versions, keys and texts with their places stood twice, in UpdateJson and in ChangeJson. Change: JsonFields has it for both.

--- a/src/main/java/onyxpaddle/control/ChangeJson.java
+++ b/src/main/java/onyxpaddle/control/ChangeJson.java
@@ -18,6 +18,8 @@
 import onyxpaddle.distribution.ConfigurationVersion;
 import onyxpaddle.distribution.Entry;
 import onyxpaddle.distribution.EntryKey;
+import onyxpaddle.distribution.JsonFields;
+import onyxpaddle.distribution.MalformedUpdateException;
 
 /** Changes as JSON: {@code {"base":"1.7","changes":[{"key":"fleet/routes","value":"…"}]}}; a null value removes the entry. */
 public final class ChangeJson {
@@ -56,12 +58,15 @@
 
     static ChangeRequest read(byte[] bytes) throws BadRequestException {
         try (JsonParser parser = JSON.createParser(bytes)) {
+            JsonFields fields = new JsonFields(parser, "changes");
             parser.nextToken();
-            ChangeRequest request = request(parser);
+            ChangeRequest request = request(parser, fields);
             if (parser.nextToken() != null) {
-                throw wrong(parser, "more than one document");
+                throw fields.wrong("more than one document");
             }
             return request;
+        } catch (MalformedUpdateException e) {
+            throw new BadRequestException(e.getMessage());
         } catch (JsonProcessingException e) {
             throw new BadRequestException("changes: " + e.getOriginalMessage().replaceAll("\\p{Cntrl}", " "));
         } catch (IOException e) {
@@ -69,94 +74,62 @@
         }
     }
 
-    private static ChangeRequest request(JsonParser parser) throws IOException, BadRequestException {
+    private static ChangeRequest request(JsonParser parser, JsonFields fields) throws IOException {
         ConfigurationVersion base = null;
         List<Change> changes = List.of();
-        expect(parser, JsonToken.START_OBJECT, "an object");
+        fields.expect(JsonToken.START_OBJECT, "an object");
         while (parser.nextToken() != JsonToken.END_OBJECT) {
             String name = parser.currentName();
             parser.nextToken();
             switch (name) {
-                case "base" -> base = version(parser);
-                case "changes" -> changes = changes(parser);
-                default -> throw wrong(parser, "a key that is not known; `base` or `changes`");
+                case "base" -> base = fields.version();
+                case "changes" -> changes = changes(parser, fields);
+                default -> throw fields.wrong("a key that is not known; `base` or `changes`");
             }
         }
         if (changes.isEmpty()) {
-            throw wrong(parser, "no changes");
+            throw fields.wrong("no changes");
         }
         return new ChangeRequest(base, changes);
     }
 
-    private static List<Change> changes(JsonParser parser) throws IOException, BadRequestException {
+    private static List<Change> changes(JsonParser parser, JsonFields fields) throws IOException {
         List<Change> changes = new ArrayList<>();
         Set<EntryKey> keys = new HashSet<>();
-        expect(parser, JsonToken.START_ARRAY, "a list");
+        fields.expect(JsonToken.START_ARRAY, "a list");
         while (parser.nextToken() != JsonToken.END_ARRAY) {
-            Change change = change(parser);
+            Change change = change(parser, fields);
             if (!keys.add(change.key())) {
-                throw wrong(parser, change.key() + " stands twice");
+                throw fields.wrong(change.key() + " stands twice");
             }
             if (changes.size() == MOST_CHANGES) {
-                throw wrong(parser, "more than " + MOST_CHANGES + " changes");
+                throw fields.wrong("more than " + MOST_CHANGES + " changes");
             }
             changes.add(change);
         }
         return changes;
     }
 
-    private static Change change(JsonParser parser) throws IOException, BadRequestException {
+    private static Change change(JsonParser parser, JsonFields fields) throws IOException {
         EntryKey key = null;
         boolean valued = false;
         String value = null;
-        expect(parser, JsonToken.START_OBJECT, "an object");
+        fields.expect(JsonToken.START_OBJECT, "an object");
         while (parser.nextToken() != JsonToken.END_OBJECT) {
             String name = parser.currentName();
             parser.nextToken();
             switch (name) {
-                case "key" -> key = key(parser);
+                case "key" -> key = fields.key();
                 case "value" -> {
                     valued = true;
-                    value = parser.currentToken() == JsonToken.VALUE_NULL ? null : text(parser);
+                    value = fields.textOrNull();
                 }
-                default -> throw wrong(parser, "a key that is not known; `key` or `value`");
+                default -> throw fields.wrong("a key that is not known; `key` or `value`");
             }
         }
         if (key == null || !valued) {
-            throw wrong(parser, (key == null ? "`key`" : "`value`") + " is missing");
+            throw fields.wrong((key == null ? "`key`" : "`value`") + " is missing");
         }
         return new Change(key, value);
     }
-
-    private static EntryKey key(JsonParser parser) throws IOException, BadRequestException {
-        try {
-            return EntryKey.parse(text(parser));
-        } catch (IllegalArgumentException e) {
-            throw wrong(parser, e.getMessage());
-        }
-    }
-
-    private static ConfigurationVersion version(JsonParser parser) throws IOException, BadRequestException {
-        try {
-            return ConfigurationVersion.parse(text(parser));
-        } catch (IllegalArgumentException e) {
-            throw wrong(parser, e.getMessage());
-        }
-    }
-
-    private static String text(JsonParser parser) throws IOException, BadRequestException {
-        expect(parser, JsonToken.VALUE_STRING, "a text");
-        return parser.getText();
-    }
-
-    private static void expect(JsonParser parser, JsonToken token, String told) throws BadRequestException {
-        if (parser.currentToken() != token) {
-            throw wrong(parser, "expected " + told);
-        }
-    }
-
-    private static BadRequestException wrong(JsonParser parser, String wrong) {
-        return new BadRequestException("changes:" + parser.currentLocation().getLineNr() + ":"
-            + parser.currentLocation().getColumnNr() + ": " + parser.getParsingContext().pathAsPointer() + ": " + wrong);
-    }
 }
--- a/src/main/java/onyxpaddle/distribution/UpdateJson.java
+++ b/src/main/java/onyxpaddle/distribution/UpdateJson.java
@@ -92,16 +92,17 @@
             throw new MalformedUpdateException("update: of " + bytes.length + " bytes; at most " + MOST_BYTES + " are taken");
         }
         try (JsonParser parser = JSON.createParser(bytes)) {
+            JsonFields fields = new JsonFields(parser, "update");
             try {
                 parser.nextToken();
-                Update update = update(parser);
+                Update update = update(parser, fields);
                 if (parser.nextToken() != null) {
-                    throw malformed(parser, "more than one document");
+                    throw fields.wrong("more than one document");
                 }
                 return update;
             } catch (JsonProcessingException e) {
                 JsonLocation at = e.getLocation() == null ? parser.currentLocation() : e.getLocation();
-                throw new MalformedUpdateException(place(at, parser) + Shortened.of(e.getOriginalMessage()), e);
+                throw new MalformedUpdateException(fields.place(at) + Shortened.of(e.getOriginalMessage()), e);
             }
         } catch (MalformedUpdateException e) {
             throw e;
@@ -110,150 +111,114 @@
         }
     }
 
-    private static Update update(JsonParser parser) throws IOException {
+    private static Update update(JsonParser parser, JsonFields fields) throws IOException {
         ConfigurationVersion version = null;
         boolean whole = false;
         boolean more = false;
         long staleMs = Update.NEVER_HEARD;
         List<Entry> entries = null;
         History history = null;
-        expect(parser, JsonToken.START_OBJECT, "an object");
+        fields.expect(JsonToken.START_OBJECT, "an object");
         while (parser.nextToken() != JsonToken.END_OBJECT) {
             String name = parser.currentName();
             parser.nextToken();
             switch (name) {
-                case "version" -> version = version(parser);
+                case "version" -> version = fields.version();
                 case "whole" -> whole = parser.getBooleanValue();
                 case "more" -> more = parser.getBooleanValue();
-                case "stale_ms" -> staleMs = staleMs(parser);
-                case "entries" -> entries = entries(parser);
-                case "history" -> history = history(parser);
+                case "stale_ms" -> staleMs = staleMs(parser, fields);
+                case "entries" -> entries = entries(parser, fields);
+                case "history" -> history = history(parser, fields);
                 default -> parser.skipChildren();
             }
         }
         if (version == null || entries == null) {
-            throw malformed(parser, (version == null ? "`version`" : "`entries`") + " is missing");
+            throw fields.wrong((version == null ? "`version`" : "`entries`") + " is missing");
         }
         for (Entry entry : entries) {
             if (entry.changedAt().isAfter(version)) {
-                throw malformed(parser, entry.key() + " changed at " + entry.changedAt() + ", after version " + version);
+                throw fields.wrong(entry.key() + " changed at " + entry.changedAt() + ", after version " + version);
             }
         }
         return new Update(version, whole, more, entries, staleMs, history);
     }
 
-    private static List<Entry> entries(JsonParser parser) throws IOException {
+    private static List<Entry> entries(JsonParser parser, JsonFields fields) throws IOException {
         List<Entry> entries = new ArrayList<>();
         Set<EntryKey> keys = new HashSet<>();
-        expect(parser, JsonToken.START_ARRAY, "a list");
+        fields.expect(JsonToken.START_ARRAY, "a list");
         while (parser.nextToken() != JsonToken.END_ARRAY) {
-            Entry entry = entry(parser);
+            Entry entry = entry(parser, fields);
             if (!keys.add(entry.key())) {
-                throw malformed(parser, entry.key() + " stands twice");
+                throw fields.wrong(entry.key() + " stands twice");
             }
             if (entries.size() == MOST_ENTRIES) {
-                throw malformed(parser, "more than " + MOST_ENTRIES + " entries");
+                throw fields.wrong("more than " + MOST_ENTRIES + " entries");
             }
             entries.add(entry);
         }
         return entries;
     }
 
-    private static Entry entry(JsonParser parser) throws IOException {
+    private static Entry entry(JsonParser parser, JsonFields fields) throws IOException {
         EntryKey key = null;
         boolean valued = false;
         String value = null;
         ConfigurationVersion changedAt = null;
-        expect(parser, JsonToken.START_OBJECT, "an object");
+        fields.expect(JsonToken.START_OBJECT, "an object");
         while (parser.nextToken() != JsonToken.END_OBJECT) {
             String name = parser.currentName();
             parser.nextToken();
             switch (name) {
-                case "key" -> key = key(parser);
+                case "key" -> key = fields.key();
                 case "value" -> {
                     valued = true;
-                    value = parser.currentToken() == JsonToken.VALUE_NULL ? null : text(parser);
+                    value = fields.textOrNull();
                 }
-                case "changed" -> changedAt = version(parser);
+                case "changed" -> changedAt = fields.version();
                 default -> parser.skipChildren();
             }
         }
         if (key == null || !valued || changedAt == null) {
-            throw malformed(parser, (key == null ? "`key`" : valued ? "`changed`" : "`value`") + " is missing");
+            throw fields.wrong((key == null ? "`key`" : valued ? "`changed`" : "`value`") + " is missing");
         }
         return new Entry(key, value, changedAt);
     }
 
-    private static History history(JsonParser parser) throws IOException {
+    private static History history(JsonParser parser, JsonFields fields) throws IOException {
         ConfigurationVersion floor = null;
         List<ConfigurationVersion> ends = new ArrayList<>();
-        expect(parser, JsonToken.START_OBJECT, "an object");
+        fields.expect(JsonToken.START_OBJECT, "an object");
         while (parser.nextToken() != JsonToken.END_OBJECT) {
             String name = parser.currentName();
             parser.nextToken();
             switch (name) {
-                case "floor" -> floor = version(parser);
-                case "ends" -> ends(parser, ends);
+                case "floor" -> floor = fields.version();
+                case "ends" -> ends(parser, fields, ends);
                 default -> parser.skipChildren();
             }
         }
         if (floor == null) {
-            throw malformed(parser, "`floor` is missing");
+            throw fields.wrong("`floor` is missing");
         }
         return new History(floor, ends);
     }
 
-    private static void ends(JsonParser parser, List<ConfigurationVersion> ends) throws IOException {
-        expect(parser, JsonToken.START_ARRAY, "a list");
+    private static void ends(JsonParser parser, JsonFields fields, List<ConfigurationVersion> ends) throws IOException {
+        fields.expect(JsonToken.START_ARRAY, "a list");
         while (parser.nextToken() != JsonToken.END_ARRAY) {
             if (ends.size() == MOST_ENDS) {
-                throw malformed(parser, "more than " + MOST_ENDS + " epochs");
+                throw fields.wrong("more than " + MOST_ENDS + " epochs");
             }
-            ends.add(version(parser));
+            ends.add(fields.version());
         }
     }
 
-    private static long staleMs(JsonParser parser) throws IOException {
+    private static long staleMs(JsonParser parser, JsonFields fields) throws IOException {
         long staleMs = parser.getLongValue();
         if (staleMs < Update.NEVER_HEARD) {
-            throw malformed(parser, staleMs + " is no age");
+            throw fields.wrong(staleMs + " is no age");
         }
         return staleMs;
     }
-
-    private static ConfigurationVersion version(JsonParser parser) throws IOException {
-        try {
-            return ConfigurationVersion.parse(text(parser));
-        } catch (IllegalArgumentException e) {
-            throw malformed(parser, e.getMessage());
-        }
-    }
-
-    private static EntryKey key(JsonParser parser) throws IOException {
-        try {
-            return EntryKey.parse(text(parser));
-        } catch (IllegalArgumentException e) {
-            throw malformed(parser, e.getMessage());
-        }
-    }
-
-    private static String text(JsonParser parser) throws IOException {
-        expect(parser, JsonToken.VALUE_STRING, "a text");
-        return parser.getText();
-    }
-
-    private static void expect(JsonParser parser, JsonToken token, String told) throws IOException {
-        if (parser.currentToken() != token) {
-            throw malformed(parser, "expected " + told);
-        }
-    }
-
-    private static MalformedUpdateException malformed(JsonParser parser, String wrong) {
-        return new MalformedUpdateException(place(parser.currentLocation(), parser) + wrong);
-    }
-
-    private static String place(JsonLocation at, JsonParser parser) {
-        String path = parser.getParsingContext().pathAsPointer().toString();
-        return "update:" + at.getLineNr() + ":" + at.getColumnNr() + ": " + (path.isEmpty() ? "" : path + ": ");
-    }
 }
