The server behind the tests' nodes writes an answer at once

Seen: ConfigurationChangesIT.aChangeThatOnlyANodeCanSeeIsWrongStaysOutOfForce failed again in a whole verify: the property by which the JDK's server sets TCP_NODELAY is read once, and another test of the same JVM had used that server before. Change: EchoServer is a server of its own with one write an answer. The check is as it was.

--- a/src/test/java/onyxpaddle/control/EchoServer.java
+++ b/src/test/java/onyxpaddle/control/EchoServer.java
@@ -1,42 +1,84 @@
 package onyxpaddle.control;
 
-import com.sun.net.httpserver.HttpServer;
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 
-/** What nodes send requests on to: answers with the path it was asked for, so that an answer tells which route is in force. */
+/**
+ * What nodes send requests on to: answers each with the path it was asked for, so that an answer tells which route is in force. It takes
+ * requests without a body, keeps connections, and writes an answer's head and body at once: the JDK's server writes them apart, and a body
+ * may then wait 40 ms for the acknowledgement of its head.
+ */
 final class EchoServer implements AutoCloseable {
-    static {
-        // Without it an answer's body may wait 40 ms for the acknowledgement of its head: the node then gives up three attempts and refuses.
-        System.setProperty("sun.net.httpserver.nodelay", "true");
+    private final ServerSocket listener = new ServerSocket(0, 0, InetAddress.getByName("127.0.0.1"));
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+
+    EchoServer() throws IOException {
+        threads.execute(this::accept);
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = listener.accept();
+                open.add(socket);
+                threads.execute(() -> serve(socket));
+            }
+        } catch (IOException e) {
+            // The listener is closed: the test is over.
+        }
     }
 
-    private final HttpServer server;
-    private final ExecutorService calls = Executors.newCachedThreadPool();
+    private void serve(Socket socket) {
+        try (socket) {
+            socket.setTcpNoDelay(true);
+            BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+            for (String path = nextPath(in); path != null; path = nextPath(in)) {
+                String answer = "HTTP/1.1 200 OK\r\nContent-Length: " + path.length() + "\r\n\r\n" + path;
+                socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+            }
+        } catch (IOException e) {
+            // The node has let go of the connection.
+        } finally {
+            open.remove(socket);
+        }
+    }
 
-    EchoServer() throws IOException {
-        server = HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 0);
-        server.setExecutor(calls);
-        server.createContext("/", exchange -> {
-            byte[] body = exchange.getRequestURI().getPath().getBytes(StandardCharsets.US_ASCII);
-            exchange.sendResponseHeaders(200, body.length);
-            exchange.getResponseBody().write(body);
-            exchange.close();
-        });
-        server.start();
+    /** The path of the next request, once its head has been read; null at the connection's end. */
+    private static String nextPath(BufferedReader in) throws IOException {
+        String requestLine = in.readLine();
+        if (requestLine == null) {
+            return null;
+        }
+        for (String header = in.readLine(); header != null && !header.isEmpty(); header = in.readLine()) {
+            // Nothing in the head but the path matters.
+        }
+        return requestLine.split(" ")[1];
     }
 
     String address() {
-        return "127.0.0.1:" + server.getAddress().getPort();
+        return "127.0.0.1:" + listener.getLocalPort();
     }
 
     @Override
     public void close() {
-        server.stop(0);
-        calls.shutdownNow();
+        try {
+            listener.close();
+            for (Socket socket : open) {
+                socket.close();
+            }
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+        threads.shutdownNow();
     }
 }
