Instruments: delays, waits before accept and read, reasons of closes and refusals

Change: NodeEvents counts closes, further attempts, attempts not begun and refusals by reason, and delays of the node; /metrics shows them, and a line a second at most is logged while a delay is 0.1 s and more. LUPINMOUNT_LOG_REQUESTS=1 logs requests by id. How long a connection or a request has waited at most is known by ArrivalBound: nothing that is read arrived before the last read that emptied its source, nor before the last poll that watched the source and did not report it. For that a poll checks without blocking first, and blocks for 50 ms at most. No decision uses it yet. bin/measure starvation plays clients that leave a starved process.

--- a/src/main/java/onyxpaddle/admin/MetricsExposition.java
+++ b/src/main/java/onyxpaddle/admin/MetricsExposition.java
@@ -3,6 +3,9 @@
 import java.util.Collection;
 import java.util.Locale;
 import onyxpaddle.node.Dispatcher;
+import onyxpaddle.node.NodeDelay;
+import onyxpaddle.node.NodeEvent;
+import onyxpaddle.node.NodeEvents;
 import onyxpaddle.node.RequestCounts;
 import onyxpaddle.node.RequestCounts.RequestResult;
 
@@ -19,12 +22,13 @@
     /**
      * The sum over all pools; a class that several pools share is counted once.
      *
+     * @param now the time by the node's clock
      * @param tally the counts since the start of the process, over all its configurations
      * @param retiredPools pools of earlier configurations that still have requests in flight
      * @param reloads how many new configurations were applied, {@code failedReloads} how many were refused
      */
-    public static String of(RequestCounts tally, Collection<Dispatcher> pools, Collection<Dispatcher> retiredPools, long reloads,
-            long failedReloads) {
+    public static String of(long now, RequestCounts tally, Collection<Dispatcher> pools, Collection<Dispatcher> retiredPools,
+            long reloads, long failedReloads) {
         MetricsExposition exposition = new MetricsExposition();
         exposition.type("svc_calls_total", "counter", "Requests that have their final answer, by class and by how they ended.");
         for (String name : tally.classes()) {
@@ -51,9 +55,29 @@
         exposition.single("svc_reconfig_ok_total", "counter", "New configurations that are in force or were.", reloads);
         exposition.single("svc_reconfig_failed_total", "counter", "New configurations that changed nothing, being at fault.",
             failedReloads);
+        exposition.events(tally.events());
+        exposition.delays(tally.events(), now);
         return exposition.text.toString();
     }
 
+    private void events(NodeEvents events) {
+        type("svc_events_total", "counter", "Closed connections, further attempts, attempts not begun and refusals, by reason.");
+        for (NodeEvent event : NodeEvent.values()) {
+            line("svc_events_total{kind=\"" + event.kind().label() + "\",reason=\"" + event.label() + "\"}", events.total(event));
+        }
+    }
+
+    private void delays(NodeEvents events, long now) {
+        type("svc_long_delays_total", "counter", "Delays of 0.1 s and more that the node measured on itself.");
+        for (NodeDelay delay : NodeDelay.values()) {
+            line("svc_long_delays_total{delay=\"" + delay.label() + "\"}", events.longDelays(delay));
+        }
+        type("svc_longest_delay_microseconds", "gauge", "The longest such delay of about the last minute.");
+        for (NodeDelay delay : NodeDelay.values()) {
+            line("svc_longest_delay_microseconds{delay=\"" + delay.label() + "\"}", events.longest(delay, now) / 1_000);
+        }
+    }
+
     private void single(String name, String type, String help, long value) {
         type(name, type, help);
         line(name, value);
--- a/src/main/java/onyxpaddle/front/FrontConnection.java
+++ b/src/main/java/onyxpaddle/front/FrontConnection.java
@@ -1,11 +1,12 @@
 package onyxpaddle.front;
 
 import onyxpaddle.node.Dispatcher;
+import onyxpaddle.node.NodeEvent;
 
 /** A caller's connection as seen by its front. Used on the event loop only. */
 public interface FrontConnection {
     /** Closes the connection at once. */
-    void close();
+    void close(NodeEvent reason);
 
     /** Checks the connection's limits on slow requests, idle time and unread answers; {@code now}: by the node's clock. */
     void sweep(long now);
--- a/src/main/java/onyxpaddle/front/ListeningFront.java
+++ b/src/main/java/onyxpaddle/front/ListeningFront.java
@@ -19,6 +19,8 @@
 import onyxpaddle.node.Clock;
 import onyxpaddle.node.Dispatcher;
 import onyxpaddle.node.Front;
+import onyxpaddle.node.NodeEvent;
+import onyxpaddle.node.NodeEvents;
 import onyxpaddle.node.SharedLimit;
 import onyxpaddle.node.SocketBuffers;
 import onyxpaddle.socket.PollableChannel;
@@ -35,11 +37,13 @@
     private static final long FINAL_REFUSAL_WINDOW = 100_000_000L;
 
     /** The resources that a front shares with the rest of its node. */
-    public record SharedResources(EventLoop loop, ByteBufAllocator allocator, Clock clock, ResourceBudget budget, NodeState state) {
+    public record SharedResources(EventLoop loop, ByteBufAllocator allocator, Clock clock, ResourceBudget budget, NodeState state,
+            NodeEvents events) {
     }
 
     protected final Clock clock;
     protected final NodeState state;
+    protected final NodeEvents events;
     private final SharedResources resources;
     private final SharedLimit.Share connections;
     private final long sweepMs;
@@ -59,6 +63,7 @@
         this.resources = resources;
         this.clock = resources.clock();
         this.state = resources.state();
+        this.events = resources.events();
         this.connections = resources.budget().front();
         this.sweepMs = sweepMs;
         this.waterMarks = waterMarks;
@@ -87,7 +92,7 @@
     @Override
     public ChannelFuture listen(InetSocketAddress address, boolean shared) {
         sweeping = resources.loop().scheduleWithFixedDelay(this::sweep, sweepMs, sweepMs, TimeUnit.MILLISECONDS);
-        ChannelFuture bound = new ServerBootstrap().group(resources.loop()).channel(SharedListener.class)
+        ChannelFuture bound = new ServerBootstrap().group(resources.loop()).channelFactory(() -> new SharedListener(clock, events))
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(SharedListener.REUSE_PORT, shared)
             .option(ChannelOption.SO_REUSEADDR, true)
@@ -136,10 +141,14 @@
         if (ending != null) {
             ending.cancel(false);
         }
-        List.copyOf(open).forEach(FrontConnection::close);
+        closeAll();
         connections.leave();
     }
 
+    private void closeAll() {
+        List.copyOf(open).forEach(c -> c.close(NodeEvent.CLIENT_NODE_ENDS));
+    }
+
     // ---- connections ----
 
     @Override
@@ -174,7 +183,7 @@
         if (evicted != null) {
             // Removed at once: the notification of its close comes only after further accepts.
             closed(evicted);
-            evicted.close();
+            evicted.close(NodeEvent.CLIENT_EVICTED);
         }
         if (connections.room() <= 0) {
             // To its caller a connection in the backlog is established: accepting resumes as soon as another connection
@@ -252,7 +261,7 @@
         }
         if (safeToClose || state.expired(now - FINAL_REFUSAL_WINDOW)) {
             ending.cancel(false);
-            List.copyOf(open).forEach(FrontConnection::close);
+            closeAll();
             done.run();
         }
     }
--- a/src/main/java/onyxpaddle/front/PollTimes.java
+++ b/src/main/java/onyxpaddle/front/PollTimes.java
@@ -13,19 +13,58 @@
     /** Each shorter delay reduces the recorded maximum by the maximum divided by this. */
     private static final int DECAY_DIVISOR = 8;
 
+    /** The most events that the JDK's selector takes from the kernel at once: a poll that returns as many may have left some. */
+    static final int MAX_EVENTS = 1_024;
+
     private long startedAt;
+    /** Start of the last poll that did not report what is processed in this turn. */
+    private long lastPollStart;
+    /** The last poll reported all sockets that were ready. */
+    private boolean complete = true;
     private long plannedBlock;
     private long lastPoll;
     private long earliest;
     private long maxDelay;
 
-    /** The event loop is about to poll. */
-    void pollStarted(long now) {
+    /** {@code createdAt}: a time before the first poll. */
+    PollTimes(long createdAt) {
+        startedAt = createdAt;
+        lastPollStart = createdAt;
+    }
+
+    /** The event loop is about to poll; returns how long the turn before took, 0 for the first one. */
+    long pollStarted(long now) {
+        if (complete) {
+            lastPollStart = startedAt;
+        }
         startedAt = now;
         plannedBlock = 0;
-        if (lastPoll > 0) {
-            recordDelay(now - lastPoll);
+        if (lastPoll == 0) {
+            return 0;
         }
+        long turn = now - lastPoll;
+        recordDelay(turn);
+        return turn;
+    }
+
+    /** The poll has found nothing without blocking, and blocks now. */
+    void blocks() {
+        lastPollStart = startedAt;
+    }
+
+    /** The turn has processed the events of {@code count} sockets. */
+    void turnFinished(int count) {
+        complete = count < MAX_EVENTS;
+    }
+
+    /** See {@link onyxpaddle.node.Clock#lastPoll}. */
+    long lastPoll() {
+        return lastPollStart;
+    }
+
+    /** See {@link onyxpaddle.node.Clock#turnStart}. */
+    long turnStart() {
+        return startedAt;
     }
 
     /** The poll blocks for at most so long if it finds nothing, as a timer is due then. */
@@ -33,8 +72,11 @@
         plannedBlock = maxNanos;
     }
 
-    /** The poll has returned; until the next one the event loop processes what was found. */
-    void pollFinished(long now) {
+    /**
+     * The poll has returned; until the next one the event loop processes what was found. Returns how much longer it took than it was to
+     * block.
+     */
+    long pollFinished(long now) {
         long duration = now - startedAt;
         long excess = duration - plannedBlock;
         // With little processor time a poll that returns at once takes as long as one that blocks does elsewhere, and its data may
@@ -47,6 +89,7 @@
             recordDelay(excess);
         }
         lastPoll = now;
+        return excess;
     }
 
     private void recordDelay(long delay) {
--- a/src/main/java/onyxpaddle/front/SharedListener.java
+++ b/src/main/java/onyxpaddle/front/SharedListener.java
@@ -6,11 +6,15 @@
 import io.netty.util.internal.SocketUtils;
 import java.io.IOException;
 import java.net.StandardSocketOptions;
-import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import onyxpaddle.node.ArrivalBound;
+import onyxpaddle.node.Clock;
 import onyxpaddle.node.Log;
+import onyxpaddle.node.NodeDelay;
+import onyxpaddle.node.NodeEvents;
 import onyxpaddle.socket.PollableChannel;
 
 /**
@@ -25,8 +29,29 @@
     /** By then the selector has released the channel; before that the JDK defers a close to its next select. */
     private static final long DEREGISTER_DELAY_MS = 2;
 
+    private final Clock clock;
+    private final NodeEvents events;
+    private final ArrivalBound arrival;
     private boolean leaving;
 
+    /** {@code events}: where the time for which connections wait to be accepted is counted. */
+    SharedListener(Clock clock, NodeEvents events) {
+        this.clock = clock;
+        this.events = events;
+        this.arrival = new ArrivalBound(clock.now());
+    }
+
+    @Override
+    protected void doBeginRead() throws Exception {
+        if (isRegistered()) {
+            SelectionKey key = registration().attachment();
+            if ((key.interestOps() & SelectionKey.OP_ACCEPT) == 0) {
+                arrival.watched(clock.now());
+            }
+        }
+        super.doBeginRead();
+    }
+
     /** Accepts all queued connections, then closes. Only the first call has an effect; called on the event loop. */
     public void leave() {
         if (leaving || !isOpen()) {
@@ -39,21 +64,34 @@
     /** As in Netty, except for the type of the accepted channels. */
     @Override
     protected int doReadMessages(List<Object> accepted) throws Exception {
-        SocketChannel next = SocketUtils.accept(javaChannel());
+        PollableChannel next = acceptNext(clock.lastPoll());
         if (next == null) {
             return 0;
         }
-        accepted.add(new PollableChannel(this, next));
+        accepted.add(next);
         return 1;
     }
 
+    /** Accepts a connection; null if none is queued. */
+    private PollableChannel acceptNext(long lastPoll) throws IOException {
+        long now = clock.now();
+        long bound = arrival.get(lastPoll);
+        SocketChannel next = SocketUtils.accept(javaChannel());
+        arrival.read(now, next == null, clock.turnStart());
+        if (next == null) {
+            return null;
+        }
+        events.record(NodeDelay.ACCEPT, now - bound, now);
+        return new PollableChannel(this, next, clock, bound);
+    }
+
     private void drainAndClose() {
-        ServerSocketChannel listener = javaChannel();
         try {
-            for (SocketChannel pending = listener.accept(); pending != null; pending = listener.accept()) {
-                pipeline().fireChannelRead(new PollableChannel(this, pending));
+            // Polls no longer report the queue.
+            for (PollableChannel pending = acceptNext(Long.MIN_VALUE); pending != null; pending = acceptNext(Long.MIN_VALUE)) {
+                pipeline().fireChannelRead(pending);
             }
-            listener.close();
+            javaChannel().close();
             pipeline().fireChannelReadComplete();
         } catch (IOException e) {
             Log.failure("accepting queued connections of a closing listener failed", e);
--- a/src/main/java/onyxpaddle/http/ClientConnection.java
+++ b/src/main/java/onyxpaddle/http/ClientConnection.java
@@ -35,6 +35,7 @@
 import onyxpaddle.node.Exchange;
 import onyxpaddle.node.Log;
 import onyxpaddle.node.Metadata;
+import onyxpaddle.node.NodeEvent;
 import onyxpaddle.node.SocketBuffers;
 import onyxpaddle.node.RequestCounts;
 import onyxpaddle.socket.PollableChannel;
@@ -104,6 +105,8 @@
     private HttpVersion version = HttpVersion.HTTP_1_1;
     private long lastWriteProgress;
     private int pendingWrites;
+    /** Why it closes, unless its client has closed it. */
+    private NodeEvent closeReason = NodeEvent.CLIENT_LEFT;
 
     ClientConnection(HttpFront front, PollableChannel channel) {
         this.front = front;
@@ -145,7 +148,8 @@
     }
 
     @Override
-    public void close() {
+    public void close(NodeEvent reason) {
+        closeReason = reason;
         channel.close();
     }
 
@@ -258,7 +262,7 @@
             routed = front.dialect.read(request, channel.remoteAddress());
             if (front.nearConnectionLimit() || cannotAnswerInTime()) {
                 // Nothing was sent to a server, so the client may safely retry on another node.
-                reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+                refuse(front.nearConnectionLimit() ? NodeEvent.REFUSED_CONNECTION_LIMIT : NodeEvent.REFUSED_NODE_ENDS);
                 return;
             }
             incoming = new IncomingBody(routed, channel, front.clock(), this, this::streamedBodyComplete);
@@ -288,7 +292,7 @@
             return;
         }
         if (last && cannotAnswerInTime()) {
-            reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+            refuse(NodeEvent.REFUSED_NODE_ENDS);
             return;
         }
         switch (incoming.add(content.content(), last)) {
@@ -298,7 +302,7 @@
                 routed.pool().arrived(exchange, earliestArrival());
             }
             case TOO_LARGE -> reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-            case NO_MEMORY -> reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+            case NO_MEMORY -> refuse(NodeEvent.REFUSED_NO_MEMORY);
             case INVALID -> reject(HttpResponseStatus.BAD_REQUEST);
         }
     }
@@ -330,6 +334,16 @@
             : HttpResponseStatus.BAD_REQUEST;
     }
 
+    /** Refuses a request that was not sent to a server, and closes the connection after the answer. */
+    private void refuse(NodeEvent reason) {
+        if (routed == null) {
+            front.events().count(reason);
+        } else {
+            front.events().count(reason, routed.terms().id());
+        }
+        reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+    }
+
     /** Rejects a request that was not received whole, and closes the connection after the answer. */
     private void reject(HttpResponseStatus status) {
         keepAlive = false;
@@ -510,26 +524,26 @@
             case IDLE -> {
                 // Closing over an unread request or an unsent answer would lose it.
                 if ((elapsed > front.idleTimeout(hadRequest) || front.closesIdle(stateSince, now)) && safeToClose()) {
-                    close();
+                    close(NodeEvent.CLIENT_IDLE);
                 }
             }
             case RECEIVING -> {
                 if (incoming == null ? elapsed > REQUEST_TIMEOUT_NANOS : incoming.timedOut(elapsed, REQUEST_TIMEOUT_NANOS)) {
                     reject(HttpResponseStatus.REQUEST_TIMEOUT);
                 } else if (cannotAnswerInTime()) {
-                    reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+                    refuse(NodeEvent.REFUSED_NODE_ENDS);
                 }
             }
             case CLOSING -> {
                 if (elapsed > LINGER_NANOS && pendingWrites == 0) {
-                    close();
+                    close(NodeEvent.CLIENT_LAST_ANSWER);
                 }
             }
             case WAITING -> { }
         }
         long timeout = unreadStreamed ? STREAMED_UNREAD_TIMEOUT_NANOS : UNREAD_TIMEOUT_NANOS;
         if ((pendingWrites > 0 || !channel.isWritable()) && now - lastWriteProgress > timeout) {
-            close();
+            close(NodeEvent.CLIENT_SLOW_READER);
         }
     }
 
@@ -537,6 +551,7 @@
     public void channelInactive(ChannelHandlerContext context) {
         State before = state;
         state = State.CLOSING;
+        front.events().count(before == State.CLOSING ? NodeEvent.CLIENT_LAST_ANSWER : closeReason);
         front.closed(this);
         dropPipelined();
         if (before == State.WAITING && exchange != null) {
@@ -552,6 +567,6 @@
         if (!(cause instanceof java.io.IOException)) {
             Log.failure("client connection", cause);
         }
-        close();
+        channel.close();
     }
 }
--- a/src/main/java/onyxpaddle/http/HttpFront.java
+++ b/src/main/java/onyxpaddle/http/HttpFront.java
@@ -8,6 +8,7 @@
 import java.util.function.BooleanSupplier;
 import onyxpaddle.front.ListeningFront;
 import onyxpaddle.node.Clock;
+import onyxpaddle.node.NodeEvents;
 import onyxpaddle.node.SocketBuffers;
 import onyxpaddle.socket.PollableChannel;
 
@@ -93,6 +94,10 @@
         return clock;
     }
 
+    NodeEvents events() {
+        return events;
+    }
+
     long now() {
         return clock.now();
     }
--- a/src/main/java/onyxpaddle/http/HttpUpstream.java
+++ b/src/main/java/onyxpaddle/http/HttpUpstream.java
@@ -24,6 +24,7 @@
 import onyxpaddle.node.ResourceBudget.PoolShare;
 import onyxpaddle.node.Clock;
 import onyxpaddle.node.Dispatcher;
+import onyxpaddle.node.NodeEvent;
 import onyxpaddle.node.ServerList;
 import onyxpaddle.node.SocketBuffers;
 import onyxpaddle.node.Upstream;
@@ -140,17 +141,16 @@
 
     private static void closeIdle(Peer peer) {
         for (ServerConnection c = peer.idle.poll(); c != null; c = peer.idle.poll()) {
-            c.close();
+            c.close(NodeEvent.SERVER_LEAVING);
         }
     }
 
     /** Closes all connections. No attempt may be pending, and none may follow. */
     public void close() {
         sweeping.cancel(false);
-        peers.values().forEach(HttpUpstream::closeIdle);
         peers.clear();
         for (ServerConnection c : open.toArray(new ServerConnection[0])) {
-            c.close();
+            c.close(NodeEvent.SERVER_NODE_ENDS);
         }
     }
 
@@ -188,6 +188,7 @@
     private void dial(Peer peer, Attempt attempt) {
         if (!budget.servers().take(1) && !(closeOldestIdle() && budget.servers().take(1))) {
             // The node is out of descriptors: nothing was sent, and the server is not at fault.
+            dispatcher.events().count(NodeEvent.ATTEMPT_NO_DESCRIPTOR, attempt.exchange.id);
             dispatcher.ended(attempt, Outcome.NOT_SENT, null);
             return;
         }
@@ -223,13 +224,13 @@
     void release(ServerConnection c) {
         Peer peer = peers.get(c.server);
         if (peer == null || !c.channel.remoteAddress().equals(peer.address)) {
-            c.close();
+            c.close(NodeEvent.SERVER_LEAVING);
             return;
         }
         c.idleSince = clock.now();
         peer.idle.addFirst(c);
         if (peer.idle.size() > (reuseFailures.isHigh() ? MAX_IDLE_WHEN_UNRELIABLE : maxIdlePerServer)) {
-            peer.idle.pollLast().close();
+            peer.idle.pollLast().close(NodeEvent.SERVER_SURPLUS);
         }
     }
 
@@ -250,7 +251,7 @@
             }
         }
         if (from != null) {
-            from.idle.pollLast().close();
+            from.idle.pollLast().close(NodeEvent.SERVER_SURPLUS);
         }
         return from != null;
     }
@@ -259,7 +260,7 @@
         long now = clock.now();
         for (Peer peer : peers.values()) {
             while (!peer.idle.isEmpty() && now - peer.idle.peekLast().idleSince >= idleTimeout) {
-                peer.idle.pollLast().close();
+                peer.idle.pollLast().close(NodeEvent.SERVER_IDLE);
             }
         }
         for (ServerConnection c : open.toArray(new ServerConnection[0])) {
--- a/src/main/java/onyxpaddle/http/ServerConnection.java
+++ b/src/main/java/onyxpaddle/http/ServerConnection.java
@@ -29,6 +29,7 @@
 import onyxpaddle.node.Body;
 import onyxpaddle.node.Exchange;
 import onyxpaddle.node.Log;
+import onyxpaddle.node.NodeEvent;
 import onyxpaddle.node.SocketBuffers;
 import onyxpaddle.socket.PollableChannel;
 
@@ -80,6 +81,8 @@
     /** Streams the request's body; null for none. */
     private BodyRelay relay;
     private final ReadThrottle throttle;
+    /** Why it closes, unless its server has closed it. */
+    private NodeEvent closeReason = NodeEvent.SERVER_CLOSED;
 
     ServerConnection(HttpUpstream upstream, String server, PollableChannel channel) {
         this.upstream = upstream;
@@ -98,8 +101,12 @@
         return !exchangeOpen && channel.poll() == PollableChannel.PollResult.NOTHING;
     }
 
-    void close() {
-        channel.close();
+    /** Closes the connection; only the first reason counts. */
+    void close(NodeEvent reason) {
+        if (channel.isOpen()) {
+            closeReason = reason;
+            channel.close();
+        }
     }
 
     // ---- the request ----
@@ -144,7 +151,7 @@
     private void bodyAborted(Attempt of) {
         if (attempt == of) {
             end(Outcome.CONNECT_FAILED);
-            close();
+            close(NodeEvent.SERVER_GIVEN_UP);
         }
     }
 
@@ -266,7 +273,7 @@
         public void abandon() {
             sink = null;
             detach();
-            close();
+            close(NodeEvent.SERVER_GIVEN_UP);
         }
     };
 
@@ -304,7 +311,7 @@
         exchangeOpen = false;
         headReceived = false;
         end(attempt != null && !attempt.written() ? Outcome.CONNECT_FAILED : Outcome.ERROR);
-        close();
+        close(NodeEvent.SERVER_INVALID_ANSWER);
     }
 
     /** Called when no more input is available: only now is it certain that no data follows the answer. */
@@ -315,13 +322,13 @@
         }
         throttle.readComplete(exchangeOpen && headReceived);
         if (decoder.unsolicited()) {
-            close();
+            close(NodeEvent.SERVER_INVALID_ANSWER);
         } else if (headReceived && !exchangeOpen) {
             headReceived = false;
             if (reusable && requestWritten && channel.isActive()) {
                 upstream.release(this);
             } else {
-                close();
+                close(NodeEvent.SERVER_NOT_REUSABLE);
             }
         }
     }
@@ -378,7 +385,7 @@
     void abandon() {
         detach();
         end(Outcome.CANCELLED);
-        close();
+        close(NodeEvent.SERVER_GIVEN_UP);
     }
 
     /**
@@ -387,12 +394,12 @@
      */
     void checkProgress(long now) {
         if (exchangeOpen && attempt == null && now - startedAt > DISCARD_TIMEOUT_NANOS) {
-            close();
+            close(NodeEvent.SERVER_STALLED);
         }
         boolean stalled = sink != null && !throttle.paused()
             && now - lastDataAt > upstream.dialect.stallTimeout(now > attempt.exchange.deadline());
         if (stalled || relay != null && relay.stalled(now, STALL_TIMEOUT_NANOS)) {
-            close();
+            close(NodeEvent.SERVER_STALLED);
         }
     }
 
@@ -405,6 +412,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        upstream.dispatcher.events().count(closeReason);
         connectionLost();
         upstream.closed(this);
     }
@@ -415,6 +423,6 @@
             Log.failure("connection to server " + server, cause);
         }
         connectionReset = true;
-        close();
+        channel.close();
     }
 }
--- a/src/main/java/onyxpaddle/http/StreamedAnswer.java
+++ b/src/main/java/onyxpaddle/http/StreamedAnswer.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.LastHttpContent;
 import onyxpaddle.node.AnswerSink;
+import onyxpaddle.node.NodeEvent;
 
 /** An answer that is streamed to a client. Pauses its source while the client does not read. */
 final class StreamedAnswer implements AnswerSink {
@@ -51,6 +52,6 @@
     public void broken() {
         // Reset instead of close: an answer delimited by the end of the connection would look complete.
         channel.config().setSoLinger(0);
-        connection.close();
+        connection.close(NodeEvent.CLIENT_ANSWER_BROKEN);
     }
 }
--- a/src/main/java/onyxpaddle/measure/Measure.java
+++ b/src/main/java/onyxpaddle/measure/Measure.java
@@ -30,6 +30,7 @@
         ALL.put("added-time", new AddedTimeMeasurement());
         ALL.put("sites", new SitesMeasurement());
         ALL.put("scale", new ScaleMeasurement());
+        ALL.put("starvation", new StarvationMeasurement());
     }
 
     @Spec
--- a/src/main/java/onyxpaddle/measure/NodeProcess.java
+++ b/src/main/java/onyxpaddle/measure/NodeProcess.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import onyxpaddle.drill.ServeProcess;
 
 /** A node in a process of its own, with the heap and the compiler that it has in use: 64 MB, C1 only. */
 final class NodeProcess implements AutoCloseable {
@@ -36,7 +37,7 @@
         values.addAll(List.of(rest));
         Path file = Files.createTempFile("measured", ".yaml");
         Files.writeString(file, config.formatted(values.toArray()));
-        Path jar = Path.of(NodeProcess.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+        Path jar = ServeProcess.jar();
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
             "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-Xss512k"));
         String more = System.getProperty("measure.node.options", "");
--- a/src/main/java/onyxpaddle/node/Attempt.java
+++ b/src/main/java/onyxpaddle/node/Attempt.java
@@ -1,6 +1,7 @@
 package onyxpaddle.node;
 
 import io.netty.util.concurrent.Future;
+import onyxpaddle.BalancerApi.Outcome;
 
 /** One attempt to serve a request at a server. It ends exactly once, through {@link Dispatcher#ended}. */
 public final class Attempt {
@@ -18,6 +19,8 @@
     private Future<?> lastWrite;
     private boolean written;
     boolean ended;
+    /** How it ended; null before. */
+    Outcome outcome;
     /** It has ended, and the server has certainly not run the request. */
     boolean neverRan;
 
--- a/src/main/java/onyxpaddle/node/Clock.java
+++ b/src/main/java/onyxpaddle/node/Clock.java
@@ -22,6 +22,19 @@
         return now();
     }
 
+    /**
+     * The start of the last poll of the event loop's sockets that did not report what is read now from a watched socket: nothing of
+     * that arrived earlier. The current time if the event loop is not observed.
+     */
+    public long lastPoll() {
+        return now();
+    }
+
+    /** The start of the event loop's current turn; the current time if the event loop is not observed. */
+    public long turnStart() {
+        return now();
+    }
+
     /** How late the node handles what is due, such as time-outs, judged by its event loop's recent turns; in nanoseconds. */
     public long lag() {
         return 0;
--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -139,6 +139,11 @@
         return true;
     }
 
+    /** Counts of the node's events by their reasons. */
+    public NodeEvents events() {
+        return counts.events();
+    }
+
     /** Counts the result of a request; fronts call this for requests that they answer without handing them to the pool. */
     public void countResult(Terms terms, RequestCounts.RequestResult result) {
         resultCounts[result.ordinal()]++;
@@ -163,26 +168,18 @@
         long now = clock.now();
         Terms terms = x.terms;
         long endsAt = terms.callerTimeout() + Math.min(now, arrivedAt + MAX_ANSWER_DELAY);
+        events().record(NodeDelay.READ, now - arrivedAt, now);
         if (endsAt <= now) {
-            x.finished = true;
-            x.body.release();
-            countResult(terms, RequestCounts.RequestResult.BUSY);
-            x.caller.refused(0, null);
+            refuseUnsent(x, NodeEvent.REFUSED_NO_TIME_LEFT, 0);
             return;
         }
         if (limit != null && !limit.admits(unanswered, terms.requestClass().worth())) {
-            x.finished = true;
-            x.body.release();
-            countResult(terms, RequestCounts.RequestResult.BUSY);
-            x.caller.refused(limit.retryAfter(), null);
+            refuseUnsent(x, NodeEvent.REFUSED_POOL_LIMIT, limit.retryAfter());
             return;
         }
         long retryAfter = siteGate == null ? SiteGate.ADMITTED : siteGate.refuses(now, terms.requestClass().name());
         if (retryAfter != SiteGate.ADMITTED) {
-            x.finished = true;
-            x.body.release();
-            countResult(terms, RequestCounts.RequestResult.BUSY);
-            x.caller.refused(retryAfter, null);
+            refuseUnsent(x, NodeEvent.REFUSED_SITE, retryAfter);
             return;
         }
         x.arrivedAt = arrivedAt;
@@ -195,6 +192,14 @@
             terms.clientRetry()));
     }
 
+    private void refuseUnsent(Exchange x, NodeEvent reason, long retryAfter) {
+        x.finished = true;
+        x.body.release();
+        countResult(x.terms, RequestCounts.RequestResult.BUSY);
+        events().count(reason, x.id);
+        x.caller.refused(retryAfter, null);
+    }
+
     /** The last byte of a streamed request body is with the server: the request's time-out starts now. */
     public void uploaded(Attempt attempt) {
         Exchange x = attempt.exchange;
@@ -253,6 +258,7 @@
             return;
         }
         attempt.ended = true;
+        attempt.outcome = outcome;
         attempt.neverRan = outcome.neverRan;
         attempt.carrier = null;
         stopTimer(attempt);
@@ -393,6 +399,7 @@
             Exchange x = exchanges.get(refuse.request());
             if (x != null && finish(x)) {
                 count(x, RequestCounts.RequestResult.BUSY);
+                events().count(NodeEvent.REFUSED_BALANCER, x.id);
                 x.caller.refused(refuse.retryAfter(), x.failure);
                 removeIfDone(x);
             }
@@ -421,10 +428,14 @@
         x.attempts.add(attempt);
         x.pendingAttempts++;
         if (x.finished || now >= until || attempt.number >= Math.min(limits.maxAttempts(), x.maxAttempts)) {
+            events().count(x.finished ? NodeEvent.ATTEMPT_ANSWERED : NodeEvent.ATTEMPT_LIMIT, x.id);
             ended(attempt, Outcome.NOT_SENT, null);
             return;
         }
         if (mayBegin(attempt)) {
+            if (attempt.number > 0) {
+                events().count(NodeEvent.retryAfter(x.attempts.get(attempt.number - 1).outcome), x.id);
+            }
             attempt.timer = timers.add(until, () -> expire(attempt));
             upstream.send(attempt);
         }
@@ -446,9 +457,13 @@
         Exchange x = attempt.exchange;
         long now = clock.now();
         if (!x.finished && x.caller.left(now - clock.earliestArrival() > POLL_STALE_AFTER)) {
+            events().count(NodeEvent.ATTEMPT_CLIENT_LEFT, x.id);
             clientGone(x);
-        }
-        if (!attempt.ended && (x.finished || x.keyExpired(attempt, now))) {
+            if (!attempt.ended) {
+                ended(attempt, Outcome.NOT_SENT, null);
+            }
+        } else if (!attempt.ended && (x.finished || x.keyExpired(attempt, now))) {
+            events().count(x.finished ? NodeEvent.ATTEMPT_ANSWERED : NodeEvent.ATTEMPT_KEY_EXPIRED, x.id);
             ended(attempt, Outcome.NOT_SENT, null);
         }
         return !attempt.ended;
--- a/src/main/java/onyxpaddle/node/RequestCounts.java
+++ b/src/main/java/onyxpaddle/node/RequestCounts.java
@@ -16,12 +16,24 @@
     private static final int MAX_CLASSES = 4_000;
 
     private final Map<String, long[]> classes = new LinkedHashMap<>();
+    private final NodeEvents events;
     private long attempts;
 
     public RequestCounts(Collection<String> classNames) {
+        this(classNames, new NodeEvents());
+    }
+
+    /** {@code events}: where the same node's events are counted. */
+    public RequestCounts(Collection<String> classNames, NodeEvents events) {
+        this.events = events;
         know(classNames);
     }
 
+    /** Counts of the node's events by their reasons. */
+    public NodeEvents events() {
+        return events;
+    }
+
     /** Registers further classes and keeps the earlier ones. Beyond {@value #MAX_CLASSES} classes none is added. */
     public void know(Collection<String> classNames) {
         for (String name : classNames) {
--- a/src/main/java/onyxpaddle/rpc/CallerConnection.java
+++ b/src/main/java/onyxpaddle/rpc/CallerConnection.java
@@ -16,6 +16,7 @@
 import onyxpaddle.node.Dispatcher;
 import onyxpaddle.node.Exchange;
 import onyxpaddle.node.Log;
+import onyxpaddle.node.NodeEvent;
 import onyxpaddle.node.RequestCounts;
 import onyxpaddle.node.SharedLimit;
 import onyxpaddle.rpc.NodeError.Code;
@@ -58,6 +59,8 @@
     private int unsentAnswers;
     private long unsentBytes;
     private long unsentSince;
+    /** Why it closes, unless its caller has closed it. */
+    private NodeEvent closeReason = NodeEvent.CLIENT_LEFT;
     /** The call whose parameters are being read; null while parameters are to be ignored. */
     private OpenCall receiving;
 
@@ -144,7 +147,8 @@
     }
 
     @Override
-    public void close() {
+    public void close(NodeEvent reason) {
+        closeReason = reason;
         channel.close();
     }
 
@@ -162,7 +166,7 @@
             discardedBytes += in.readableBytes();
             in.release();
             if (discardedBytes > MAX_DISCARDED_BYTES) {
-                close();
+                close(NodeEvent.CLIENT_LAST_ANSWER);
             }
             return;
         }
@@ -342,7 +346,7 @@
     private void disconnectSlowReader() {
         front.dropCounter.add(Dropped.SLOW_READER, front.clock().now(),
             "caller " + channel.remoteAddress() + ": " + unsentBytes + " bytes unsent");
-        close();
+        close(NodeEvent.CLIENT_SLOW_READER);
     }
 
     // ---- closing ----
@@ -383,7 +387,7 @@
             disconnectSlowReader();
         } else if (closing) {
             if (outputShutdown && unsentAnswers == 0 && now - idleSince > LINGER) {
-                close();
+                close(NodeEvent.CLIENT_LAST_ANSWER);
             }
         } else if (frameSince >= 0 && now - frameSince > FRAME_TIMEOUT + front.router.maxPayload() * FRAME_TIMEOUT_PER_BYTE) {
             front.dropCounter.add(Dropped.MALFORMED, now, "caller " + channel.remoteAddress() + ": frame not complete within the timeout");
@@ -395,6 +399,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        front.events().count(closing ? NodeEvent.CLIENT_LAST_ANSWER : closeReason);
         closing = true;
         front.closed(this);
         pendingInput.forEach(ByteBuf::release);
@@ -413,6 +418,6 @@
         if (!(cause instanceof java.io.IOException)) {
             Log.failure("connection from a caller", cause);
         }
-        close();
+        channel.close();
     }
 }
--- a/src/main/java/onyxpaddle/rpc/RpcConnection.java
+++ b/src/main/java/onyxpaddle/rpc/RpcConnection.java
@@ -12,6 +12,7 @@
 import onyxpaddle.node.Body;
 import onyxpaddle.node.Exchange;
 import onyxpaddle.node.Log;
+import onyxpaddle.node.NodeEvent;
 import onyxpaddle.rpc.RpcDropCounter.Dropped;
 
 /**
@@ -33,6 +34,8 @@
     private boolean connected;
     private boolean retired;
     private boolean closed;
+    /** Why it closes, unless its server has closed it. */
+    private NodeEvent closeReason = NodeEvent.SERVER_CLOSED;
     private long lastReadAt;
     private long idleSince;
     /** The call whose reply is being read; null if no call waits for that reply. */
@@ -61,7 +64,7 @@
             } else if (!attempt.written()) {
                 // Part of it may still be buffered and be sent at any time; only closing the connection prevents that.
                 calls.discard(id);
-                close();
+                close(NodeEvent.SERVER_GIVEN_UP);
             } else {
                 calls.giveUp(id);
                 if (replyingCall == this) {
@@ -106,7 +109,11 @@
         });
     }
 
-    void close() {
+    /** Closes the connection; only the first reason counts. */
+    void close(NodeEvent reason) {
+        if (!closed) {
+            closeReason = reason;
+        }
         closed = true;
         // Removed at once, as it would otherwise count towards the connection limit until it has closed.
         peer.connections.remove(this);
@@ -119,7 +126,7 @@
         } else if (closeIfExhausted(now)) {
             return;
         } else if (now - idleSince >= upstream.options.idleTimeout()) {
-            close();
+            close(NodeEvent.SERVER_IDLE);
         }
     }
 
@@ -131,7 +138,7 @@
         boolean exhausted = connected && calls.waiting() == 0
             && (calls.idsExhausted() || calls.inFlight() > 0 && (calls.isFull() || isStalled(now)));
         if (exhausted) {
-            close();
+            close(NodeEvent.SERVER_NOT_REUSABLE);
         }
         return exhausted;
     }
@@ -215,7 +222,7 @@
 
     private void onWritten(Call call, boolean success) {
         if (!success) {
-            close();
+            close(NodeEvent.SERVER_CLOSED);
             return;
         }
         call.attempt.markWritten();
@@ -245,7 +252,7 @@
             }
         } catch (FormatException e) {
             upstream.dropCounter.add(Dropped.MALFORMED, lastReadAt, "server " + peer.server + ": " + e.getMessage());
-            close();
+            close(NodeEvent.SERVER_INVALID_ANSWER);
         } finally {
             in.release();
         }
@@ -339,7 +346,7 @@
 
     private void closeIfDone() {
         if (retired && calls.waiting() == 0) {
-            close();
+            close(NodeEvent.SERVER_LEAVING);
         }
     }
 
@@ -347,6 +354,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        upstream.dispatcher.events().count(closeReason);
         closed = true;
         upstream.onClosed(this);
         Call interrupted = replyingCall;
@@ -365,6 +373,6 @@
         if (!(cause instanceof java.io.IOException)) {
             Log.failure("connection to server " + peer.server, cause);
         }
-        close();
+        close(NodeEvent.SERVER_CLOSED);
     }
 }
--- a/src/main/java/onyxpaddle/rpc/RpcFront.java
+++ b/src/main/java/onyxpaddle/rpc/RpcFront.java
@@ -3,6 +3,7 @@
 import io.netty.channel.WriteBufferWaterMark;
 import onyxpaddle.front.ListeningFront;
 import onyxpaddle.node.Clock;
+import onyxpaddle.node.NodeEvents;
 import onyxpaddle.socket.PollableChannel;
 
 /**
@@ -62,6 +63,10 @@
 
     // ---- for connections ----
 
+    NodeEvents events() {
+        return events;
+    }
+
     Clock clock() {
         return clock;
     }
--- a/src/main/java/onyxpaddle/rpc/RpcUpstream.java
+++ b/src/main/java/onyxpaddle/rpc/RpcUpstream.java
@@ -23,6 +23,7 @@
 import onyxpaddle.node.Attempt;
 import onyxpaddle.node.Clock;
 import onyxpaddle.node.Dispatcher;
+import onyxpaddle.node.NodeEvent;
 import onyxpaddle.node.ResourceBudget.PoolShare;
 import onyxpaddle.node.ServerList;
 import onyxpaddle.node.SocketBuffers;
@@ -144,7 +145,7 @@
     public void close() {
         sweepTask.cancel(false);
         peers.clear();
-        Set.copyOf(openConnections).forEach(RpcConnection::close);
+        Set.copyOf(openConnections).forEach(c -> c.close(NodeEvent.SERVER_NODE_ENDS));
     }
 
     // ---- attempts ----
@@ -185,7 +186,7 @@
             if (f.isSuccess()) {
                 connection.onConnected();
             } else {
-                connection.close();
+                connection.close(NodeEvent.SERVER_CLOSED);
                 connection.onConnectFailed();
             }
         });
--- a/src/main/java/onyxpaddle/serve/Lifecycle.java
+++ b/src/main/java/onyxpaddle/serve/Lifecycle.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -25,6 +24,7 @@
 import onyxpaddle.handover.HandoverSocket;
 import onyxpaddle.node.Dispatcher;
 import onyxpaddle.node.Log;
+import onyxpaddle.node.NodeEvents;
 import onyxpaddle.node.SocketBuffers;
 import onyxpaddle.node.RequestCounts;
 
@@ -89,10 +89,12 @@
     }
 
     final EventLoop loop;
-    final LoopClock clock = new LoopClock();
+    /** Counts of the process, with the ids of requests in the log if the environment asks for it. */
+    final NodeEvents events = new NodeEvents("1".equals(System.getenv("LUPINMOUNT_LOG_REQUESTS")));
+    final LoopClock clock = new LoopClock(events);
     final ByteBufAllocator allocator = SocketBuffers.allocator();
     final NodeState state = new NodeState();
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, clock.instrument(NioIoHandler.newFactory()));
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, clock.handlerFactory());
     private final CompletableFuture<Void> serving = new CompletableFuture<>();
     private final CountDownLatch ended = new CountDownLatch(1);
     private final Work work;
@@ -224,7 +226,7 @@
 
         @Override
         public String metrics() {
-            return MetricsExposition.of(work.tally(), work.pools().values(), work.retiredPools(), reloads, failedReloads);
+            return MetricsExposition.of(clock.now(), work.tally(), work.pools().values(), work.retiredPools(), reloads, failedReloads);
         }
 
         @Override
--- a/src/main/java/onyxpaddle/serve/Node.java
+++ b/src/main/java/onyxpaddle/serve/Node.java
@@ -48,7 +48,7 @@
     private final Lifecycle lifecycle = new Lifecycle(this);
     private final Clock clock = lifecycle.clock;
     private final long startedAt = clock.now();
-    private final RequestCounts tally = new RequestCounts(List.of());
+    private final RequestCounts tally = new RequestCounts(List.of(), lifecycle.events);
     private Dispatcher dispatcher;
     private HttpUpstream upstream;
     private Discovery discovery;
@@ -119,7 +119,7 @@
         }
         discovery = discovery();
         dispatcher.connect(upstream, () -> discovery.subscribe());
-        front = new HttpFront(new SharedResources(loop, lifecycle.allocator, clock, budget, lifecycle.state),
+        front = new HttpFront(new SharedResources(loop, lifecycle.allocator, clock, budget, lifecycle.state, lifecycle.events),
             new PlatformRequestDialect(config.settings().classes(), dispatcher, share.bytes()), this::ready);
         apply(config.known(), ListKind.CACHED);
         discovery.start();
--- a/src/main/java/onyxpaddle/serve/Sidecar.java
+++ b/src/main/java/onyxpaddle/serve/Sidecar.java
@@ -73,7 +73,7 @@
     private final NodeState inbound = lifecycle.state;
     private final NodeState outbound = new NodeState();
     /** Counts of the whole process, so that they outlive pools that a reload replaces. */
-    private final RequestCounts tally = new RequestCounts(List.of());
+    private final RequestCounts tally = new RequestCounts(List.of(), lifecycle.events);
     private final Map<String, RunningPool> pools = new LinkedHashMap<>();
     private final Map<String, BoundListener> boundListeners = new LinkedHashMap<>();
     private final List<RunningPool> retiredPools = new ArrayList<>();
@@ -224,7 +224,8 @@
         List<io.netty.util.concurrent.Future<?>> binding = new ArrayList<>();
         for (Listener listener : current.config().listeners().values()) {
             if (existing(listener) == null) {
-                SharedResources context = new SharedResources(loop, allocator, clock, budget, listener.outbound() ? outbound : inbound);
+                SharedResources context = new SharedResources(loop, allocator, clock, budget, listener.outbound() ? outbound : inbound,
+                    lifecycle.events);
                 Front front = listener.rpc() ? new RpcFront(context, new RpcDropCounter("listener " + listener.name()))
                     : new HttpFront(context, null, this::ready);
                 binding.add(front.listen(Addresses.of(listener.address().host(), listener.address().port()), lifecycle.sharesAddresses()));
--- a/src/main/java/onyxpaddle/socket/PollableChannel.java
+++ b/src/main/java/onyxpaddle/socket/PollableChannel.java
@@ -4,7 +4,10 @@
 import io.netty.channel.Channel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
+import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import onyxpaddle.node.ArrivalBound;
+import onyxpaddle.node.Clock;
 import onyxpaddle.node.SocketBuffers;
 
 /**
@@ -32,14 +35,52 @@
 
     /** Data read by polls that the pipeline has not received yet; null for none. */
     private ByteBuf prefetched;
+    private final Clock clock;
+    private final ArrivalBound arrival;
+    private long prefetchedBound;
+    private long deliveredBound;
 
-    /** Creates a channel to be connected. */
+    /** Creates a channel to be connected; it has no {@link #arrivalBound}. */
     public PollableChannel() {
+        clock = null;
+        arrival = null;
     }
 
-    /** Wraps a connection accepted by a listener. */
-    public PollableChannel(Channel listener, SocketChannel accepted) {
+    /** Wraps a connection accepted by a listener; {@code bound}: a time before which it was not established. */
+    public PollableChannel(Channel listener, SocketChannel accepted, Clock clock, long bound) {
         super(listener, accepted);
+        this.clock = clock;
+        arrival = new ArrivalBound(bound);
+        deliveredBound = bound;
+    }
+
+    /** A time before which the data that the pipeline received last cannot have arrived; only for accepted connections. */
+    public long arrivalBound() {
+        return deliveredBound;
+    }
+
+    /** Whether the event loop's polls report data on it. */
+    private boolean watched() {
+        if (!isRegistered()) {
+            return false;
+        }
+        SelectionKey key = registration().attachment();
+        return key.isValid() && (key.interestOps() & SelectionKey.OP_READ) != 0;
+    }
+
+    /** A lower bound of the arrival of what is read next from the socket. */
+    private long nextBound() {
+        return arrival == null ? 0 : arrival.get(watched() ? clock.lastPoll() : Long.MIN_VALUE);
+    }
+
+    private void recordRead(long startedAt, boolean emptied) {
+        if (arrival != null) {
+            arrival.read(startedAt, emptied, clock.turnStart());
+        }
+    }
+
+    private long now() {
+        return clock == null ? 0 : clock.now();
     }
 
     /** Polls the socket. At the end of the connection the channel is closed, which the pipeline is told as usual. */
@@ -67,12 +108,16 @@
         ByteBuf into = alloc().directBuffer(SocketBuffers.READ_SIZE);
         try {
             while (prefetched == null || prefetched.readableBytes() < MAX_PREFETCH) {
+                long startedAt = now();
+                long bound = nextBound();
                 int count = into.clear().writeBytes(javaChannel(), into.capacity());
+                recordRead(startedAt, count < into.capacity());
                 if (count <= 0) {
                     return count < 0;
                 }
                 if (prefetched == null) {
                     prefetched = alloc().buffer(count);
+                    prefetchedBound = bound;
                     eventLoop().execute(this::deliverPrefetched);
                 }
                 prefetched.writeBytes(into);
@@ -95,6 +140,9 @@
 
     @Override
     protected void doBeginRead() throws Exception {
+        if (arrival != null && !watched()) {
+            arrival.watched(clock.now());
+        }
         super.doBeginRead();
         if (prefetched != null) {
             eventLoop().execute(this::deliverPrefetched);
@@ -104,8 +152,9 @@
     @Override
     protected int doReadBytes(ByteBuf to) throws Exception {
         if (prefetched == null) {
-            return super.doReadBytes(to);
+            return readSocket(to);
         }
+        deliveredBound = prefetchedBound;
         int count = Math.min(prefetched.readableBytes(), to.writableBytes());
         unsafe().recvBufAllocHandle().attemptedBytesRead(to.writableBytes());
         to.writeBytes(prefetched, count);
@@ -115,6 +164,15 @@
         return count;
     }
 
+    private int readSocket(ByteBuf to) throws Exception {
+        long startedAt = now();
+        int capacity = to.writableBytes();
+        deliveredBound = nextBound();
+        int count = super.doReadBytes(to);
+        recordRead(startedAt, count < capacity);
+        return count;
+    }
+
     private void releasePrefetched() {
         if (prefetched != null) {
             prefetched.release();
--- a/src/main/java/onyxpaddle/standin/StandInServer.java
+++ b/src/main/java/onyxpaddle/standin/StandInServer.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpChunkedInput;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
@@ -44,6 +45,10 @@
 
     /** Notified of received and executed requests, on the event loop of the server. */
     public interface Watcher {
+        /** A request with these headers has been received completely. */
+        default void headersReceived(HttpHeaders headers) {
+        }
+
         /** A request with that {@code X-Effect} has been received completely, from that address. */
         void requestReceived(String effect, SocketAddress from);
 
@@ -171,6 +176,7 @@
             }
             String effect = request.headers().get("X-Effect");
             if (watcher != null) {
+                watcher.headersReceived(request.headers());
                 watcher.requestReceived(effect, context.channel().remoteAddress());
             }
             if (refuses || slots > 0 && busy >= slots && queue.size() >= queueCapacity) {
--- a/src/test/java/onyxpaddle/front/PollTimesTest.java
+++ b/src/test/java/onyxpaddle/front/PollTimesTest.java
@@ -8,7 +8,7 @@
 /** Data read by an event loop arrived after its previous poll; a request's time must not start only when the loop gets to it. */
 class PollTimesTest {
     private static final long MS = 1_000_000L;
-    private final PollTimes pollTimes = new PollTimes();
+    private final PollTimes pollTimes = new PollTimes(0);
 
     private void turn(long pollStarted, long pollFinished) {
         pollTimes.pollStarted(pollStarted * MS);
@@ -84,4 +84,31 @@
         }
         assertEquals(MS, pollTimes.lag(), MS / 10);
     }
+
+    /** Stopped at any point of a poll: what a later poll reports arrived after the start of the last poll that did not. */
+    @Test
+    void lastPollIsTheStartOfThePollThatDidNotReport() {
+        turn(100, 100);
+        turn(600, 600);
+        assertEquals(100 * MS, pollTimes.lastPoll());
+        assertEquals(600 * MS, pollTimes.turnStart());
+        pollTimes.pollStarted(700 * MS);
+        pollTimes.blocks();
+        pollTimes.pollFinished(1_150 * MS);
+        assertEquals(700 * MS, pollTimes.lastPoll());
+        pollTimes.pollStarted(1_160 * MS);
+        assertEquals(700 * MS, pollTimes.lastPoll());
+    }
+
+    @Test
+    void pollThatMayHaveLeftEventsBehindDoesNotCount() {
+        turn(100, 100);
+        turn(200, 200);
+        pollTimes.turnFinished(PollTimes.MAX_EVENTS);
+        turn(300, 300);
+        assertEquals(100 * MS, pollTimes.lastPoll());
+        pollTimes.turnFinished(3);
+        turn(400, 400);
+        assertEquals(300 * MS, pollTimes.lastPoll());
+    }
 }
--- a/src/test/java/onyxpaddle/http/HttpFrontHarness.java
+++ b/src/test/java/onyxpaddle/http/HttpFrontHarness.java
@@ -28,6 +28,7 @@
 import onyxpaddle.front.ListeningFront.SharedResources;
 import onyxpaddle.node.ResourceBudget;
 import onyxpaddle.node.Clock;
+import onyxpaddle.node.NodeEvents;
 import onyxpaddle.node.SocketBuffers;
 
 /**
@@ -81,7 +82,7 @@
             }
         };
         front = new HttpFront(new SharedResources(capturingLoop, SocketBuffers.allocator(), clock,
-            new ResourceBudget(DESCRIPTORS, HEAP_BYTES), state), new ReadinessOnly(), () -> true);
+            new ResourceBudget(DESCRIPTORS, HEAP_BYTES), state, new NodeEvents()), new ReadinessOnly(), () -> true);
         front.listen(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), false).sync();
         listener = channels.take();
         onLoop(() -> {
