An attempt begins only after the caller's socket was asked whether the caller has left

Cause: Dispatcher.mayBegin polled the caller's socket only where the event loop's last poll was over 50 ms old, taking the data at hand for as fresh as that poll. It is not: a connection beyond the sixteen that a turn accepts waits for turns on end, each with a fresh poll, and a poll in which the process was stopped counts as one that has waited for its data. The close lies behind the request in the socket and isn't seen, as a read returns the request first. Evidence: with 10 of each 100 ms the node's own figures show waits of up to 1.3 s for the accept beside turns of 0.3 s at most; kept connections are late too, after stops of 0.15 s, which the accept queue can't explain.

Why this works: the answer comes from the kernel at the moment of the act. No age is left in the decision.

--- a/src/main/java/onyxpaddle/http/ClientConnection.java
+++ b/src/main/java/onyxpaddle/http/ClientConnection.java
@@ -501,9 +501,8 @@
     }
 
     @Override
-    public boolean left(boolean unseen) {
-        boolean closeMayBeUnread = unseen || !channel.config().isAutoRead();
-        return closeMayBeUnread ? channel.poll() == PollableChannel.PollResult.END : !channel.isActive();
+    public boolean left() {
+        return channel.poll() == PollableChannel.PollResult.END;
     }
 
     @Override
--- a/src/main/java/onyxpaddle/node/Caller.java
+++ b/src/main/java/onyxpaddle/node/Caller.java
@@ -6,12 +6,10 @@
     void served(Answer answer);
 
     /**
-     * Whether the caller has closed its connection. Checked right before an attempt is sent for it.
-     *
-     * @param pollSocket whether to poll the connection itself, as the event loop has not polled its sockets for long; otherwise the
-     *     state as last seen is returned
+     * Whether the caller has closed its connection. Checked right before an attempt is sent for it, so it must ask the connection itself:
+     * the close may lie unread behind the request, however recently the event loop has read.
      */
-    default boolean left(boolean pollSocket) {
+    default boolean left() {
         return false;
     }
 
--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -20,11 +20,6 @@
     private static final long OVERDUE_MARGIN = 8_000_000L;
     /** How late after its deadline an answer may be given. It is lost after 0.5 s, of which 0.2 s are kept for its delivery. */
     private static final long MAX_ANSWER_DELAY = 300_000_000L;
-    /**
-     * If the event loop's last poll is older than this, the caller's connection itself is polled before an attempt. No attempt may
-     * begin later than 0.1 s after its caller has closed; half of that is kept for the attempt's way to its server.
-     */
-    private static final long POLL_STALE_AFTER = 50_000_000L;
     /** How long a streamed request body may take; the front's limit on the rate of the body is stricter. */
     private static final long MAX_UPLOAD_TIME = 900_000_000_000L;
 
@@ -456,7 +451,7 @@
         }
         Exchange x = attempt.exchange;
         long now = clock.now();
-        if (!x.finished && x.caller.left(now - clock.earliestArrival() > POLL_STALE_AFTER)) {
+        if (!x.finished && x.caller.left()) {
             events().count(NodeEvent.ATTEMPT_CLIENT_LEFT, x.id);
             clientGone(x);
             if (!attempt.ended) {
--- a/src/main/java/onyxpaddle/rpc/CallerConnection.java
+++ b/src/main/java/onyxpaddle/rpc/CallerConnection.java
@@ -79,9 +79,8 @@
         }
 
         @Override
-        public boolean left(boolean unseen) {
-            boolean mustPoll = unseen || !channel.config().isAutoRead();
-            return mustPoll ? channel.poll() == PollableChannel.PollResult.END : !channel.isActive();
+        public boolean left() {
+            return channel.poll() == PollableChannel.PollResult.END;
         }
 
         @Override
