A request's time counts from a bound that always holds, not from a guess about a poll

Callers saw: servers work on, or turn a request away as over, as they are told of up to 0.6 s that is gone.

Cause: what is left was counted from Clock.earliestArrival, which took a poll that was allowed to block and took long for one whose data had just come. A process that was stopped inside such a poll, or between its return and the reading of the clock, counted data as fresh that had waited all that time; connections beyond the sixteen that a turn accepts counted from a later turn; requests that were sent ahead counted from when their turn came. Evidence: one stop of 0.3 or 0.5 s, and all of 96 requests tell their server the whole of it too much (five rows of StarvedNodeIT).

Change: each connection and the listener's queue carry the bound of ArrivalBound; parts that are sent ahead keep theirs, for HTTP and for MessagePack-RPC. Why this works: a read that emptied the source and a poll that did not report it both prove that nothing unread was there then. A stop at any point only makes the bound earlier. As a poll blocks for 50 ms at most, it is no more than that early on an idle node.

--- a/src/main/java/onyxpaddle/front/LoopClock.java
+++ b/src/main/java/onyxpaddle/front/LoopClock.java
@@ -39,11 +39,6 @@
         return pollTimes.turnStart();
     }
 
-    @Override
-    public long earliestArrival() {
-        return pollTimes.earliestArrival(now());
-    }
-
     @Override
     public long lag() {
         return pollTimes.lag();
--- a/src/main/java/onyxpaddle/http/ClientConnection.java
+++ b/src/main/java/onyxpaddle/http/ClientConnection.java
@@ -74,16 +74,17 @@
         CLOSING
     }
 
+    /** A decoded part that waits for the request before it; {@code arrivedAt}: a time before which it did not arrive. */
+    private record PipelinedPart(Object message, long arrivedAt) {
+    }
+
     private final HttpFront front;
     private final PollableChannel channel;
-    private final ArrayDeque<Object> pipelined = new ArrayDeque<>();
+    private final ArrayDeque<PipelinedPart> pipelined = new ArrayDeque<>();
     private int pipelinedBytes;
     /** The client pipelined more than is queued: the current request is answered, later ones are not processed. */
     private boolean pipelineOverflow;
     private State state = State.IDLE;
-    private final long acceptedAt;
-    /** Lower bound of when the connection was established: it may have waited in the backlog. */
-    private final long connectionArrival;
     private long stateSince;
     private long discarded;
     private boolean hadRequest;
@@ -111,18 +112,7 @@
     ClientConnection(HttpFront front, PollableChannel channel) {
         this.front = front;
         this.channel = channel;
-        this.acceptedAt = front.now();
-        this.connectionArrival = front.clock().earliestArrival();
-        this.stateSince = acceptedAt;
-    }
-
-    /**
-     * Lower bound of the arrival time of the bytes that were just read. Bytes read in the loop iteration after the accept may
-     * have arrived together with the connection.
-     */
-    private long earliestArrival() {
-        long earliest = front.clock().earliestArrival();
-        return earliest <= acceptedAt ? connectionArrival : earliest;
+        this.stateSince = front.now();
     }
 
     /** Sees bytes before the decoder: notices the first byte of a request and discards input after the last answer. */
@@ -174,7 +164,7 @@
         if (state == State.CLOSING || pipelineOverflow) {
             ReferenceCountUtil.release(message);
         } else if (!mustQueue()) {
-            handle(message);
+            handle(message, channel.arrivalBound());
         } else if (pipelined.size() >= MAX_PIPELINED_PARTS) {
             // The client pipelines too much: the current request is answered, and is the last.
             pipelineOverflow = true;
@@ -182,7 +172,7 @@
             ReferenceCountUtil.release(message);
         } else {
             // Reading continues within bounds to notice a close by the client, so that no further attempts are made for it.
-            pipelined.add(message);
+            pipelined.add(new PipelinedPart(message, channel.arrivalBound()));
             pipelinedBytes += message instanceof HttpContent content ? content.content().readableBytes() : 0;
             if (pipelinedBytes >= MAX_PIPELINED_BYTES) {
                 channel.config().setAutoRead(false);
@@ -191,7 +181,7 @@
     }
 
     private void dropPipelined() {
-        pipelined.forEach(ReferenceCountUtil::release);
+        pipelined.forEach(part -> ReferenceCountUtil.release(part.message()));
         pipelined.clear();
         pipelinedBytes = 0;
     }
@@ -203,7 +193,8 @@
     /** Processes queued parts, as long as the client reads its answers. */
     private void processPipelined() {
         while (!pipelined.isEmpty() && state != State.WAITING && channel.isWritable()) {
-            handle(pipelined.poll());
+            PipelinedPart next = pipelined.poll();
+            handle(next.message(), next.arrivedAt());
         }
         if (pipelineOverflow && state == State.IDLE) {
             linger();
@@ -229,7 +220,8 @@
         }
     }
 
-    private void handle(Object message) {
+    /** {@code arrivedAt}: a time before which the message did not arrive. */
+    private void handle(Object message, long arrivedAt) {
         try {
             if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
                 reject(statusFor(part.decoderResult().cause()));
@@ -239,7 +231,7 @@
                 handleHead(request);
             }
             if (message instanceof HttpContent content && state == State.RECEIVING) {
-                handleContent(content);
+                handleContent(content, arrivedAt);
             }
         } finally {
             ReferenceCountUtil.release(message);
@@ -283,7 +275,7 @@
         return front.rejectsIncomplete() || routed != null && !front.canAnswerBeforeExit(routed.terms().callerTimeout());
     }
 
-    private void handleContent(HttpContent content) {
+    private void handleContent(HttpContent content, long arrivedAt) {
         boolean last = content instanceof LastHttpContent;
         if (readinessCheck) {
             if (last) {
@@ -295,11 +287,11 @@
             refuse(NodeEvent.REFUSED_NODE_ENDS);
             return;
         }
-        switch (incoming.add(content.content(), last)) {
+        switch (incoming.add(content.content(), last, arrivedAt)) {
             case INCOMPLETE -> { }
             case COMPLETE -> {
                 requestComplete();
-                routed.pool().arrived(exchange, earliestArrival());
+                routed.pool().arrived(exchange, arrivedAt);
             }
             case TOO_LARGE -> reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             case NO_MEMORY -> refuse(NodeEvent.REFUSED_NO_MEMORY);
--- a/src/main/java/onyxpaddle/http/IncomingBody.java
+++ b/src/main/java/onyxpaddle/http/IncomingBody.java
@@ -82,7 +82,8 @@
         return pausedAt == 0 && elapsed - pausedNanos > headTimeout + received * NANOS_PER_BYTE;
     }
 
-    Progress add(ByteBuf bytes, boolean last) {
+    /** {@code arrivedAt}: a time before which the part did not arrive. */
+    Progress add(ByteBuf bytes, boolean last, long arrivedAt) {
         received += bytes.readableBytes();
         if (received > request.maxBodyBytes()) {
             return Progress.TOO_LARGE;
@@ -95,7 +96,7 @@
         } else if (request.pool().hasRequest(request.terms().id())) {
             return Progress.INVALID;
         }
-        startStreaming(bytes, last);
+        startStreaming(bytes, last, arrivedAt);
         return Progress.INCOMPLETE;
     }
 
@@ -109,13 +110,13 @@
     }
 
     /** Begins to stream the body, as it exceeds the buffer limit or the available memory. */
-    private void startStreaming(ByteBuf bytes, boolean last) {
+    private void startStreaming(ByteBuf bytes, boolean last, long arrivedAt) {
         overflow = SocketBuffers.kept(bytes, channel.alloc());
         overflowIsLast = last;
         upload = new Upload(request.length(), this::setReading);
         exchange = new Exchange(request.terms(), request.head(), body, caller, upload);
         setReading(false);
-        request.pool().arrived(exchange, clock.earliestArrival());
+        request.pool().arrived(exchange, arrivedAt);
     }
 
     /** Resumes or pauses reading from the client, as the server's connection becomes writable or not. */
--- a/src/main/java/onyxpaddle/measure/StarvationMeasurement.java
+++ b/src/main/java/onyxpaddle/measure/StarvationMeasurement.java
@@ -101,9 +101,9 @@
                         DepartingClients clients = new DepartingClients(new Behaviour(100, kept, 0, 200 * MILLI, 200 * MILLI, SPACING,
                             Departure.CLOSE),
                             "s" + round).connect(rig.listen);
-                        node.signal("STOP");
+                        StarvedProcess.stop(node.process().pid());
                         clients.run(rig.listen);
-                        node.signal("CONT");
+                        StarvedProcess.resume(node.process().pid());
                         TimeUnit.MILLISECONDS.sleep(SETTLE_MS);
                         outcomes.add(clients.outcome(recorder));
                     }
--- a/src/main/java/onyxpaddle/node/Clock.java
+++ b/src/main/java/onyxpaddle/node/Clock.java
@@ -17,11 +17,6 @@
         return epoch + (System.nanoTime() - start);
     }
 
-    /** The earliest time at which data read now can have arrived; the current time if the event loop is not observed. */
-    public long earliestArrival() {
-        return now();
-    }
-
     /**
      * The start of the last poll of the event loop's sockets that did not report what is read now from a watched socket: nothing of
      * that arrived earlier. The current time if the event loop is not observed.
--- a/src/main/java/onyxpaddle/rpc/CallerConnection.java
+++ b/src/main/java/onyxpaddle/rpc/CallerConnection.java
@@ -48,7 +48,9 @@
     private final FrameDecoder decoder;
     private final Map<Long, OpenCall> openCalls = new HashMap<>();
     private int openNotifications;
-    private final ArrayDeque<ByteBuf> pendingInput = new ArrayDeque<>();
+    private final ArrayDeque<Input> pendingInput = new ArrayDeque<>();
+    /** A time before which the input that is being decoded did not arrive. */
+    private long inputArrivedAt;
     private boolean reading;
     /** No further calls are read. Input is discarded, and the connection closes once the open calls have been answered. */
     private boolean closing;
@@ -64,6 +66,10 @@
     /** The call whose parameters are being read; null while parameters are to be ignored. */
     private OpenCall receiving;
 
+    /** Input that is not decoded yet; {@code arrivedAt}: a time before which it did not arrive. */
+    private record Input(ByteBuf bytes, long arrivedAt) {
+    }
+
     /** A call whose head has been read; receives the answer of the exchange. */
     private final class OpenCall implements Caller {
         private final long msgid;
@@ -169,7 +175,7 @@
             }
             return;
         }
-        pendingInput.add(in);
+        pendingInput.add(new Input(in, channel.arrivalBound()));
         read();
     }
 
@@ -185,10 +191,11 @@
         reading = true;
         try {
             while (!closing && !pendingInput.isEmpty() && (decoder.midFrame() || !backpressured())) {
-                ByteBuf in = pendingInput.peek();
+                ByteBuf in = pendingInput.peek().bytes();
+                inputArrivedAt = pendingInput.peek().arrivedAt();
                 decoder.feed(in);
                 if (!in.isReadable()) {
-                    pendingInput.poll().release();
+                    pendingInput.poll().bytes().release();
                 }
             }
             frameSince = !decoder.midFrame() ? -1 : frameSince < 0 ? front.clock().now() : frameSince;
@@ -283,7 +290,7 @@
                 } else {
                     openCalls.put(call.msgid, call);
                 }
-                call.routed.target().pool().arrived(call.exchange, front.clock().earliestArrival());
+                call.routed.target().pool().arrived(call.exchange, inputArrivedAt);
             }
         }
         idleSince = front.clock().now();
@@ -358,7 +365,7 @@
             receiving.exchange.body.release();
             receiving = null;
         }
-        pendingInput.forEach(ByteBuf::release);
+        pendingInput.forEach(input -> input.bytes().release());
         pendingInput.clear();
         channel.config().setAutoRead(true);
         shutdownOutputWhenDone();
@@ -401,7 +408,7 @@
         front.events().count(closing ? NodeEvent.CLIENT_LAST_ANSWER : closeReason);
         closing = true;
         front.closed(this);
-        pendingInput.forEach(ByteBuf::release);
+        pendingInput.forEach(input -> input.bytes().release());
         pendingInput.clear();
         if (receiving != null) {
             receiving.exchange.body.release();
