After a stall nothing begins before the event loop has read what arrived meanwhile

A server that has been told to drain gets new requests for longer than the 2 s that the rule allows.

Cause: the node acts on the list that it holds, and takes it for current. A process that was stopped for 2 s and goes on reads what lies in its sockets in the order of arrival: requests, and dials that came up, before the news of a drain behind them, and sends them to the server that drains. On the platform idle connections are too old to be used by then, but the end of a dial is not; a sidecar's idle connections and connections of MessagePack-RPC are used at once.

Change: an attempt, the end of a dial and a queue of MessagePack-RPC go on only once the last poll that can have reported news is less than a second old; otherwise they are asked again a turn later. HttpUpstream and RpcUpstream send nothing to a server that has begun to drain since the attempt was decided. The attempt's time-out runs meanwhile. Why this works: what arrived before the start of the last poll has been read by then, so the list is at most a second old.

--- a/src/main/java/onyxpaddle/http/HttpUpstream.java
+++ b/src/main/java/onyxpaddle/http/HttpUpstream.java
@@ -159,7 +159,8 @@
     @Override
     public void send(Attempt attempt) {
         Peer peer = peers.get(attempt.server);
-        if (peer == null) {
+        if (peer == null || peer.leaving) {
+            // It left the list after the attempt was decided.
             dispatcher.ended(attempt, Outcome.CONNECT_FAILED, null);
             return;
         }
@@ -196,20 +197,29 @@
         dial.channel().closeFuture().addListener(f -> budget.servers().giveBack(1));
         attempt.carrier = dial;
         dial.addListener(f -> {
-            if (!f.isSuccess() || peer.leaving) {
-                // If the server began to drain during the dial, it gets no new request; nothing was sent to it.
+            if (f.isSuccess()) {
+                dispatcher.whenCurrent(() -> connected(peer, attempt, (PollableChannel) dial.channel()));
+            } else {
                 dial.channel().close();
                 dispatcher.ended(attempt, Outcome.CONNECT_FAILED, null);
-            } else if (!dispatcher.mayBegin(attempt)) {
-                dial.channel().close();
-            } else {
-                ServerConnection c = new ServerConnection(this, attempt.server, (PollableChannel) dial.channel());
-                open.add(c);
-                c.start(attempt);
             }
         });
     }
 
+    private void connected(Peer peer, Attempt attempt, PollableChannel channel) {
+        if (peer.leaving || !channel.isActive()) {
+            // If the server began to drain during the dial, it gets no new request; nothing was sent to it.
+            channel.close();
+            dispatcher.ended(attempt, Outcome.CONNECT_FAILED, null);
+        } else if (!dispatcher.mayBegin(attempt)) {
+            channel.close();
+        } else {
+            ServerConnection c = new ServerConnection(this, attempt.server, channel);
+            open.add(c);
+            c.start(attempt);
+        }
+    }
+
     @Override
     public void giveUp(Attempt attempt) {
         if (attempt.carrier instanceof ChannelFuture dial) {
--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -20,6 +20,13 @@
     private static final long OVERDUE_MARGIN = 8_000_000L;
     /** How late after its deadline an answer may be given. It is lost after 0.5 s, of which 0.2 s are kept for its delivery. */
     private static final long MAX_ANSWER_DELAY = 300_000_000L;
+    /**
+     * No attempt begins while the event loop's last poll is older: news that a server drains may lie unread, and after 2 s it may get
+     * nothing new. The other second is for the way of the news.
+     */
+    private static final long MAX_POLL_AGE = 1_000_000_000L;
+    /** A timer so short runs in the next turn of the event loop, after that turn's reads. */
+    private static final long NEXT_TURN_MS = 1;
     /** How long a streamed request body may take; the front's limit on the rate of the body is stricter. */
     private static final long MAX_UPLOAD_TIME = 900_000_000_000L;
 
@@ -427,15 +434,32 @@
             ended(attempt, Outcome.NOT_SENT, null);
             return;
         }
+        attempt.timer = timers.add(until, () -> expire(attempt));
+        whenCurrent(() -> begin(attempt));
+    }
+
+    private void begin(Attempt attempt) {
         if (mayBegin(attempt)) {
+            Exchange x = attempt.exchange;
             if (attempt.number > 0) {
                 events().count(NodeEvent.retryAfter(x.attempts.get(attempt.number - 1).outcome), x.id);
             }
-            attempt.timer = timers.add(until, () -> expire(attempt));
             upstream.send(attempt);
         }
     }
 
+    /**
+     * Runs a task that sends something to a server: at once, or, after a stall, when the event loop has read what arrived meanwhile.
+     * Its carrier checks again afterwards that the attempt may begin and that the server is listed.
+     */
+    public void whenCurrent(Runnable task) {
+        if (clock.now() - clock.lastPoll() > MAX_POLL_AGE) {
+            loop.schedule(() -> whenCurrent(task), NEXT_TURN_MS, TimeUnit.MILLISECONDS);
+        } else {
+            task.run();
+        }
+    }
+
     /**
      * Whether an attempt may begin. Checked when it is sent, and again by its carrier right before the first byte is written, as
      * connecting and queueing take time. If not, the attempt has been ended as unsent.
--- a/src/main/java/onyxpaddle/rpc/RpcConnection.java
+++ b/src/main/java/onyxpaddle/rpc/RpcConnection.java
@@ -173,6 +173,10 @@
     }
 
     private void write() {
+        upstream.dispatcher.whenCurrent(this::writeQueued);
+    }
+
+    private void writeQueued() {
         boolean any = false;
         while (connected && !closed && !queue.isEmpty() && channel.isWritable()) {
             Call call = queue.poll();
--- a/src/main/java/onyxpaddle/rpc/RpcUpstream.java
+++ b/src/main/java/onyxpaddle/rpc/RpcUpstream.java
@@ -69,6 +69,7 @@
         final List<RpcConnection> connections = new ArrayList<>();
         private InetSocketAddress address;
         private long startedAt;
+        private boolean draining;
 
         private Peer(String server, int maxConnections) {
             this.server = server;
@@ -120,6 +121,7 @@
             if (replaced || host.entry().state() == ServerState.DRAINING) {
                 retire(peer);
             }
+            peer.draining = host.entry().state() == ServerState.DRAINING;
             peer.address = address;
             peer.startedAt = host.entry().startedAt();
         }
@@ -153,7 +155,8 @@
     @Override
     public void send(Attempt attempt) {
         Peer peer = peers.get(attempt.server);
-        if (peer == null) {
+        if (peer == null || peer.draining) {
+            // It left the list after the attempt was decided.
             dispatcher.ended(attempt, Outcome.CONNECT_FAILED, null);
             return;
         }
--- a/src/test/java/onyxpaddle/node/LateLoopTest.java
+++ b/src/test/java/onyxpaddle/node/LateLoopTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 
 import java.lang.reflect.Proxy;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -25,14 +26,24 @@
     private final List<String> answers = new ArrayList<>();
     private final List<Attempt> attempts = new ArrayList<>();
     private final Settings settings = settings();
-    /** Accepts timers and never runs them. */
+    private long lastPollAge;
+    /** Timers of the event loop, which only a test runs. */
+    private final ArrayDeque<Runnable> scheduled = new ArrayDeque<>();
     private final ScheduledExecutorService loop = (ScheduledExecutorService) Proxy.newProxyInstance(LateLoopTest.class.getClassLoader(),
-        new Class<?>[] {ScheduledExecutorService.class}, (proxy, method, arguments) -> null);
+        new Class<?>[] {ScheduledExecutorService.class}, (proxy, method, arguments) -> {
+            scheduled.add((Runnable) arguments[0]);
+            return null;
+        });
     private final Dispatcher dispatcher = new Dispatcher(new Clock() {
         @Override
         public long now() {
             return now;
         }
+
+        @Override
+        public long lastPoll() {
+            return now - lastPollAge;
+        }
     }, loop, new RatioBalancer(settings, 1), settings.limits(), new RequestCounts(List.of("book")));
 
     private static Settings settings() {
@@ -101,6 +112,36 @@
         assertEquals(List.of("a failed", "b failed", "c failed", "d failed"), answers);
     }
 
+    @Test
+    void attemptBeginsOnceTheEventLoopHasReadWhatCameWhileItStoodStill() {
+        connectServers();
+        lastPollAge = 1_500 * MS;
+        dispatcher.arrived(request("a"), now);
+        assertEquals(0, attempts.size());
+        runScheduled();
+        assertEquals(0, attempts.size(), "news may still lie unread");
+        lastPollAge = 5 * MS;
+        runScheduled();
+        assertEquals(1, attempts.size());
+    }
+
+    @Test
+    void requestWhoseAttemptCannotBeginIsAnsweredInTime() {
+        connectServers();
+        lastPollAge = 1_500 * MS;
+        dispatcher.arrived(request("a"), now);
+        now += 1_010 * MS;
+        runScheduled();
+        assertEquals(1, answers.size());
+        assertEquals(0, attempts.size());
+    }
+
+    private void runScheduled() {
+        for (int count = scheduled.size(); count > 0; count--) {
+            scheduled.remove().run();
+        }
+    }
+
     @Test
     void exceptionInADueTaskAffectsNoOtherRequest() {
         connectServers();
