The lateness that an end allows for lasts for a second, not for some short turns

A node that was stopped as it got SIGTERM takes requests that SIGKILL finds unanswered.

Cause: the time from the signal to its handler is judged by the loop's longest recent delay, which each shorter one reduced by an eighth. A busy loop makes twenty turns before the signal's three threads have run, and the 0.6 s of the stop have become some 40 ms.

Change: the longest delay counts for one to two seconds. RecentMaximum takes its window.

--- a/src/main/java/onyxpaddle/front/LoopClock.java
+++ b/src/main/java/onyxpaddle/front/LoopClock.java
@@ -41,7 +41,7 @@
 
     @Override
     public long lag() {
-        return pollTimes.lag();
+        return pollTimes.lag(now());
     }
 
     /** Creates the event loop's I/O handler, whose polls this clock observes. */
--- a/src/main/java/onyxpaddle/front/PollTimes.java
+++ b/src/main/java/onyxpaddle/front/PollTimes.java
@@ -1,5 +1,7 @@
 package onyxpaddle.front;
 
+import onyxpaddle.node.RecentMaximum;
+
 /**
  * Records when an event loop polled its sockets, which bounds when the data that it reads can have arrived. The time of the read is
  * no measure of that: a loop that is busy, stopped or short of processor time reads late what the kernel accepted long
@@ -11,8 +13,8 @@
     static final int MAX_EVENTS = 1_024;
     /** A poll that takes so much longer than it was to block has been delayed. */
     private static final long DELAY_TOLERANCE = 1_000_000L;
-    /** Each shorter delay reduces the recorded maximum by the maximum divided by this. */
-    private static final int DECAY_DIVISOR = 8;
+    /** Longer than a signal takes to its handler once the process goes on. */
+    private static final long LAG_WINDOW = 1_000_000_000L;
 
     private long turnStart;
     /** Start of the last poll that did not report what is processed in this turn. */
@@ -22,7 +24,7 @@
     private long plannedBlock;
     /** When the poll of this turn returned; 0 before the first one. */
     private long pollEnd;
-    private long maxDelay;
+    private final RecentMaximum delays = new RecentMaximum(LAG_WINDOW);
 
     /** {@code createdAt}: a time before the first poll. */
     PollTimes(long createdAt) {
@@ -41,7 +43,7 @@
             return 0;
         }
         long turn = now - pollEnd;
-        recordDelay(turn);
+        delays.record(turn, now);
         return turn;
     }
 
@@ -62,7 +64,7 @@
     long pollFinished(long now) {
         long excess = now - turnStart - plannedBlock;
         if (excess > DELAY_TOLERANCE) {
-            recordDelay(excess);
+            delays.record(excess, now);
         }
         pollEnd = now;
         return excess;
@@ -73,10 +75,6 @@
         complete = count < MAX_EVENTS;
     }
 
-    private void recordDelay(long delay) {
-        maxDelay = Math.max(delay, maxDelay - maxDelay / DECAY_DIVISOR);
-    }
-
     /** See {@link onyxpaddle.node.Clock#lastPoll}. */
     long lastPoll() {
         return lastPoll;
@@ -87,8 +85,8 @@
         return turnStart;
     }
 
-    /** How late the loop handles what is due: the longest recent turn or stall, which decays with each shorter one. */
-    long lag() {
-        return maxDelay;
+    /** How late the loop handles what is due: the longest turn or stall of the last one to two seconds. */
+    long lag(long now) {
+        return delays.get(now);
     }
 }
--- a/src/main/java/onyxpaddle/node/NodeEvents.java
+++ b/src/main/java/onyxpaddle/node/NodeEvents.java
@@ -9,6 +9,7 @@
 public final class NodeEvents {
     /** Delays from this on are counted as long, and logged. */
     public static final long LONG_DELAY = 100_000_000L;
+    private static final long MAXIMUM_WINDOW = 30_000_000_000L;
     private static final long LOG_INTERVAL = 1_000_000_000L;
 
     private final boolean logsRequests;
@@ -30,7 +31,7 @@
     public NodeEvents(boolean logsRequests) {
         this.logsRequests = logsRequests;
         for (int i = 0; i < maxima.length; i++) {
-            maxima[i] = new RecentMaximum();
+            maxima[i] = new RecentMaximum(MAXIMUM_WINDOW);
         }
     }
 
