Control process: a refused body is read off, so that its sender gets to the answer

Callers saw: 'header parser received no bytes' in place of 413, once in a first verify (PublisherTest.invalidRequestsAreRefused).

Cause: ControlConnection answered a body that is too large and closed at once over what its sender was still sending. That resets the connection, the sender's next write fails, and a client that writes its whole request first never reads the answer. Evidence: a client that reads the answer to its end and then sends the rest gets 'Broken pipe', five runs of five; one that is done before the close gets both, which is why it was seen once.

Change: after the last answer the sending side is shut and input is discarded for up to a second, as the node's own fronts do. Other listeners: AdminServer lingers for 0.5 s already; stand-ins answer whole requests only; ControlServer closes connections beyond 8,192 unread, which is meant. Measured: PublisherTest.bodyThatIsRefusedCanBeSentToItsEnd failed 5 of 5 before and passes; PublisherTest 19 of 19, three times.

--- a/src/main/java/onyxpaddle/control/ControlConnection.java
+++ b/src/main/java/onyxpaddle/control/ControlConnection.java
@@ -3,9 +3,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -29,6 +29,8 @@
 final class ControlConnection extends ChannelInboundHandlerAdapter {
     /** Nodes and replicas send their next request at once; this leaves time for manual requests, such as with curl. */
     static final int REQUEST_TIMEOUT_SECONDS = 30;
+    /** How long input is discarded after the last answer, as closing with unread input resets the connection and loses the answer. */
+    private static final int LINGER_MS = 1_000;
 
     /** Handles requests. Called on the event loop only. */
     interface RequestHandler {
@@ -50,6 +52,8 @@
     private HttpRequest request;
     private ByteArrayOutputStream body;
     private boolean requestInProgress;
+    /** The last answer has been given; further input is discarded. */
+    private boolean lingering;
 
     ControlConnection(RequestHandler requestHandler) {
         this.requestHandler = requestHandler;
@@ -68,7 +72,7 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         try {
-            if (!ctx.channel().isActive() || request == null && !(message instanceof HttpRequest)) {
+            if (lingering || !ctx.channel().isActive() || request == null && !(message instanceof HttpRequest)) {
                 return;
             }
             if (message instanceof HttpRequest head) {
@@ -178,13 +182,20 @@
             response.headers().set(HttpHeaderNames.CONNECTION, "close");
         }
         requestInProgress = !keepAlive;
-        startRequestTimeout();
         ChannelFuture written = context.writeAndFlush(response);
-        if (!keepAlive) {
-            written.addListener(ChannelFutureListener.CLOSE);
+        if (keepAlive) {
+            startRequestTimeout();
+        } else {
+            linger(written);
         }
     }
 
+    private void linger(ChannelFuture lastWrite) {
+        lingering = true;
+        lastWrite.addListener(f -> ((SocketChannel) context.channel()).shutdownOutput());
+        requestTimeout = context.executor().schedule(() -> context.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         requestTimeout.cancel(false);
--- a/src/test/java/onyxpaddle/control/PublisherTest.java
+++ b/src/test/java/onyxpaddle/control/PublisherTest.java
@@ -7,12 +7,15 @@
 import static onyxpaddle.control.ControlHarness.changes;
 import static onyxpaddle.control.ControlHarness.deadline;
 import static onyxpaddle.control.ControlHarness.uri;
+import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.junit.jupiter.api.Assumptions.assumeTrue;
 
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -254,6 +257,20 @@
         assertEquals(0, harness.status(publisher).version().number());
     }
 
+    /** A client that writes its whole request first never gets to the answer if the connection is reset while it writes. */
+    @Test
+    void bodyThatIsRefusedCanBeSentToItsEnd() throws Exception {
+        byte[] rest = new byte[ChangeJson.MAX_BYTES];
+        try (Socket client = new Socket(publisher.address().getAddress(), publisher.address().getPort())) {
+            client.setSoTimeout(TIMEOUT_SECONDS * 1_000);
+            client.getOutputStream().write(("POST /v1/changes HTTP/1.1\r\nHost: a\r\nContent-Length: " + (rest.length + 1) + "\r\n\r\n{")
+                .getBytes(StandardCharsets.US_ASCII));
+            String answer = new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertTrue(answer.startsWith("HTTP/1.1 413 "), answer);
+            assertDoesNotThrow(() -> client.getOutputStream().write(rest));
+        }
+    }
+
     @Test
     void fullUpdatesBeyondTheRateGetARetryAfter() throws Exception {
         harness.stop(publisher);
