An idle connection to a server is as old as the arrival of its last answer

A request may be written to a connection that its server has closed or forgotten by then, and fails as one that may have run.

Cause: HttpUpstream counted the idle time from when the loop read the answer. After a stall the server counts from seconds before. Where the server has closed, the poll before the reuse sees it; where it has forgotten the connection it does not. Evidence: an answer that lay unread for 0.6 s leaves a connection that is used again, where 0.4 s is the limit.

Change: PollableChannel has its bound on dialled connections too, and the idle time counts from there; the 20 ms that a connection rests still count from the reading, as what is surplus comes behind it.

--- a/src/main/java/onyxpaddle/http/HttpUpstream.java
+++ b/src/main/java/onyxpaddle/http/HttpUpstream.java
@@ -86,7 +86,7 @@
         this.dialect = dialect;
         this.idleTimeout = idleTimeout;
         this.maxIdlePerServer = maxIdlePerServer;
-        bootstrap = new Bootstrap().group(loop).channel(PollableChannel.class)
+        bootstrap = new Bootstrap().group(loop).channelFactory(() -> new PollableChannel(clock))
             .option(ChannelOption.ALLOCATOR, allocator)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, dialTimeout / 1_000_000))
@@ -177,8 +177,7 @@
         long now = clock.now();
         for (Iterator<ServerConnection> idle = peer.idle.iterator(); idle.hasNext();) {
             ServerConnection c = idle.next();
-            long idleFor = now - c.idleSince;
-            if (idleFor >= REUSE_DELAY_NANOS && idleFor < idleTimeout && c.isUsable()) {
+            if (now - c.releasedAt >= REUSE_DELAY_NANOS && now - c.idleSince < idleTimeout && c.isUsable()) {
                 idle.remove();
                 return c;
             }
@@ -237,7 +236,8 @@
             c.close(NodeEvent.SERVER_LEAVING);
             return;
         }
-        c.idleSince = clock.now();
+        c.releasedAt = clock.now();
+        c.idleSince = c.channel.arrivalBound();
         peer.idle.addFirst(c);
         if (peer.idle.size() > (reuseFailures.isHigh() ? MAX_IDLE_WHEN_UNRELIABLE : maxIdlePerServer)) {
             peer.idle.pollLast().close(NodeEvent.SERVER_SURPLUS);
--- a/src/main/java/onyxpaddle/http/ServerConnection.java
+++ b/src/main/java/onyxpaddle/http/ServerConnection.java
@@ -52,6 +52,9 @@
 
     final String server;
     final PollableChannel channel;
+    /** When its last answer was read. */
+    long releasedAt;
+    /** A time before which its last answer did not arrive: its server counts from there. */
     long idleSince;
     private final HttpUpstream upstream;
     /** The attempt that waits for its outcome; null for none. */
@@ -121,7 +124,7 @@
         interimAnswers = 0;
         bodyBytes = 0;
         startedAt = upstream.clock.now();
-        reused = idleSince > 0;
+        reused = releasedAt > 0;
         Exchange exchange = next.exchange;
         HttpRequestHead head = upstream.bridge.head(exchange);
         method = head.method();
--- a/src/main/java/onyxpaddle/rpc/RpcUpstream.java
+++ b/src/main/java/onyxpaddle/rpc/RpcUpstream.java
@@ -85,7 +85,7 @@
         this.options = options;
         this.bridge = bridge;
         this.dropCounter = dropCounter;
-        bootstrap = new Bootstrap().group(loop).channel(PollableChannel.class)
+        bootstrap = new Bootstrap().group(loop).channelFactory(() -> new PollableChannel(clock))
             .option(ChannelOption.ALLOCATOR, allocator)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, options.dialTimeout() / 1_000_000))
--- a/src/main/java/onyxpaddle/socket/PollableChannel.java
+++ b/src/main/java/onyxpaddle/socket/PollableChannel.java
@@ -40,10 +40,11 @@
     private long prefetchedBound;
     private long deliveredBound;
 
-    /** Creates a channel to be connected; it has no {@link #arrivalBound}. */
-    public PollableChannel() {
-        clock = null;
-        arrival = null;
+    /** Creates a channel to be connected. */
+    public PollableChannel(Clock clock) {
+        this.clock = clock;
+        deliveredBound = clock.now();
+        arrival = new ArrivalBound(deliveredBound);
     }
 
     /** Wraps a connection accepted by a listener; {@code bound}: a time before which it was not established. */
@@ -54,7 +55,7 @@
         deliveredBound = bound;
     }
 
-    /** A time before which the data that the pipeline received last cannot have arrived; only for accepted connections. */
+    /** A time before which the data that the pipeline received last cannot have arrived. */
     public long arrivalBound() {
         return deliveredBound;
     }
@@ -70,17 +71,11 @@
 
     /** A lower bound of the arrival of what is read next from the socket. */
     private long nextBound() {
-        return arrival == null ? 0 : arrival.get(watched() ? clock.lastPoll() : Long.MIN_VALUE);
+        return arrival.get(watched() ? clock.lastPoll() : Long.MIN_VALUE);
     }
 
     private void recordRead(long startedAt, boolean emptied) {
-        if (arrival != null) {
-            arrival.read(startedAt, emptied, clock.turnStart());
-        }
-    }
-
-    private long now() {
-        return clock == null ? 0 : clock.now();
+        arrival.read(startedAt, emptied, clock.turnStart());
     }
 
     /** Polls the socket. At the end of the connection the channel is closed, which the pipeline is told as usual. */
@@ -108,7 +103,7 @@
         ByteBuf into = alloc().directBuffer(SocketBuffers.READ_SIZE);
         try {
             while (prefetched == null || prefetched.readableBytes() < MAX_PREFETCH) {
-                long startedAt = now();
+                long startedAt = clock.now();
                 long bound = nextBound();
                 int count = into.clear().writeBytes(javaChannel(), into.capacity());
                 recordRead(startedAt, count < into.capacity());
@@ -140,7 +135,7 @@
 
     @Override
     protected void doBeginRead() throws Exception {
-        if (arrival != null && !watched()) {
+        if (!watched()) {
             arrival.watched(clock.now());
         }
         super.doBeginRead();
@@ -165,7 +160,7 @@
     }
 
     private int readSocket(ByteBuf to) throws Exception {
-        long startedAt = now();
+        long startedAt = clock.now();
         int capacity = to.writableBytes();
         deliveredBound = nextBound();
         int count = super.doReadBytes(to);
--- a/src/test/java/onyxpaddle/serve/ConnectionRaceTest.java
+++ b/src/test/java/onyxpaddle/serve/ConnectionRaceTest.java
@@ -18,9 +18,28 @@
 class ConnectionRaceTest {
     /** Longer than an iteration of the loop, and shorter than any time-out in this test. */
     private static final long BLOCKED_MS = 50;
+    /** Longer than a platform node keeps an idle connection. */
+    private static final long LONGER_THAN_IDLE_MS = 600;
     /** With 256 file descriptors, the number of client connections at which the node closes an idle one. */
     private static final int CONNECTION_LIMIT = 93;
 
+    /** The server counts from when it sent the answer, and may have forgotten a connection that the node takes for a fresh one. */
+    @Test
+    void pooledConnectionIsIdleFromTheArrivalOfItsAnswer() throws Exception {
+        try (FakeServer server = new FakeServer("s1"); Loopback loopback = new Loopback(server); Client client = loopback.client()) {
+            client.send(Loopback.request("r1", "book", "Content-Length: 0"));
+            server.nextRequest();
+            BlockedEventLoop blocked = new BlockedEventLoop(loopback.node.loop());
+            server.answers.add(Loopback.ok("first"));
+            blocked.releaseAfter(LONGER_THAN_IDLE_MS);
+            assertEquals("200 first", client.readAnswer());
+            TimeUnit.MILLISECONDS.sleep(30);
+            server.answers.add(Loopback.ok("second"));
+            assertEquals("200 second", client.send(Loopback.request("r2", "book", "Content-Length: 0")).readAnswer());
+            assertEquals(2, server.connections.size());
+        }
+    }
+
     /** The loop reads the request first, and then what the server did to the connection that would carry the request. */
     @ParameterizedTest
     @ValueSource(strings = {"close", "reset", "half a line", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"})
--- a/src/test/java/onyxpaddle/socket/PollableChannelTest.java
+++ b/src/test/java/onyxpaddle/socket/PollableChannelTest.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import onyxpaddle.node.Clock;
 import onyxpaddle.node.SocketBuffers;
 import onyxpaddle.socket.PollableChannel.PollResult;
 import org.junit.jupiter.api.AfterEach;
@@ -48,7 +49,7 @@
     @BeforeEach
     void connect() throws Exception {
         try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            channel = (PollableChannel) new Bootstrap().group(group).channel(PollableChannel.class)
+            channel = (PollableChannel) new Bootstrap().group(group).channelFactory(() -> new PollableChannel(new Clock()))
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(SocketBuffers.READ_SIZE))
                 .handler(new ChannelInboundHandlerAdapter() {
                     @Override
