--- a/src/main/java/onyxpaddle/measure/StarvationMeasurement.java
+++ b/src/main/java/onyxpaddle/measure/StarvationMeasurement.java
@@ -62,7 +62,7 @@
                 TimeUnit.MILLISECONDS.sleep(WARM_UP_MS);
                 for (int round = 0; round < rounds; round++) {
                     DepartingClients clients = new DepartingClients(one.behaviour(), "r" + round).connect(rig.listen);
-                    long asked = steady.asked();
+                    long ended = steady.ended();
                     long served = steady.served();
                     double servedShare;
                     StarvedProcess starved = one.runMs() < PERIOD_MS ? new StarvedProcess(node.process().pid(), one.runMs(), PERIOD_MS)
@@ -70,7 +70,7 @@
                     try {
                         clients.run(rig.listen);
                         TimeUnit.MILLISECONDS.sleep(SETTLE_MS);
-                        servedShare = (double) (steady.served() - served) / Math.max(1, steady.asked() - asked);
+                        servedShare = (double) (steady.served() - served) / Math.max(1, steady.ended() - ended);
                     } finally {
                         if (starved != null) {
                             starved.close();
--- a/src/main/java/onyxpaddle/measure/SteadyLoad.java
+++ b/src/main/java/onyxpaddle/measure/SteadyLoad.java
@@ -16,7 +16,7 @@
     private static final int PER_SECOND_AND_CLIENT = 10;
     private static final int ANSWER_TIMEOUT_MS = 4_000;
 
-    private final AtomicLong asked = new AtomicLong();
+    private final AtomicLong ended = new AtomicLong();
     private final AtomicLong served = new AtomicLong();
     private final List<Thread> clients = new ArrayList<>();
     private volatile boolean over;
@@ -45,26 +45,26 @@
                     open = askOnce(socket, in, prefix + number++);
                 }
             } catch (IOException e) {
-                // Counted as asked and not served.
+                ended.incrementAndGet();
             }
         }
     }
 
     private boolean askOnce(Socket socket, InputStream in, String id) throws IOException {
-        asked.incrementAndGet();
         socket.getOutputStream().write(("GET /read HTTP/1.1\r\nHost: app.svc\r\nX-Trace-Id: " + id + "\r\n\r\n")
             .getBytes(StandardCharsets.US_ASCII));
         String head = Load.head(in);
         in.readNBytes(Load.length(head));
+        ended.incrementAndGet();
         if (head.startsWith("HTTP/1.1 200")) {
             served.incrementAndGet();
         }
         return !head.toLowerCase(java.util.Locale.ROOT).contains("connection: close");
     }
 
-    /** Number of requests sent so far. */
-    long asked() {
-        return asked.get();
+    /** Number of requests that have been answered or have failed so far. */
+    long ended() {
+        return ended.get();
     }
 
     /** Number of requests answered with 200 so far. */
