The lateness that a planned end allows for includes the turn in progress

Cause: a process that is stopped within a turn goes on in that turn, and the task of the signal's handler runs before the next poll, with which the turn is counted.

Change: PollTimes.lag takes in the time since the poll of this turn returned.

--- a/src/main/java/onyxpaddle/front/PollTimes.java
+++ b/src/main/java/onyxpaddle/front/PollTimes.java
@@ -85,8 +85,8 @@
         return turnStart;
     }
 
-    /** How late the loop handles what is due: the longest turn or stall of the last one to two seconds. */
+    /** How late the loop handles what is due: the longest turn or stall of the last one to two seconds, or the turn in progress. */
     long lag(long now) {
-        return delays.get(now);
+        return Math.max(delays.get(now), pollEnd == 0 ? 0 : now - pollEnd);
     }
 }
--- a/src/test/java/onyxpaddle/front/PollTimesTest.java
+++ b/src/test/java/onyxpaddle/front/PollTimesTest.java
@@ -60,7 +60,7 @@
     void lagOfAStalledLoopIsTheTimeBeyondItsPlannedWakeUp() {
         turn(100, 100);
         turn(110, 1_400);
-        assertEquals(790 * MS, pollTimes.lag(1_400 * MS));
+        assertEquals(790 * MS, pollTimes.lag(1_400 * MS), "the turn in progress has just begun");
         assertEquals(110 * MS, pollTimes.lastPoll());
     }
 
@@ -99,6 +99,13 @@
         assertEquals(300 * MS, pollTimes.lastPoll());
     }
 
+    /** A process that was stopped within a turn handles its signal in that turn. */
+    @Test
+    void lagCountsTheTurnInProgress() {
+        turn(100, 100);
+        assertEquals(600 * MS, pollTimes.lag(700 * MS));
+    }
+
     /** However many short turns follow it: a busy loop makes a hundred before a signal reaches its handler. */
     @Test
     void lagOfALongTurnLastsForASecond() {
