A caller's socket isn't polled within 5 ms of a moment at which it was certainly open

Need: a poll before every attempt costs an ordinary call a read.

Change: PollableChannel.isEnded knows when its peer had certainly not closed: at the start of its last poll that found no end, and at the bound of the bytes that were read last, as an end comes behind them. Within 5 ms of that it answers without a poll. No age is guessed, and 5 ms of the 0.1 s are used.

--- a/src/main/java/onyxpaddle/http/ClientConnection.java
+++ b/src/main/java/onyxpaddle/http/ClientConnection.java
@@ -494,7 +494,7 @@
 
     @Override
     public boolean left() {
-        return channel.poll() == PollableChannel.PollResult.END;
+        return channel.isEnded();
     }
 
     @Override
--- a/src/main/java/onyxpaddle/node/Caller.java
+++ b/src/main/java/onyxpaddle/node/Caller.java
@@ -7,7 +7,7 @@
 
     /**
      * Whether the caller has closed its connection. Checked right before an attempt is sent for it, so it must ask the connection itself:
-     * the close may lie unread behind the request, however recently the event loop has read.
+     * the close may lie unread behind the request, however recently the event loop has polled.
      */
     default boolean left() {
         return false;
--- a/src/main/java/onyxpaddle/rpc/CallerConnection.java
+++ b/src/main/java/onyxpaddle/rpc/CallerConnection.java
@@ -86,7 +86,7 @@
 
         @Override
         public boolean left() {
-            return channel.poll() == PollableChannel.PollResult.END;
+            return channel.isEnded();
         }
 
         @Override
--- a/src/main/java/onyxpaddle/socket/PollableChannel.java
+++ b/src/main/java/onyxpaddle/socket/PollableChannel.java
@@ -24,6 +24,9 @@
     /** Bound on the prefetched bytes; a poll does not see the close of a peer that has sent more than this. */
     private static final int MAX_PREFETCH = 4 * SocketBuffers.READ_SIZE;
 
+    /** A peer that had not closed so long ago counts as open; a twentieth of the 0.1 s in which an attempt may follow a close. */
+    static final long MAX_OPEN_AGE = 5_000_000L;
+
     /** The result of a poll. */
     public enum PollResult {
         NOTHING,
@@ -39,6 +42,8 @@
     private final ArrivalBound arrival;
     private long prefetchedBound;
     private long deliveredBound;
+    /** A time at which the peer had certainly not closed. */
+    private long openAt;
 
     /** Creates a channel to be connected. */
     public PollableChannel(Clock clock) {
@@ -78,11 +83,20 @@
         arrival.read(startedAt, emptied, clock.turnStart());
     }
 
+    /** Whether the peer has closed. Polls the socket, unless what was read of it last proves that it was open a moment ago. */
+    public boolean isEnded() {
+        if (isActive() && clock.now() - openAt <= MAX_OPEN_AGE) {
+            return false;
+        }
+        return poll() == PollResult.END;
+    }
+
     /** Polls the socket. At the end of the connection the channel is closed, which the pipeline is told as usual. */
     public PollResult poll() {
         if (!isActive()) {
             return PollResult.END;
         }
+        long startedAt = clock.now();
         boolean ended;
         try {
             ended = readAhead();
@@ -95,6 +109,7 @@
             close();
             return PollResult.END;
         }
+        openAt = startedAt;
         return prefetched == null ? PollResult.NOTHING : PollResult.BYTES;
     }
 
@@ -165,6 +180,9 @@
         deliveredBound = nextBound();
         int count = super.doReadBytes(to);
         recordRead(startedAt, count < capacity);
+        if (count > 0) {
+            openAt = Math.max(openAt, deliveredBound);
+        }
         return count;
     }
 
--- a/src/test/java/onyxpaddle/socket/PollableChannelTest.java
+++ b/src/test/java/onyxpaddle/socket/PollableChannelTest.java
@@ -43,13 +43,20 @@
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final ByteArrayOutputStream received = new ByteArrayOutputStream();
     private final CompletableFuture<byte[]> ended = new CompletableFuture<>();
+    private volatile long time = 1;
+    private final Clock clock = new Clock() {
+        @Override
+        public long now() {
+            return time;
+        }
+    };
     private PollableChannel channel;
     private Socket peer;
 
     @BeforeEach
     void connect() throws Exception {
         try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            channel = (PollableChannel) new Bootstrap().group(group).channelFactory(() -> new PollableChannel(new Clock()))
+            channel = (PollableChannel) new Bootstrap().group(group).channelFactory(() -> new PollableChannel(clock))
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(SocketBuffers.READ_SIZE))
                 .handler(new ChannelInboundHandlerAdapter() {
                     @Override
@@ -94,6 +101,27 @@
         assertTrue(channel.isActive());
     }
 
+    /** An attempt may follow its client's close by 0.1 s; a peer that was open a moment ago is not polled again. */
+    @Test
+    void peerIsPolledUnlessItWasOpenAMomentAgo() throws Exception {
+        assertTrue(onLoop(() -> {
+            assertEquals(PollResult.NOTHING, channel.poll());
+            peer.close();
+            time += PollableChannel.MAX_OPEN_AGE;
+            assertFalse(channel.isEnded());
+            time++;
+            return endsWithinTimeout();
+        }));
+    }
+
+    private boolean endsWithinTimeout() {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_S / 2);
+        while (!channel.isEnded() && System.nanoTime() < end) {
+            time += PollableChannel.MAX_OPEN_AGE + 1;
+        }
+        return channel.isEnded();
+    }
+
     /**
      * Every second chunk is written while the event loop is in a poll, so that only the poll can find it; the loop reads the others.
      * Large chunks exceed what a poll reads: prefetched bytes are followed by bytes from a normal read.
