Control connections: tests on a refusal assert the second in which input is discarded

Cause: ControlConnectionTest (3 of 9) asserted that a refusal closes the connection at once, over what its sender still sends. Change: the tests assert that the connection stays open, handles and answers nothing more, and closes after the second, on their handed clock; a malformed request is also asserted to get its 400. Only a channel with two directions has its sending side shut.

--- a/src/main/java/onyxpaddle/control/ControlConnection.java
+++ b/src/main/java/onyxpaddle/control/ControlConnection.java
@@ -5,7 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -30,7 +30,7 @@
     /** Nodes and replicas send their next request at once; this leaves time for manual requests, such as with curl. */
     static final int REQUEST_TIMEOUT_SECONDS = 30;
     /** How long input is discarded after the last answer, as closing with unread input resets the connection and loses the answer. */
-    private static final int LINGER_MS = 1_000;
+    static final int LINGER_SECONDS = 1;
 
     /** Handles requests. Called on the event loop only. */
     interface RequestHandler {
@@ -192,8 +192,12 @@
 
     private void linger(ChannelFuture lastWrite) {
         lingering = true;
-        lastWrite.addListener(f -> ((SocketChannel) context.channel()).shutdownOutput());
-        requestTimeout = context.executor().schedule(() -> context.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+        lastWrite.addListener(f -> {
+            if (context.channel() instanceof DuplexChannel socket) {
+                socket.shutdownOutput();
+            }
+        });
+        requestTimeout = context.executor().schedule(() -> context.close(), LINGER_SECONDS, TimeUnit.SECONDS);
     }
 
     @Override
--- a/src/test/java/onyxpaddle/control/ControlConnectionTest.java
+++ b/src/test/java/onyxpaddle/control/ControlConnectionTest.java
@@ -71,6 +71,17 @@
         channel.runPendingTasks();
     }
 
+    /** After the last answer the connection stays open for a second, in which its peer may send on, and handles nothing of it. */
+    private void assertInputIsDiscardedUntilTheClose() {
+        List<String> handled = List.copyOf(requests);
+        assertTrue(channel.isActive());
+        send("GET /late HTTP/1.1\r\n\r\n");
+        assertEquals("", takeOutput());
+        assertEquals(handled, requests);
+        advanceClock(ControlConnection.LINGER_SECONDS);
+        assertFalse(channel.isActive());
+    }
+
     private String takeOutput() {
         StringBuilder text = new StringBuilder();
         for (ByteBuf part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
@@ -130,14 +141,15 @@
     void aTooLongRequestLineIsRefused() {
         send("GET /" + "a".repeat(200) + " HTTP/1.1\r\n\r\n");
         assertTrue(takeOutput().startsWith("HTTP/1.1 400"));
-        assertFalse(channel.isActive());
+        assertInputIsDiscardedUntilTheClose();
         assertEquals(List.of(), requests);
     }
 
     @Test
     void malformedRequestsAreRefused() {
         send("\u0001\u0002 noise\r\n\r\n");
-        assertFalse(channel.isActive());
+        assertTrue(takeOutput().startsWith("HTTP/1.1 400"));
+        assertInputIsDiscardedUntilTheClose();
         assertEquals(List.of(), requests);
     }
 
@@ -153,7 +165,7 @@
         takeOutput();
         send("POST /v1/changes HTTP/1.1\r\nContent-Length: " + (ChangeJson.MAX_BYTES + 1) + "\r\n\r\nab");
         assertTrue(takeOutput().startsWith("HTTP/1.1 413"));
-        assertFalse(channel.isActive());
+        assertInputIsDiscardedUntilTheClose();
     }
 
     @Test
