--- a/src/main/java/onyxpaddle/measure/SteadyLoad.java
+++ b/src/main/java/onyxpaddle/measure/SteadyLoad.java
@@ -18,6 +18,8 @@
 
     private final AtomicLong ended = new AtomicLong();
     private final AtomicLong served = new AtomicLong();
+    private final AtomicLong unserved = new AtomicLong();
+    private final AtomicLong broken = new AtomicLong();
     private final List<Thread> clients = new ArrayList<>();
     private volatile boolean over;
 
@@ -46,6 +48,7 @@
                 }
             } catch (IOException e) {
                 ended.incrementAndGet();
+                broken.incrementAndGet();
             }
         }
     }
@@ -56,12 +59,18 @@
         String head = Load.head(in);
         in.readNBytes(Load.length(head));
         ended.incrementAndGet();
-        if (head.startsWith("HTTP/1.1 200")) {
-            served.incrementAndGet();
-        }
+        (head.startsWith("HTTP/1.1 200") ? served : unserved).incrementAndGet();
         return !head.toLowerCase(java.util.Locale.ROOT).contains("connection: close");
     }
 
+    /** Counts of requests so far: answered with 200, answered otherwise, and without an answer. */
+    record Counts(long served, long unserved, long broken) {
+    }
+
+    Counts counts() {
+        return new Counts(served.get(), unserved.get(), broken.get());
+    }
+
     /** Number of requests that have been answered or have failed so far. */
     long ended() {
         return ended.get();
