Instruments: what discovery wrote and what became of it; servers that leave use

Change: each answer of discovery is counted by its verdict (svc_lists_total) and logged, one a second at most, with version held and told and entries by state; svc_list_age_milliseconds, svc_list_doubt_milliseconds, svc_list_invalid_entries_total. A list by which servers leave logs them with the time since the last attempt at each; attempts not begun because their server left are counted with that reason.

--- a/src/main/java/onyxpaddle/admin/MetricsExposition.java
+++ b/src/main/java/onyxpaddle/admin/MetricsExposition.java
@@ -1,6 +1,7 @@
 package onyxpaddle.admin;
 
 import java.util.Collection;
+import java.util.List;
 import java.util.Locale;
 import onyxpaddle.node.Dispatcher;
 import onyxpaddle.node.NodeDelay;
@@ -8,6 +9,8 @@
 import onyxpaddle.node.NodeEvents;
 import onyxpaddle.node.RequestCounts;
 import onyxpaddle.node.RequestCounts.RequestResult;
+import onyxpaddle.node.ServerListStatus;
+import onyxpaddle.node.ServerListStatus.Verdict;
 
 /** The node's metrics in the Prometheus text exposition format, version 0.0.4, under the metric names agreed with the operators. */
 public final class MetricsExposition {
@@ -55,11 +58,26 @@
         exposition.single("svc_reconfig_ok_total", "counter", "New configurations that are in force or were.", reloads);
         exposition.single("svc_reconfig_failed_total", "counter", "New configurations that changed nothing, being at fault.",
             failedReloads);
+        exposition.lists(pools, now);
         exposition.events(tally.events());
         exposition.delays(tally.events(), now);
         return exposition.text.toString();
     }
 
+    private void lists(Collection<Dispatcher> pools, long now) {
+        List<ServerListStatus> statuses = pools.stream().map(Dispatcher::listStatus).toList();
+        type("svc_lists_total", "counter", "Answers of discovery, by what became of them.");
+        for (Verdict verdict : Verdict.values()) {
+            line("svc_lists_total{verdict=\"" + verdict.label() + "\"}", statuses.stream().mapToLong(s -> s.total(verdict)).sum());
+        }
+        single("svc_list_invalid_entries_total", "counter", "Entries of lists that could not be read.",
+            statuses.stream().mapToLong(ServerListStatus::invalidEntries).sum());
+        single("svc_list_age_milliseconds", "gauge", "Time since discovery last confirmed or changed the list in force.",
+            statuses.stream().mapToLong(s -> s.age(now)).max().orElse(0) / 1_000_000);
+        single("svc_list_doubt_milliseconds", "gauge", "Age of the oldest news from discovery that is not in force.",
+            statuses.stream().mapToLong(s -> s.doubt(now)).max().orElse(0) / 1_000_000);
+    }
+
     private void events(NodeEvents events) {
         type("svc_events_total", "counter", "Closed connections, further attempts, attempts not begun and refusals, by reason.");
         for (NodeEvent event : NodeEvent.values()) {
--- a/src/main/java/onyxpaddle/http/HttpUpstream.java
+++ b/src/main/java/onyxpaddle/http/HttpUpstream.java
@@ -53,6 +53,7 @@
     private final Future<?> sweeping;
     private final Map<String, Peer> peers = new HashMap<>();
     private final Set<ServerConnection> open = new HashSet<>();
+    private final DepartureLog departures = new DepartureLog();
 
     /** A server's address and its idle connections. */
     private static final class Peer {
@@ -60,6 +61,8 @@
         long startedAt;
         /** It is draining, or no longer listed. */
         boolean leaving;
+        /** When the last attempt began; 0 before the first. */
+        long lastAttemptAt;
         /** Most recently used first, so that surplus connections reach the idle timeout. */
         final ArrayDeque<ServerConnection> idle = new ArrayDeque<>();
     }
@@ -117,18 +120,26 @@
             }
             Peer peer = peers.computeIfAbsent(server, s -> new Peer());
             boolean replaced = !host.address().equals(peer.address) || peer.startedAt != host.entry().startedAt();
-            if (replaced || host.entry().state() == ServerState.DRAINING) {
+            boolean draining = host.entry().state() == ServerState.DRAINING;
+            if (replaced || draining) {
                 closeIdle(peer);
             }
-            peer.leaving = host.entry().state() == ServerState.DRAINING;
+            if (draining && !peer.leaving) {
+                departures.leaving(server, peer.lastAttemptAt);
+            }
+            peer.leaving = draining;
             peer.address = host.address();
             peer.startedAt = host.entry().startedAt();
         }
+        departures.log(roster.seq(), clock.now());
     }
 
     private void remove(String server) {
         Peer peer = peers.remove(server);
         if (peer != null) {
+            if (!peer.leaving) {
+                departures.leaving(server, peer.lastAttemptAt);
+            }
             peer.leaving = true;
             closeIdle(peer);
         }
@@ -161,11 +172,13 @@
         Peer peer = peers.get(attempt.server);
         if (peer == null || peer.leaving) {
             // It left the list after the attempt was decided.
+            dispatcher.events().count(NodeEvent.ATTEMPT_SERVER_LEAVING, attempt.exchange.id);
             dispatcher.ended(attempt, Outcome.CONNECT_FAILED, null);
             return;
         }
         ServerConnection reusable = reuseFailures.isHigh() && !attempt.exchange.repeatable ? null : takeReusable(peer);
         if (reusable != null) {
+            peer.lastAttemptAt = clock.now();
             reusable.start(attempt);
         } else {
             dial(peer, attempt);
@@ -208,6 +221,9 @@
     private void connected(Peer peer, Attempt attempt, PollableChannel channel) {
         if (peer.leaving || !channel.isActive()) {
             // If the server began to drain during the dial, it gets no new request; nothing was sent to it.
+            if (peer.leaving) {
+                dispatcher.events().count(NodeEvent.ATTEMPT_SERVER_LEAVING, attempt.exchange.id);
+            }
             channel.close();
             dispatcher.ended(attempt, Outcome.CONNECT_FAILED, null);
         } else if (!dispatcher.mayBegin(attempt)) {
@@ -215,6 +231,7 @@
         } else {
             ServerConnection c = new ServerConnection(this, attempt.server, channel);
             open.add(c);
+            peer.lastAttemptAt = clock.now();
             c.start(attempt);
         }
     }
--- a/src/main/java/onyxpaddle/membership/Discovery.java
+++ b/src/main/java/onyxpaddle/membership/Discovery.java
@@ -10,8 +10,12 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import onyxpaddle.BalancerApi.ServerState;
 import onyxpaddle.node.Log;
 import onyxpaddle.node.ServerList;
+import onyxpaddle.node.ServerListStatus;
+import onyxpaddle.node.ServerListStatus.ReceivedList;
+import onyxpaddle.node.ServerListStatus.Verdict;
 import onyxpaddle.watch.WatchClient;
 
 /**
@@ -36,16 +40,18 @@
     private boolean stopped;
     private long calledAt;
     private final ListWatch watch;
+    private final ServerListStatus status;
 
     /**
      * {@code central}: discovery is one service for all nodes, not an agent on each; {@code seq}: the current version;
-     * {@code hasServers}: the node has servers now, so that an empty full list is rejected.
+     * {@code hasServers}: the node has servers now, so that an empty full list is rejected; {@code status}: records what is received.
      */
     public Discovery(EventLoop loop, ByteBufAllocator allocator, InetSocketAddress address, boolean central, long seq, boolean hasServers,
-            Consumer<ServerList> onList, Runnable onFailure) {
+            ServerListStatus status, Consumer<ServerList> onList, Runnable onFailure) {
         this.loop = loop;
         this.central = central;
         this.watch = new ListWatch(central, seq, hasServers, ThreadLocalRandom.current());
+        this.status = status;
         this.onList = onList;
         this.onFailure = onFailure;
         client = new WatchClient(loop, allocator, address, MAX_ANSWER, this);
@@ -125,11 +131,17 @@
             roster = RosterJson.parse(ByteBufUtil.getBytes(response.content()));
         } catch (IOException e) {
             watch.markUnreadable();
+            status.unreadable(e.getMessage(), System.nanoTime());
             failed("the answer is not a valid list of servers", false);
             return;
         }
         int failures = watch.failures();
+        long held = watch.seq();
         String fault = watch.accept(roster.whole(), roster.seq(), roster.hosts().isEmpty());
+        int ready = (int) roster.hosts().stream().filter(h -> h.entry().state() == ServerState.READY).count();
+        status.received(fault == null ? Verdict.CURRENT : !roster.whole() ? Verdict.UNKNOWN_BASE
+            : roster.hosts().isEmpty() ? Verdict.EMPTY_LIST : Verdict.OLDER_LIST,
+            new ReceivedList(roster.whole(), roster.seq(), held, ready, roster.hosts().size() - ready, 0), System.nanoTime());
         if (fault != null) {
             failed(fault, false);
             return;
--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -39,6 +39,7 @@
     /** Null if the pool has no bound on concurrent requests. */
     private final InFlightLimit limit;
     private final RequestCounts counts;
+    private final ServerListStatus listStatus = new ServerListStatus(true);
     /** Null if no request is refused before the balancer decides. */
     private SiteGate siteGate;
     private Upstream upstream;
@@ -117,6 +118,11 @@
         return balancer.fleet(clock.now());
     }
 
+    /** What discovery has sent to this pool. */
+    public ServerListStatus listStatus() {
+        return listStatus;
+    }
+
     /** The status of each listed server. */
     public List<ServerStatus> serverStatuses() {
         return balancer.serverStatuses(clock.now());
--- a/src/main/java/onyxpaddle/node/NodeEvent.java
+++ b/src/main/java/onyxpaddle/node/NodeEvent.java
@@ -51,6 +51,8 @@
     /** No time or no attempt was left. */
     ATTEMPT_LIMIT(Kind.NOT_BEGUN),
     ATTEMPT_NO_DESCRIPTOR(Kind.NOT_BEGUN),
+    /** Its server drains or is gone since it was decided. */
+    ATTEMPT_SERVER_LEAVING(Kind.NOT_BEGUN),
 
     // Requests that are refused.
     REFUSED_NO_TIME_LEFT(Kind.REFUSAL),
--- a/src/main/java/onyxpaddle/scale/HollowWatch.java
+++ b/src/main/java/onyxpaddle/scale/HollowWatch.java
@@ -12,6 +12,7 @@
 import onyxpaddle.node.Clock;
 import onyxpaddle.node.Dispatcher;
 import onyxpaddle.node.ServerList;
+import onyxpaddle.node.ServerListStatus;
 import onyxpaddle.node.RequestCounts;
 import onyxpaddle.node.Upstream;
 
@@ -45,7 +46,7 @@
         this.service = service;
         dispatcher = new Dispatcher(new Clock(), loop, new RatioBalancer(settings, seed), settings.limits(), new RequestCounts(List.of()));
         client = fault == SeededFault.HERD ? new HerdingClient(loop, door, this::take)
-            : new ProductionClient(new Discovery(loop, allocator, door, asked, 0, false, this::take,
+            : new ProductionClient(new Discovery(loop, allocator, door, asked, 0, false, new ServerListStatus(false), this::take,
                 () -> dispatcher.membership(ListKind.REFUSED, List.of())), asked);
         dispatcher.connect(NO_SERVERS, client::subscribe);
         if (asked) {
--- a/src/main/java/onyxpaddle/serve/Node.java
+++ b/src/main/java/onyxpaddle/serve/Node.java
@@ -163,7 +163,7 @@
 
     private Discovery discovery() {
         return new Discovery(lifecycle.loop, lifecycle.allocator, config.discovery(), config.settings().mustAskMembership(),
-            config.known().seq(), hasServers || !config.known().hosts().isEmpty(), roster -> {
+            config.known().seq(), hasServers || !config.known().hosts().isEmpty(), dispatcher.listStatus(), roster -> {
                 listReceived = true;
                 apply(roster, roster.whole() ? ListKind.ALL : ListKind.CHANGES);
             }, () -> dispatcher.membership(ListKind.REFUSED, List.of()));
--- a/src/main/java/onyxpaddle/serve/RunningPool.java
+++ b/src/main/java/onyxpaddle/serve/RunningPool.java
@@ -97,7 +97,8 @@
             context.files().execute(file::readNow);
         } else if (config.discovery() != null) {
             discovery = new Discovery(context.loop(), context.allocator(),
-                Addresses.of(config.discovery().host(), config.discovery().port()), false, 0, false, this::apply, () -> { });
+                Addresses.of(config.discovery().host(), config.discovery().port()), false, 0, false, dispatcher.listStatus(),
+                this::apply, () -> { });
             discovery.restart();
         } else {
             apply(PoolSettings.roster(config.servers()));
