An entry of a list that cannot be read spoils itself alone

Cause: RosterJson threw at the first such entry, so the whole answer was rejected, each time anew; and a configuration whose known list had one did not start a node. After changes with such an entry the whole list is asked for. The log line of the list names the first one. Why it works: an entry that cannot be read may say anything of its server and nothing of the others. A document that is no list still changes nothing (IncompleteListTest, six kinds).

--- a/src/main/java/onyxpaddle/membership/Discovery.java
+++ b/src/main/java/onyxpaddle/membership/Discovery.java
@@ -162,7 +162,7 @@
         long now = System.nanoTime();
         int ready = update.count(ServerState.READY);
         ReceivedList received = new ReceivedList(update.whole(), update.version(), table.version(), ready, update.hosts().size() - ready,
-            update.invalid().size());
+            update.invalid().size(), update.invalid().isEmpty() ? "" : update.invalid().get(0).toString());
         ServerTable.Applied applied = table.apply(update, now);
         status.received(applied.verdict(), received, now);
         listener.received(applied.list(), applied.current());
@@ -175,6 +175,10 @@
             Log.line("discovery: answers again after " + watch.failures() + " failed calls");
         }
         watch.accepted();
+        if (table.needsWholeList()) {
+            scheduleCall(watch.backoffAfterDoubt());
+            return;
+        }
         boolean returnedEarly = update.hosts().isEmpty() && now - calledAt < TimeUnit.MILLISECONDS.toNanos(PAUSE_MS);
         scheduleCall(returnedEarly ? PAUSE_MS : 0);
     }
--- a/src/main/java/onyxpaddle/membership/ListUpdate.java
+++ b/src/main/java/onyxpaddle/membership/ListUpdate.java
@@ -21,6 +21,10 @@
      * @param reason what is wrong with the entry
      */
     public record InvalidEntry(String server, String reason) {
+        @Override
+        public String toString() {
+            return (server == null ? "unnamed server" : server) + ": " + reason;
+        }
     }
 
     /** What an update says of one server: {@code host} is null if it cannot be known. */
--- a/src/main/java/onyxpaddle/node/ServerListStatus.java
+++ b/src/main/java/onyxpaddle/node/ServerListStatus.java
@@ -31,8 +31,9 @@
      * @param ready number of entries with servers that are ready
      * @param leaving number of entries with servers that drain or are gone
      * @param invalid number of entries that could not be read
+     * @param firstInvalid the first such entry and its fault; empty for none
      */
-    public record ReceivedList(boolean whole, long version, long heldVersion, int ready, int leaving, int invalid) {
+    public record ReceivedList(boolean whole, long version, long heldVersion, int ready, int leaving, int invalid, String firstInvalid) {
     }
 
     private static final long LOG_INTERVAL = 1_000_000_000L;
@@ -57,15 +58,19 @@
     public void received(Verdict verdict, ReceivedList list, long now) {
         invalidEntries += list.invalid();
         record(verdict, now);
-        log(String.format(Locale.ROOT, "%s, version %d where %d is held, %d ready, %d leaving, %d invalid: %s",
-            list.whole() ? "whole list" : "changes", list.version(), list.heldVersion(), list.ready(), list.leaving(), list.invalid(),
-            verdict.label()), now);
+        if (isLogDue(now)) {
+            log(String.format(Locale.ROOT, "%s, version %d where %d is held, %d ready, %d leaving, %d invalid%s: %s",
+                list.whole() ? "whole list" : "changes", list.version(), list.heldVersion(), list.ready(), list.leaving(), list.invalid(),
+                list.firstInvalid().isEmpty() ? "" : " (" + list.firstInvalid() + ")", verdict.label()), now);
+        }
     }
 
     /** Records an answer that is not a list. */
     public void unreadable(String reason, long now) {
         record(Verdict.UNREADABLE, now);
-        log(Verdict.UNREADABLE.label() + ": " + reason, now);
+        if (isLogDue(now)) {
+            log(Verdict.UNREADABLE.label() + ": " + reason, now);
+        }
     }
 
     private void record(Verdict verdict, long now) {
@@ -80,11 +85,14 @@
         }
     }
 
+    /** Counts an answer that is not logged. */
+    private boolean isLogDue(long now) {
+        boolean due = logs && (!logged || now - loggedAt >= LOG_INTERVAL);
+        unlogged += due ? 0 : 1;
+        return due;
+    }
+
     private void log(String text, long now) {
-        if (!logs || logged && now - loggedAt < LOG_INTERVAL) {
-            unlogged++;
-            return;
-        }
         Log.line("discovery: " + text + (doubted ? ", news not in force for " + doubt(now) / 1_000_000 + " ms" : "")
             + (unlogged > 0 ? "; " + unlogged + " more answers since the last such line" : ""));
         logged = true;
--- a/src/test/java/onyxpaddle/node/ServerListStatusTest.java
+++ b/src/test/java/onyxpaddle/node/ServerListStatusTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.api.Test;
 
 class ServerListStatusTest {
-    private static final ReceivedList LIST = new ReceivedList(true, 2, 1, 3, 1, 2);
+    private static final ReceivedList LIST = new ReceivedList(true, 2, 1, 3, 1, 2, "s: dial is missing");
     private static final long SECOND = 1_000_000_000L;
 
     private final ServerListStatus status = new ServerListStatus(false);
--- a/src/test/java/onyxpaddle/serve/IncompleteListTest.java
+++ b/src/test/java/onyxpaddle/serve/IncompleteListTest.java
@@ -119,6 +119,16 @@
         }
     }
 
+    /** The list that a node starts with comes from the same source, and a node that does not start serves nobody. */
+    @Test
+    void oddEntryOfTheKnownListIsLeftOut() throws Exception {
+        try (FakeServer known = new FakeServer("s1")) {
+            String config = Loopback.config(new Loopback.FakeDiscovery("{}"), known).replace("\"hosts\":[", "\"hosts\":[{\"host\":\"s0\"},");
+            PlatformConfig read = PlatformConfig.parse(config.getBytes(StandardCharsets.UTF_8), Map.of());
+            assertEquals(List.of("s1"), read.known().entries().stream().map(e -> e.server()).toList());
+        }
+    }
+
     /** A whole list without servers can be read: those that the node knows are gone. */
     @Test
     void knownServersGetNothingOnceAWholeListHasNone() throws Exception {
