A late answer of discovery goes on beside further calls and counts if it comes first

Cause: WatchClient gave an answer up after a pause of 0.4 s or 1.5 s in all, and each further one alike, so none was ever read to its end; told is what discovery has written. Change: a call that is late is left to go on for 4.5 s more beside the calls that follow, two such at most. Its answer counts if it is current and brings news before they do, and a current answer ends all other calls. The pace of calls is as before, so an answer that never ends costs no time. Control processes are called as before. Why it works: an answer that goes on is read to its end within the 6 s after which its change counts as told, and a dead one still has the next call beside it after the same time as before.

--- a/src/main/java/onyxpaddle/distribution/ConfigurationWatch.java
+++ b/src/main/java/onyxpaddle/distribution/ConfigurationWatch.java
@@ -18,6 +18,7 @@
 import onyxpaddle.distribution.ReplicaSelector.Outcome;
 import onyxpaddle.node.Log;
 import onyxpaddle.watch.WatchClient;
+import onyxpaddle.watch.WatchClient.Timeouts;
 
 /**
  * Watches the configuration of the control processes by long polling: one GET at a time, from the current version, at the
@@ -130,7 +131,7 @@
             disconnectOthers(call.replica());
         }
         calledAt = System.nanoTime();
-        connection(call.replica()).call(uri(), call.responseTimeoutMs(), call.responseTimeoutMs() + TRANSFER_MS);
+        connection(call.replica()).call(uri(), new Timeouts(call.responseTimeoutMs(), call.responseTimeoutMs() + TRANSFER_MS, 0));
     }
 
     private void disconnectOthers(int replica) {
--- a/src/main/java/onyxpaddle/membership/Discovery.java
+++ b/src/main/java/onyxpaddle/membership/Discovery.java
@@ -7,6 +7,7 @@
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import onyxpaddle.BalancerApi.ServerState;
@@ -15,14 +16,15 @@
 import onyxpaddle.node.ServerListStatus;
 import onyxpaddle.node.ServerListStatus.ReceivedList;
 import onyxpaddle.watch.WatchClient;
+import onyxpaddle.watch.WatchClient.Timeouts;
 
 /**
  * Keeps the list of servers up to date by long polling: one call at a time, each a watch from the current version, and the next one
- * immediately after each answer. Waits are short, because a change counts as delivered to the node soon after its wait even if the
+ * immediately after each answer. An answer that is late may go on beside the next call, and counts if it comes first. Waits are short, because a change counts as delivered to the node soon after its wait even if the
  * call stalls. With an agent on each node it polls continuously; with a central discovery service it calls when the balancer
  * subscribes and reports failed calls to the balancer. What an answer changes is decided by the {@link ServerTable}.
  */
-public final class Discovery implements WatchClient.Listener {
+public final class Discovery {
     /** Enough for 10,000 servers with indentation and long names. Bounds the memory that an endless answer can use. */
     private static final int MAX_ANSWER = 8 << 20;
     /** Pause after an empty answer that came without a wait; less than the 200 ms within which a watch must be renewed. */
@@ -41,8 +43,19 @@
         void refused();
     }
 
+    /**
+     * How long an answer that is late may go on beside further calls, in milliseconds: until the change in it would count as delivered
+     * anyway. Guards against a discovery whose answers all take longer than a call's time-outs, so that none is ever read to its end.
+     */
+    private static final int PATIENCE_MS = 4_500;
+    /** Number of late calls that go on; bounds the memory of their answers. */
+    private static final int MAX_LATE_CALLS = 2;
+
     private final EventLoop loop;
-    private final WatchClient client;
+    private final ByteBufAllocator allocator;
+    private final InetSocketAddress address;
+    private final ArrayDeque<Caller> lateCallers = new ArrayDeque<>(MAX_LATE_CALLS);
+    private Caller caller;
     private final boolean central;
     private final ServerTable table;
     private final ServerListStatus status;
@@ -65,7 +78,9 @@
         this.status = status;
         this.listener = listener;
         watch = new ListWatch(central, ThreadLocalRandom.current());
-        client = new WatchClient(loop, allocator, address, MAX_ANSWER, this);
+        this.allocator = allocator;
+        this.address = address;
+        caller = new Caller();
     }
 
     public void start() {
@@ -86,11 +101,20 @@
     /** Stops permanently: no further call is made and no further answer is processed. */
     public void stop() {
         stopped = true;
+        endCalls(null);
+    }
+
+    /** Ends all calls but that of one caller, if any, and cancels the next one. */
+    private void endCalls(Caller kept) {
         calling = false;
         if (nextCall != null) {
             nextCall.cancel(false);
         }
-        client.disconnect();
+        if (caller != kept) {
+            caller.client.disconnect();
+        }
+        lateCallers.forEach(late -> late.endUnless(kept));
+        lateCallers.clear();
     }
 
     /** The balancer requests changes from now on. */
@@ -107,12 +131,44 @@
         calling = true;
         calledAt = System.nanoTime();
         String uri = "/v1/endpoints" + (table.needsWholeList() ? "" : "?after=" + table.version() + "&wait_ms=" + watch.waitMs());
-        client.call(uri, watch.firstByteTimeoutMs(), watch.totalTimeoutMs());
+        caller.client.call(uri, new Timeouts(watch.firstByteTimeoutMs(), watch.totalTimeoutMs(), PATIENCE_MS));
     }
 
-    /** Handles a call without an answer. {@code refused}: discovery is overloaded or down. */
-    @Override
-    public void failed(String reason, boolean refused) {
+    /** A connection to discovery and its call. */
+    private final class Caller implements WatchClient.Listener {
+        private final WatchClient client = new WatchClient(loop, allocator, address, MAX_ANSWER, this);
+
+        @Override
+        public void failed(String reason, boolean refused) {
+            if (!lateCallers.remove(this)) {
+                callFailed(reason, refused);
+            }
+        }
+
+        @Override
+        public void late(String reason) {
+            if (lateCallers.size() == MAX_LATE_CALLS) {
+                lateCallers.poll().client.disconnect();
+            }
+            lateCallers.add(this);
+            caller = new Caller();
+            callFailed(reason, false);
+        }
+
+        @Override
+        public void answered(FullHttpResponse response) {
+            Discovery.this.answered(this, response);
+        }
+
+        private void endUnless(Caller kept) {
+            if (this != kept) {
+                client.disconnect();
+            }
+        }
+    }
+
+    /** Handles a call without an answer in time. {@code refused}: discovery is overloaded or down. */
+    private void callFailed(String reason, boolean refused) {
         callEnded(reason);
         int pause = watch.backoffAfterFailure(refused);
         if (pause == ListWatch.BALANCER_DECIDES) {
@@ -124,7 +180,7 @@
 
     private void callEnded(String failure) {
         calling = false;
-        client.disconnect();
+        caller.client.disconnect();
         if (watch.failures() == 0) {
             Log.line("discovery: " + failure);
         }
@@ -135,30 +191,37 @@
         nextCall = loop.schedule(this::call, millis, TimeUnit.MILLISECONDS);
     }
 
-    @Override
-    public void answered(FullHttpResponse response) {
+    private void answered(Caller from, FullHttpResponse response) {
+        boolean late = lateCallers.remove(from);
+        ListUpdate update = null;
+        String fault = null;
         if (response.status().code() != 200) {
-            failed("answered " + response.status().code(), true);
-            return;
+            fault = "answered " + response.status().code();
+        } else {
+            try {
+                update = RosterJson.parse(ByteBufUtil.getBytes(response.content()));
+            } catch (IOException e) {
+                unreadable(e.getMessage());
+            }
         }
-        ListUpdate update;
-        try {
-            update = RosterJson.parse(ByteBufUtil.getBytes(response.content()));
-        } catch (IOException e) {
-            unreadable(e.getMessage());
-            return;
+        if (update != null) {
+            apply(update, from);
+        } else if (late) {
+            from.client.disconnect();
+        } else if (fault != null) {
+            callFailed(fault, true);
+        } else {
+            callEnded("the answer is not a valid list of servers");
+            scheduleCall(watch.backoffAfterDoubt());
         }
-        apply(update);
     }
 
     private void unreadable(String reason) {
         table.answerUnreadable();
         status.unreadable(reason, System.nanoTime());
-        callEnded("the answer is not a valid list of servers");
-        scheduleCall(watch.backoffAfterDoubt());
     }
 
-    private void apply(ListUpdate update) {
+    private void apply(ListUpdate update, Caller from) {
         long now = System.nanoTime();
         int ready = update.count(ServerState.READY);
         ReceivedList received = new ReceivedList(update.whole(), update.version(), table.version(), ready, update.hosts().size() - ready,
@@ -166,11 +229,21 @@
         ServerTable.Applied applied = table.apply(update, now);
         status.received(applied.verdict(), received, now);
         listener.received(applied.list(), applied.current());
-        if (!applied.current()) {
+        boolean late = from != caller;
+        if (late && !(applied.current() && applied.changed())) {
+            // The call beside it was made later and knows better.
+            from.client.disconnect();
+        } else if (applied.current()) {
+            endCalls(from);
+            caller = from;
+            accepted(update, now);
+        } else {
             callEnded("the answer is not current: " + applied.verdict().label());
             scheduleCall(watch.backoffAfterDoubt());
-            return;
         }
+    }
+
+    private void accepted(ListUpdate update, long now) {
         if (watch.failures() > 0) {
             Log.line("discovery: answers again after " + watch.failures() + " failed calls");
         }
--- a/src/main/java/onyxpaddle/watch/WatchClient.java
+++ b/src/main/java/onyxpaddle/watch/WatchClient.java
@@ -26,8 +26,9 @@
 
 /**
  * Client for long polling of one HTTP server: one GET at a time over a persistent connection. Each call has time-outs for connecting, for
- * the first byte of the answer, for a stall within the answer and for the whole answer. It ends exactly once, in an answer or a failure,
- * or in neither if {@link #disconnect} is called first. Confined to the event loop.
+ * the first byte of the answer, for a stall within the answer and for the whole answer. A call whose answer is late may be left to go on
+ * for a while, so that the caller can make another one beside it. It ends exactly once, in an answer or a failure, or in neither if
+ * {@link #disconnect} is called first. Confined to the event loop.
  */
 public final class WatchClient {
     /** Time-out between two reads of an answer that has begun. */
@@ -43,6 +44,20 @@
 
         /** There is no answer, for this reason; {@code refused}: no connection could be established. */
         void failed(String reason, boolean refused);
+
+        /** The answer is late, for this reason; the call goes on. At most once per call, and only if the call has patience. */
+        default void late(String reason) {
+        }
+    }
+
+    /**
+     * The time-outs of a call, in milliseconds. The first two start when the request is written.
+     *
+     * @param firstByteMs time-out for the first byte of the answer
+     * @param totalMs time-out for the whole answer
+     * @param patienceMs how long a late answer may go on; 0 to fail the call at once
+     */
+    public record Timeouts(int firstByteMs, int totalMs, int patienceMs) {
     }
 
     private final EventLoop loop;
@@ -55,8 +70,10 @@
     private boolean calling;
     /** When the first byte of the current answer arrived; 0 before. */
     private long firstByteAt;
-    /** When the current answer must be complete. */
+    /** When the current answer is late if it is not complete. */
     private long answerDeadline;
+    private int patienceMs;
+    private boolean late;
 
     /** {@code maxAnswer}: maximum size of an answer's body in bytes; bounds the memory that a faulty server can make the caller use. */
     public WatchClient(EventLoop loop, ByteBufAllocator allocator, InetSocketAddress address, int maxAnswer, Listener listener) {
@@ -77,16 +94,11 @@
             });
     }
 
-    /**
-     * Makes a call; the previous one must have ended. Both time-outs start when the request is written.
-     *
-     * @param firstByteTimeoutMs time-out for the first byte of the answer
-     * @param totalTimeoutMs time-out for the whole answer
-     */
-    public void call(String uri, int firstByteTimeoutMs, int totalTimeoutMs) {
+    /** Makes a call; the previous one must have ended. */
+    public void call(String uri, Timeouts timeouts) {
         calling = true;
         if (channel != null && channel.isActive()) {
-            write(uri, firstByteTimeoutMs, totalTimeoutMs);
+            write(uri, timeouts);
             return;
         }
         ChannelFuture connect = bootstrap.connect();
@@ -95,7 +107,7 @@
             if (channel != connect.channel()) {
                 connect.channel().close();
             } else if (f.isSuccess()) {
-                write(uri, firstByteTimeoutMs, totalTimeoutMs);
+                write(uri, timeouts);
             } else {
                 failed(connect.channel(), "cannot connect", true);
             }
@@ -113,17 +125,28 @@
         }
     }
 
-    private void write(String uri, int firstByteTimeoutMs, int totalTimeoutMs) {
+    private void write(String uri, Timeouts timeouts) {
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri, Unpooled.EMPTY_BUFFER);
         request.headers().set(HttpHeaderNames.HOST, host);
         Channel on = channel;
         firstByteAt = 0;
-        long now = System.nanoTime();
-        answerDeadline = now + TimeUnit.MILLISECONDS.toNanos(totalTimeoutMs);
-        timeout = loop.schedule(() -> failed(on, "no answer", false), firstByteTimeoutMs, TimeUnit.MILLISECONDS);
+        patienceMs = timeouts.patienceMs();
+        late = false;
+        answerDeadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeouts.totalMs());
+        timeout = loop.schedule(() -> timedOut(on, "no answer"), timeouts.firstByteMs(), TimeUnit.MILLISECONDS);
         on.writeAndFlush(request);
     }
 
+    private void timedOut(Channel on, String reason) {
+        if (late || patienceMs == 0 || !calling || on != channel) {
+            failed(on, reason, false);
+            return;
+        }
+        late = true;
+        timeout = loop.schedule(() -> timedOut(on, reason), patienceMs, TimeUnit.MILLISECONDS);
+        listener.late(reason);
+    }
+
     private void failed(Channel on, String reason, boolean refused) {
         if (!calling || on != channel) {
             return;
@@ -159,18 +182,18 @@
 
     /**
      * Enforces the time-outs of an answer that has begun. Guards against an answer that stalls, or arrives in small pieces, while the
-     * change in it is due at the node. Drawback: fails the calls of a healthy server that pauses for that long.
+     * change in it is due at the node. Drawback: the answer of a healthy server that pauses for that long counts as late.
      */
     private final class ProgressHandler extends ChannelInboundHandlerAdapter {
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
-            if (timeout != null && context.channel() == channel) {
+            if (timeout != null && !late && context.channel() == channel) {
                 long now = System.nanoTime();
                 firstByteAt = firstByteAt == 0 ? now : firstByteAt;
                 long remaining = Math.min(ANSWER_TIMEOUT_MS - TimeUnit.NANOSECONDS.toMillis(now - firstByteAt),
                     TimeUnit.NANOSECONDS.toMillis(answerDeadline - now));
                 stopTimeout();
-                timeout = loop.schedule(() -> failed(context.channel(), "the answer stalled", false),
+                timeout = loop.schedule(() -> timedOut(context.channel(), "the answer stalled"),
                     Math.max(0, Math.min(STALL_TIMEOUT_MS, remaining)), TimeUnit.MILLISECONDS);
             }
             context.fireChannelRead(message);
