Calls to discovery have a pause whatever it answers and whatever the settings name

Cause: the next call followed at once unless an answer had no entries, and the pause after a refusal was 0.8 of an interval that may be 0. Change: a watch that is answered at once with nothing is followed by a pause of 0.18 to 0.5 s, one with a new version alone by 0.18 s, watches begin 20 ms apart at least, a doubted answer is asked for again after 0.2 to 0.3 s and later, a refused subscription after 0.25 s at least. Tests: SilentWatchDrainTest sends its last requests on a new connection: its first one was idle for 4.9 s of the 5 s after which the node closes it, which explains its failures under load before, too. StalledDrainTest waits for the watch for the same reason.

--- a/src/main/java/onyxpaddle/RatioBalancer.java
+++ b/src/main/java/onyxpaddle/RatioBalancer.java
@@ -95,6 +95,8 @@
     private static final long REDRAW_INTERVAL = 20_000_000L;
     /** Nodes must apply a change within 6 s after discovery has it; half of that is left for the call. */
     private static final double MAX_RESUBSCRIBE_DELAY = 2.5e9;
+    /** Protects discovery whatever interval the settings name, or if they name none. */
+    private static final double MIN_RESUBSCRIBE_DELAY = 0.5e9;
     private static final int MAX_TAKEN_OUT = 10_000;
 
     private final Settings settings;
@@ -207,9 +209,7 @@
             subscribing = false;
             subscribed = false;
             refusedSubscriptions = Math.min(refusedSubscriptions + 1, 6);
-            double wait = Math.min(1e9 * (1 << refusedSubscriptions), 0.8 * settings.rules().askEvery());
-            wait = Math.min(wait, MAX_RESUBSCRIBE_DELAY);
-            schedule(now + (long) (wait * (0.5 + random.nextDouble() / 2)), null);
+            schedule(now + (long) (resubscribeDelay() * (0.5 + random.nextDouble() / 2)), null);
             return;
         }
         if (update.kind() != ListKind.CACHED && subscribing) {
@@ -235,6 +235,12 @@
         estimateLimit();
     }
 
+    private double resubscribeDelay() {
+        double longest = settings.rules().askEvery() > 0
+            ? Math.min(MAX_RESUBSCRIBE_DELAY, 0.8 * settings.rules().askEvery()) : MAX_RESUBSCRIBE_DELAY;
+        return Math.max(MIN_RESUBSCRIBE_DELAY, Math.min(1e9 * (1 << refusedSubscriptions), longest));
+    }
+
     /** Whether operators have taken the server out of rotation. */
     public boolean isTakenOut(String server) {
         return takenOut.contains(server);
--- a/src/main/java/onyxpaddle/membership/Discovery.java
+++ b/src/main/java/onyxpaddle/membership/Discovery.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import onyxpaddle.BalancerApi.ServerState;
+import onyxpaddle.membership.ListWatch.News;
 import onyxpaddle.node.Log;
 import onyxpaddle.node.ServerList;
 import onyxpaddle.node.ServerListStatus;
@@ -27,8 +28,6 @@
 public final class Discovery {
     /** Enough for 10,000 servers with indentation and long names. Bounds the memory that an endless answer can use. */
     private static final int MAX_ANSWER = 8 << 20;
-    /** Pause after an empty answer that came without a wait; less than the 200 ms within which a watch must be renewed. */
-    private static final int PAUSE_MS = 100;
 
     /** Receives lists and failures, on the event loop. */
     public interface Listener {
@@ -236,23 +235,22 @@
         } else if (applied.current()) {
             endCalls(from);
             caller = from;
-            accepted(update, now);
+            accepted(news(applied, received), now);
         } else {
             callEnded("the answer is not current: " + applied.verdict().label());
             scheduleCall(watch.backoffAfterDoubt());
         }
     }
 
-    private void accepted(ListUpdate update, long now) {
+    private static News news(ServerTable.Applied applied, ReceivedList received) {
+        return applied.changed() ? News.CHANGE : received.version() == received.heldVersion() ? News.NONE : News.VERSION_ONLY;
+    }
+
+    private void accepted(News news, long now) {
         if (watch.failures() > 0) {
             Log.line("discovery: answers again after " + watch.failures() + " failed calls");
         }
-        watch.accepted();
-        if (table.needsWholeList()) {
-            scheduleCall(watch.backoffAfterDoubt());
-            return;
-        }
-        boolean returnedEarly = update.hosts().isEmpty() && now - calledAt < TimeUnit.MILLISECONDS.toNanos(PAUSE_MS);
-        scheduleCall(returnedEarly ? PAUSE_MS : 0);
+        int pause = watch.accepted(news, TimeUnit.NANOSECONDS.toMillis(now - calledAt));
+        scheduleCall(table.needsWholeList() ? watch.backoffAfterDoubt() : pause);
     }
 }
--- a/src/main/java/onyxpaddle/membership/ListWatch.java
+++ b/src/main/java/onyxpaddle/membership/ListWatch.java
@@ -7,6 +7,9 @@
  * nodes run it, so after a common failure their calls are spread out and become less frequent.
  */
 final class ListWatch {
+    /** What an answer that is in force as it is brought. */
+    enum News { CHANGE, VERSION_ONLY, NONE }
+
     /** The longest pause after the first failure, in milliseconds; less than the 200 ms within which a watch must be renewed. */
     private static final int FIRST_PAUSE_MS = 100;
     /** With a central discovery the balancer decides when to call again. */
@@ -20,8 +23,8 @@
     private static final int FAST_RETRIES = 2;
     /** See {@link #firstByteTimeoutMs}. */
     private static final int MAX_PAUSE_MS = 1000;
-    /** The longest pause after the first answer that is not in force as it is; half of it is the shortest. */
-    private static final int FIRST_DOUBT_PAUSE_MS = 200;
+    /** The longest pause after the first answer that is not in force as it is; two thirds of it are the shortest. */
+    private static final int FIRST_DOUBT_PAUSE_MS = 300;
     /** How long a call may wait for a change. */
     private static final int WAIT_MS = 2000;
     /** Time-out from the end of the wait to the first byte of the answer, for an agent on the node's own machine. */
@@ -31,11 +34,21 @@
     /** Time-out from the latest first byte to the end of the answer. */
     private static final int BODY_MARGIN_MS = 700;
 
+    /** An answer without news that comes sooner after a call that may wait did not wait. */
+    private static final int EARLY_MS = 100;
+    /** The pause after the first such answer; less than the 200 ms within which a watch must be renewed. */
+    private static final int FIRST_EARLY_PAUSE_MS = 180;
+    /** The longest pause after such answers. */
+    private static final int MAX_EARLY_PAUSE_MS = 500;
+    /** The shortest time from an answered watch to the next one, however fast the list changes. */
+    private static final int MIN_CALL_INTERVAL_MS = 20;
+
     private final RandomGenerator random;
     /** Discovery is one service for all nodes; otherwise each node has an agent of its own, to which lists are pushed. */
     private final boolean central;
     private boolean hasAccepted;
     private int failures;
+    private int earlyAnswers;
 
     ListWatch(boolean central, RandomGenerator random) {
         this.central = central;
@@ -73,10 +86,25 @@
         return failures;
     }
 
-    /** An answer is in force as it is. */
-    void accepted() {
+    /**
+     * An answer is in force as it is. Returns the pause before the next call in milliseconds: none for a discovery that waits for changes
+     * and tells some, and a growing one while it answers watches at once with what it has answered before.
+     *
+     * @param tookMs the time since the call
+     */
+    int accepted(News news, long tookMs) {
+        boolean mayWait = waitMs() > 0;
         hasAccepted = true;
         failures = 0;
+        if (!mayWait) {
+            return 0;
+        }
+        if (news == News.CHANGE || tookMs >= EARLY_MS) {
+            earlyAnswers = 0;
+            return (int) Math.max(0, MIN_CALL_INTERVAL_MS - tookMs);
+        }
+        earlyAnswers = news == News.NONE ? earlyAnswers + 1 : 1;
+        return Math.min(MAX_EARLY_PAUSE_MS, FIRST_EARLY_PAUSE_MS << Math.min(8, earlyAnswers - 1));
     }
 
     /**
@@ -102,7 +130,7 @@
     int backoffAfterDoubt() {
         int span = span(FIRST_DOUBT_PAUSE_MS);
         failures++;
-        return span / 2 + random.nextInt(span / 2 + 1);
+        return span - random.nextInt(span / 3 + 1);
     }
 
     private int span(int firstMs) {
--- a/src/test/java/onyxpaddle/MembershipTest.java
+++ b/src/test/java/onyxpaddle/MembershipTest.java
@@ -14,12 +14,19 @@
 import java.util.Set;
 import onyxpaddle.BalancerApi.*;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class MembershipTest {
     private static BalancerHarness withSubscription(long seed) {
+        return withSubscription(seed, 10 * SECOND);
+    }
+
+    private static BalancerHarness withSubscription(long seed, long askEvery) {
         Settings base = BalancerHarness.settings(BalancerHarness.requestClass("read", Effect.SAFE, KeyGroup.ALL));
         return new BalancerHarness(new Settings("east", List.of("east"), 0, 0, 100, base.classes(), List.of(), 1, false, true,
-            Weights.NONE, List.of(), 0, 2 * MS, base.limits(), base.rules()), seed);
+            Weights.NONE, List.of(), 0, 2 * MS, base.limits(),
+            new Rules(0.2, 10 * SECOND, 3, 2 * SECOND, SECOND, 10 * MS, askEvery)), seed);
     }
 
     private static List<Action> startWithCachedList(BalancerHarness node) {
@@ -93,6 +100,20 @@
         assertTrue(waits.size() >= 20, "waits fall into only " + waits.size() + " intervals of 50 ms");
     }
 
+    /** One service answers all nodes: without an interval in the settings, or with a tiny one, nothing else bounds how often each asks. */
+    @ParameterizedTest
+    @ValueSource(longs = {0, MS, 10 * SECOND})
+    void refusedSubscriptionIsPausedWhateverIntervalTheSettingsName(long askEvery) {
+        BalancerHarness node = withSubscription(9, askEvery);
+        List<Action> actions = node.fire(startWithCachedList(node));
+        for (int refusal = 0; refusal < 20; refusal++) {
+            actions = node.handle(new Membership(ListKind.REFUSED, List.of()));
+            long wait = only(actions, SetTimer.class).orElseThrow().after();
+            assertTrue(wait >= 250 * MS, "asks again after " + wait + " ns");
+            actions = node.fire(actions);
+        }
+    }
+
     @Test
     void subscribedNodeDoesNotSubscribeAgain() {
         BalancerHarness node = withSubscription(4);
--- a/src/test/java/onyxpaddle/membership/DiscoveryReturnTest.java
+++ b/src/test/java/onyxpaddle/membership/DiscoveryReturnTest.java
@@ -9,6 +9,7 @@
 import java.util.SplittableRandom;
 import onyxpaddle.BalancerApi.*;
 import onyxpaddle.RatioBalancer;
+import onyxpaddle.membership.ListWatch.News;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -63,7 +64,7 @@
                 Weights.NONE, List.of(), 0, 2 * MS, new Limits(3, false, true, false, true, SECOND, SECOND),
                 new Rules(0.3, 5 * SECOND, 3, 2 * SECOND, 2 * SECOND, 0, (long) (askEvery * SECOND))), seed);
             // The node has a list, and its watch is in progress.
-            watch.accepted();
+            watch.accepted(News.CHANGE, 2_000);
             handle(new Membership(ListKind.CACHED, List.of()));
             handle(new Membership(ListKind.CHANGES, List.of()));
             at(now + faults.nextLong(2 * SECOND), this::call);
@@ -117,7 +118,7 @@
 
         private void listReceived() {
             listReceivedAt = now;
-            watch.accepted();
+            watch.accepted(News.CHANGE, 2_000);
         }
 
         private void callFailed(boolean refused) {
--- a/src/test/java/onyxpaddle/membership/ListWatchTest.java
+++ b/src/test/java/onyxpaddle/membership/ListWatchTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.SplittableRandom;
+import onyxpaddle.membership.ListWatch.News;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -48,7 +49,7 @@
         for (int i = 0; i < 20; i++) {
             watch.backoffAfterFailure(false);
         }
-        watch.accepted();
+        watch.accepted(News.CHANGE, 2_000);
         assertEquals(0, watch.failures());
         assertTrue(watch.backoffAfterFailure(false) <= 100);
     }
@@ -70,4 +71,37 @@
         }
         assertTrue(calls.size() >= 10, calls.size() + " calls in 10 s");
     }
+
+    /** A discovery that does not wait, and writes the same list again and again, whatever its version. */
+    @Test
+    void answersAtOnceWithNothingNewAreAskedForFewerThanFiveTimesASecond() {
+        ListWatch watch = at(1);
+        assertEquals(0, watch.accepted(News.NONE, 1), "the first call does not ask for a wait");
+        List<Integer> pauses = new ArrayList<>();
+        for (int answer = 0; answer < 6; answer++) {
+            pauses.add(watch.accepted(News.NONE, 1));
+        }
+        assertEquals(List.of(180, 360, 500, 500, 500, 500), pauses);
+        assertEquals(0, watch.accepted(News.CHANGE, 2_000), "a watch that told a change is renewed at once");
+        assertEquals(180, watch.accepted(News.NONE, 1));
+        assertEquals(0, watch.accepted(News.NONE, 2_000), "a watch that ended without a change is renewed at once");
+    }
+
+    /** The watch is renewed within 200 ms, so that what changes meanwhile is not told to nobody. */
+    @Test
+    void newVersionsThatChangeNothingAreAskedForSixTimesASecondAtMost() {
+        ListWatch watch = at(1);
+        watch.accepted(News.CHANGE, 1);
+        for (int answer = 0; answer < 6; answer++) {
+            assertEquals(180, watch.accepted(News.VERSION_ONLY, 1));
+        }
+    }
+
+    @Test
+    void changesThatAreToldAtOnceAreAskedForAtMostFiftyTimesASecond() {
+        ListWatch watch = at(1);
+        watch.accepted(News.CHANGE, 1);
+        assertEquals(19, watch.accepted(News.CHANGE, 1));
+        assertEquals(0, watch.accepted(News.CHANGE, 20));
+    }
 }
--- a/src/test/java/onyxpaddle/membership/SilentWatchTest.java
+++ b/src/test/java/onyxpaddle/membership/SilentWatchTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.SplittableRandom;
+import onyxpaddle.membership.ListWatch.News;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -26,7 +27,7 @@
         for (int seed = 0; seed < SEEDS; seed++) {
             ListWatch watch = new ListWatch(central, new SplittableRandom(seed));
             for (int answer = 0; answer <= seed % MAX_ANSWERS; answer++) {
-                watch.accepted();
+                watch.accepted(News.CHANGE, 2_000);
             }
             int elapsedMs = 0;
             for (int call = 0; call <= unanswered; call++) {
--- a/src/test/java/onyxpaddle/serve/OmittedServerTest.java
+++ b/src/test/java/onyxpaddle/serve/OmittedServerTest.java
@@ -50,7 +50,8 @@
             try (Client client = new Client(node.address())) {
                 ReadRequests.enqueueAnswers(omitted, remaining);
                 ReadRequests.sendUntilAllReached(client, "before", omitted, remaining);
-                discovery.calls.clear();
+                // Otherwise the next call is the watch itself, and does not show that the list is in force.
+                discovery.awaitWatch();
                 discovery.append(form.listSteps(remaining));
                 if (form == Form.AFTER_A_CLOSED_WATCH) {
                     discovery.awaitCallAfter(1);
--- a/src/test/java/onyxpaddle/serve/ScriptedDiscovery.java
+++ b/src/test/java/onyxpaddle/serve/ScriptedDiscovery.java
@@ -78,6 +78,17 @@
         } while (!call.contains("?after=" + version + "&"));
     }
 
+    /** Waits for a watch to be open, and forgets the calls so far. */
+    void awaitWatch() throws InterruptedException {
+        for (String call = ""; !call.contains("wait_ms=2000"); ) {
+            call = calls.poll(Loopback.TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            if (call == null) {
+                throw new AssertionError("the node opens no watch");
+            }
+        }
+        calls.clear();
+    }
+
     @Override
     void serve(Socket socket) throws Exception {
         for (String head = Loopback.head(socket.getInputStream()); head != null; head = Loopback.head(socket.getInputStream())) {
--- a/src/test/java/onyxpaddle/serve/SilentWatchDrainTest.java
+++ b/src/test/java/onyxpaddle/serve/SilentWatchDrainTest.java
@@ -38,7 +38,10 @@
                 long took = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - silent);
                 assertTrue(took < KNOWN_AFTER_MS, took + " ms until the drain is in force");
                 int before = drains.requests.size();
-                ReadRequests.assertAllServedBy(stays, client, "after");
+                // The node may have closed the connection that was idle meanwhile.
+                try (Client fresh = new Client(node.address())) {
+                    ReadRequests.assertAllServedBy(stays, fresh, "after");
+                }
                 assertEquals(before, drains.requests.size());
             } finally {
                 node.stop();
--- a/src/test/java/onyxpaddle/serve/StalledDrainTest.java
+++ b/src/test/java/onyxpaddle/serve/StalledDrainTest.java
@@ -87,7 +87,7 @@
                 full.fillBacklog();
                 client.send(Loopback.request("r1", "book", "Content-Length: 0"));
                 Loopback.await(() -> node.loop().submit(() -> node.pools().get("").unanswered()).syncUninterruptibly().getNow() == 1);
-                discovery.awaitCallAfter(1);
+                discovery.awaitWatch();
                 BlockedEventLoop blocked = new BlockedEventLoop(node.loop());
                 try (Socket late = full.acceptDelayed()) {
                     stays.answers.add(Loopback.ok("stays"));
