Servers that come back within ten minutes keep what was learnt of them

What callers saw: after a list without servers, or one that left them out, servers that came back were met as new ones: no round trips known, draws by chance. Cause: RatioBalancer dropped a server's state with its entry. As lists without servers are in force now, a short gap in discovery's data would cost all that was learnt. Change: the state of a server that leaves is kept for ten minutes, 4,096 at most, and taken up if it returns with the same start, zone and cell. A cold one has saved no credit for its return, as all nodes see that at the same moment.

--- a/src/main/java/onyxpaddle/RatioBalancer.java
+++ b/src/main/java/onyxpaddle/RatioBalancer.java
@@ -6,6 +6,7 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -98,10 +99,15 @@
     /** Protects discovery whatever interval the settings name, or if they name none. */
     private static final double MIN_RESUBSCRIBE_DELAY = 0.5e9;
     private static final int MAX_TAKEN_OUT = 10_000;
+    /** How long what was learnt of a server that has left the list is kept for its return, in nanoseconds. */
+    private static final long DEPARTED_RETENTION = 600_000_000_000L;
+    private static final int MAX_DEPARTED = 4_096;
 
     private final Settings settings;
     private final SplittableRandom random;
     private final Map<String, Server> servers = new LinkedHashMap<>();
+    /** Servers that have left the list, the longest departed first. */
+    private final Map<String, Server> departed = new LinkedHashMap<>();
     /** Servers that operators took out of rotation; kept until they are put back, whatever lists say. */
     private final Set<String> takenOut = new LinkedHashSet<>();
     private final Map<String, ZoneState> zones = new HashMap<>();
@@ -219,7 +225,7 @@
         if (update.kind() != ListKind.CHANGES) {
             Set<String> missing = new LinkedHashSet<>(servers.keySet());
             update.entries().forEach(e -> missing.remove(e.server()));
-            missing.forEach(id -> reindex(servers.remove(id)));
+            missing.forEach(this::remove);
         }
         update.entries().forEach(this::applyEntry);
         if (update.kind() != ListKind.CACHED && !discoveryHeard) {
@@ -296,30 +302,65 @@
 
     private void applyEntry(ServerEntry entry) {
         if (entry.state() == ServerState.GONE) {
-            Server gone = servers.remove(entry.server());
-            if (gone != null) {
-                reindex(gone);
-            }
+            remove(entry.server());
             return;
         }
         Server server = servers.get(entry.server());
         if (server == null || server.startedAt != entry.startedAt()) {
             Server previous = server;
-            server = new Server(entry,
-                zones.computeIfAbsent(String.valueOf(entry.zone()), z -> new ZoneState()));
-            // Random, so that the nodes do not all send their first call at the same moment.
-            server.credit = random.nextDouble();
+            server = returned(entry);
+            boolean isNew = server == null;
+            if (isNew) {
+                server = new Server(entry,
+                    zones.computeIfAbsent(String.valueOf(entry.zone()), z -> new ZoneState()));
+                // Random, so that the nodes do not all send their first call at the same moment.
+                server.credit = random.nextDouble();
+            }
             servers.put(entry.server(), server);
             if (previous != null) {
                 reindex(previous);
             }
-            restoreServer(server);
+            if (isNew) {
+                restoreServer(server);
+            }
         }
         server.state = entry.state();
         server.size = entry.weight() > 0 ? entry.weight() : 1;
         reindex(server);
     }
 
+    /** Removes a server from the list and keeps what was learnt of it for a while. */
+    private void remove(String id) {
+        Server server = servers.remove(id);
+        if (server == null) {
+            return;
+        }
+        reindex(server);
+        server.departedAt = now;
+        departed.remove(id);
+        departed.put(id, server);
+        Iterator<Server> oldest = departed.values().iterator();
+        Server first = oldest.next();
+        if (departed.size() > MAX_DEPARTED || now - first.departedAt > DEPARTED_RETENTION) {
+            oldest.remove();
+        }
+    }
+
+    /** The server with what was learnt of it, if the entry is of the same start and it left not long ago. */
+    private Server returned(ServerEntry entry) {
+        Server server = departed.remove(entry.server());
+        if (server == null || server.startedAt != entry.startedAt() || server.cell != entry.cell()
+                || !server.zone.equals(String.valueOf(entry.zone()))
+                || now - server.departedAt > DEPARTED_RETENTION) {
+            return null;
+        }
+        // All nodes see the return at the same moment, so no credit is saved up for it.
+        server.credit = Math.min(server.credit, random.nextDouble());
+        server.creditUpdatedAt = now;
+        server.doubted &= !discoveryHeard;
+        return server;
+    }
+
     private void scheduleFirstSubscription() {
         if (settings.mustAskMembership()) {
             double spread = Math.min(0.4 * settings.rules().askEvery(), 50e6 * settings.siblings());
@@ -1042,6 +1083,8 @@
         boolean doubted;
         long sampledAt;
         long lastHeardAt;
+        /** When it left the list, if it has. */
+        long departedAt;
 
         Server(ServerEntry entry, ZoneState zoneState) {
             this.zoneState = zoneState;
--- a/src/test/java/onyxpaddle/MembershipTest.java
+++ b/src/test/java/onyxpaddle/MembershipTest.java
@@ -56,6 +56,60 @@
         assertEquals("a", sent(node.arrive("r", "read")));
     }
 
+    private static double mean(BalancerHarness node, String server) {
+        return node.balancer.serverStatuses(node.now).stream().filter(s -> s.server().equals(server)).findFirst().orElseThrow().mean();
+    }
+
+    @Test
+    void serversThatReturnAfterAListWithoutAnyGetTrafficAtOnceWithWhatWasLearntOfThem() {
+        BalancerHarness node = BalancerHarness.withDefaults().list("a");
+        node.serve("r1", 300 * MS);
+        double learnt = mean(node, "a");
+        assertTrue(learnt > 0);
+        node.list();
+        List<Action> waiting = node.arrive("r2", "write");
+        assertEquals(null, sent(waiting));
+        node.now += 120 * SECOND;
+        node.list("a");
+        assertEquals("a", sent(node.arrive("r3", "write")));
+        assertEquals(learnt, mean(node, "a"));
+    }
+
+    @Test
+    void nothingLearntOfAServerIsUsedAfterItsRestartOrALongAbsence() {
+        BalancerHarness node = BalancerHarness.withDefaults().list("a");
+        node.serve("r1", 300 * MS);
+        node.list();
+        node.changes(node.entry("a", ServerState.READY, node.now));
+        assertEquals(0, mean(node, "a"));
+        node.now += 30 * SECOND;
+        node.serve("r2", 300 * MS);
+        node.list();
+        node.now += 601 * SECOND;
+        node.changes(node.entry("a", ServerState.READY, node.now - 631 * SECOND));
+        assertEquals(0, mean(node, "a"));
+    }
+
+    @Test
+    void serverThatReturnsWhileItIsColdHasSavedNoCredit() {
+        for (int seed = 1; seed <= 20; seed++) {
+            BalancerHarness node = new BalancerHarness(BalancerHarness.settings(
+                BalancerHarness.requestClass("write", Effect.UNSAFE, KeyGroup.ALL)), seed).list("a");
+            for (int request = 0; request < 400; request++) {
+                node.serve("warm" + request, MS);
+            }
+            ServerEntry cold = node.entry("c", ServerState.READY, node.now);
+            node.handle(new Membership(ListKind.ALL, List.of(cold)));
+            node.arrive("before", "write");
+            node.list();
+            node.now += 5 * SECOND;
+            node.handle(new Membership(ListKind.ALL, List.of(cold)));
+            for (int request = 0; request < 5; request++) {
+                assertEquals(null, sent(node.arrive("r" + request, "write")), "seed " + seed);
+            }
+        }
+    }
+
     @Test
     void lateOutcomeOfAServerThatIsGoneIsIgnored() {
         BalancerHarness node = BalancerHarness.withDefaults().list("a", "b");
