A node that finds no server listed is ready, says so, and refuses in time

What callers saw: a node that was started while no server was listed was never ready, so its clients found nobody, though its answers would have been refusals in time. Cause: readiness waited for a first server. Change: ready once discovery has answered, with servers or without; /ready says that none is listed, and the log when that begins and ends.

--- a/src/main/java/onyxpaddle/admin/AdminOperations.java
+++ b/src/main/java/onyxpaddle/admin/AdminOperations.java
@@ -5,6 +5,9 @@
     /** Whether this process is ready to serve. */
     boolean ready();
 
+    /** Whether no server is listed, so that requests are refused. */
+    boolean withoutServers();
+
     /** The metrics in the Prometheus text format. */
     String metrics();
 
--- a/src/main/java/onyxpaddle/admin/AdminServer.java
+++ b/src/main/java/onyxpaddle/admin/AdminServer.java
@@ -133,7 +133,7 @@
             return Result.of(HttpResponseStatus.METHOD_NOT_ALLOWED);
         }
         return switch (path) {
-            case "/ready" -> Result.of(operations.ready());
+            case "/ready" -> ready();
             case "/metrics" -> new Result(HttpResponseStatus.OK, MetricsExposition.TYPE, operations.metrics());
             case "/servers" -> new Result(HttpResponseStatus.OK, "application/json", operations.servers());
             case "/bgp" -> json(operations.bgp());
@@ -144,6 +144,11 @@
         };
     }
 
+    private Result ready() {
+        return operations.ready() && operations.withoutServers()
+            ? new Result(HttpResponseStatus.OK, "text/plain", "yes, but no server is listed\n") : Result.of(operations.ready());
+    }
+
     private static Result json(String text) {
         return text == null ? Result.of(HttpResponseStatus.NOT_FOUND) : new Result(HttpResponseStatus.OK, "application/json", text);
     }
--- a/src/main/java/onyxpaddle/membership/ServerTable.java
+++ b/src/main/java/onyxpaddle/membership/ServerTable.java
@@ -111,6 +111,11 @@
         return needsWholeList;
     }
 
+    /** Whether no server is listed, neither for use nor draining. */
+    public boolean isEmpty() {
+        return servers.isEmpty();
+    }
+
     /** The servers in force. */
     public ServerList inForce() {
         return new ServerList(version, true, servers.values().stream().map(Listed::inForce).toList());
--- a/src/main/java/onyxpaddle/serve/Lifecycle.java
+++ b/src/main/java/onyxpaddle/serve/Lifecycle.java
@@ -54,6 +54,11 @@
         /** Whether requests can be served, apart from whether it listens. */
         boolean ready();
 
+        /** Whether it serves without any listed server, so that requests are refused. */
+        default boolean withoutServers() {
+            return false;
+        }
+
         /** The current pools by name. */
         Map<String, Dispatcher> pools();
 
@@ -224,6 +229,11 @@
             return listens() && state.acceptsWork() && work.ready();
         }
 
+        @Override
+        public boolean withoutServers() {
+            return work.withoutServers();
+        }
+
         @Override
         public String metrics() {
             return MetricsExposition.of(clock.now(), work.tally(), work.pools().values(), work.retiredPools(), reloads, failedReloads);
--- a/src/main/java/onyxpaddle/serve/Node.java
+++ b/src/main/java/onyxpaddle/serve/Node.java
@@ -56,8 +56,8 @@
     private ServerTable servers;
     private HttpFront front;
     private PlatformConfig config;
-    private boolean hasServers;
     private boolean listReceived;
+    private boolean loggedWithoutServers;
 
     /** The file about the loss of sites; null for none. */
     private final String sites;
@@ -211,15 +211,27 @@
     }
 
     private void apply(ServerList roster, ListKind kind) {
-        hasServers |= !roster.hosts().isEmpty();
         upstream.apply(roster);
         dispatcher.membership(kind, roster.entries());
+        boolean without = withoutServers();
+        if (without != loggedWithoutServers) {
+            loggedWithoutServers = without;
+            Log.line(without ? "no server is listed: requests wait for one and are refused" : "servers are listed");
+        }
     }
 
-    /** Ready once a server is known; the list of the start may be outdated, so discovery gets some time to answer first. */
+    /**
+     * Ready once discovery has answered, with servers or without: then requests get their answers. The list of the start may be outdated,
+     * so with servers in it discovery gets some time to answer first.
+     */
     @Override
     public boolean ready() {
-        return hasServers && (listReceived || clock.now() - startedAt > LIST_TIMEOUT);
+        return listReceived || !withoutServers() && clock.now() - startedAt > LIST_TIMEOUT;
+    }
+
+    @Override
+    public boolean withoutServers() {
+        return servers.isEmpty();
     }
 
     EventLoop loop() {
