A replacement doubts its old list also where the first process had no server left

What callers saw: a process that takes another one's place, started with an old list, sent to servers that the first process knew to be gone, until discovery answered; two processes count as one node. Cause: a handed over list without servers counted as no list, so nothing was doubted. A list that only takes servers out of use is handed to the module as the list of the start is, and does not end the doubt. Result: ReplacementTest.serversThatTheFirstProcessKnewGoneByAListWithoutAnyGetNothingByAnOlderList red before (no server avoided of four), green now.

--- a/src/main/java/onyxpaddle/RatioBalancer.java
+++ b/src/main/java/onyxpaddle/RatioBalancer.java
@@ -392,8 +392,9 @@
         }
         List<ClassSnapshot> classSnapshots = new ArrayList<>();
         classes.values().forEach(model -> classSnapshots.add(model.snapshot()));
-        return new BalancerSnapshot(serverSnapshots, true, classSnapshots, List.copyOf(takenOut), admitLimit,
-            lateSeen, retriesSaved, usualRank, usualWorth);
+        boolean listed = discoveryHeard || !servers.isEmpty();
+        return new BalancerSnapshot(serverSnapshots, listed, classSnapshots, List.copyOf(takenOut),
+            admitLimit, lateSeen, retriesSaved, usualRank, usualWorth);
     }
 
     /**
@@ -403,7 +404,7 @@
      */
     public void restore(BalancerSnapshot snapshot) {
         snapshot.servers().forEach(s -> pendingSnapshots.put(s.server(), s));
-        snapshotComplete = snapshot.whole() && !snapshot.servers().isEmpty();
+        snapshotComplete = snapshot.whole();
         servers.values().forEach(this::restoreServer);
         snapshot.takenOut().forEach(server -> takeOut(server, true));
         for (ClassSnapshot c : snapshot.classes()) {
--- a/src/test/java/onyxpaddle/ReplacementTest.java
+++ b/src/test/java/onyxpaddle/ReplacementTest.java
@@ -105,6 +105,34 @@
         }
     }
 
+    @Test
+    void serversThatTheFirstProcessKnewGoneByAListWithoutAnyGetNothingByAnOlderList() {
+        BalancerHarness first = BalancerHarness.withDefaults().list("a", "b").list();
+        BalancerHarness next = BalancerHarness.withDefaults();
+        next.now = first.now;
+        next.handle(olderList(next));
+        next.balancer.restore(first.balancer.snapshot(first.now));
+        assertEquals(new FleetSummary(4, 4), next.balancer.fleet(next.now));
+        assertEquals(null, drawn(next, "r1"));
+        next.list("a");
+        assertEquals("a", drawn(next, "r2"));
+    }
+
+    /** A list that only takes servers out of use is handed in like the list of the start. */
+    @Test
+    void doubtOfAReplacementLastsUntilACurrentListHasCome() {
+        BalancerHarness first = BalancerHarness.withDefaults().list("a", "b", "c", "d");
+        first.changes(first.entry("b", ServerState.DRAINING, 0));
+        BalancerHarness next = BalancerHarness.withDefaults();
+        next.now = first.now;
+        next.handle(olderList(next));
+        next.balancer.restore(first.balancer.snapshot(first.now));
+        next.handle(olderList(next));
+        assertEquals(new FleetSummary(4, 1), next.balancer.fleet(next.now));
+        next.list("a", "b", "c", "d");
+        assertEquals(new FleetSummary(4, 0), next.balancer.fleet(next.now));
+    }
+
     /** Guards against leaving out a server that the second process hears of from discovery before the first. */
     @Test
     void serverFromDiscoveryIsNotDoubted() {
