Reasons of refused RPC calls, and of RPC attempts whose server leaves, are counted

Change: refused_node_ends, refused_connection_limit and refused_no_memory for calls, attempt_server_leaving and attempt_no_descriptor for attempts by MessagePack-RPC. Result: MetricsTest.rpcCallRefusedByANodeThatEndsIsCountedWithItsReason red without, green with it. The other four reasons have no test that forces them; HTTP rejections other than 503 are not in the metric yet.

--- a/src/main/java/onyxpaddle/rpc/CallerConnection.java
+++ b/src/main/java/onyxpaddle/rpc/CallerConnection.java
@@ -240,6 +240,7 @@
             refuse(msgid, method, NodeError.of(Code.NO_METHOD));
         } else if (front.refusesNewCalls() || front.nearConnectionLimit()) {
             routed.target().pool().countResult(routed.terms(), RequestCounts.RequestResult.BUSY);
+            front.events().count(front.refusesNewCalls() ? NodeEvent.REFUSED_NODE_ENDS : NodeEvent.REFUSED_CONNECTION_LIMIT);
             refuse(msgid, method, NodeError.of(Code.REFUSED));
         } else {
             receiving = new OpenCall(msgid, routed);
@@ -281,6 +282,9 @@
         frameSince = -1;
         if (call != null) {
             if (call.refusal != null) {
+                if (call.refusal.code() == Code.REFUSED) {
+                    front.events().count(NodeEvent.REFUSED_NO_MEMORY);
+                }
                 call.routed.target().pool().countResult(call.routed.terms(),
                     call.refusal.code() == Code.REFUSED ? RequestCounts.RequestResult.BUSY : RequestCounts.RequestResult.FAILURE);
                 refuse(call.msgid, call.routed.head().method(), call.refusal);
--- a/src/main/java/onyxpaddle/rpc/RpcUpstream.java
+++ b/src/main/java/onyxpaddle/rpc/RpcUpstream.java
@@ -157,6 +157,7 @@
         Peer peer = peers.get(attempt.server);
         if (peer == null || peer.draining) {
             // It left the list after the attempt was decided.
+            dispatcher.events().count(NodeEvent.ATTEMPT_SERVER_LEAVING, attempt.exchange.id);
             dispatcher.ended(attempt, Outcome.CONNECT_FAILED, null);
             return;
         }
@@ -175,6 +176,7 @@
             dial(peer).send(attempt);
         } else {
             // The node itself has run out of descriptors: nothing was sent, and the server must not be blamed.
+            dispatcher.events().count(NodeEvent.ATTEMPT_NO_DESCRIPTOR, attempt.exchange.id);
             dispatcher.ended(attempt, Outcome.NOT_SENT, null);
         }
     }
--- a/src/test/java/onyxpaddle/serve/MetricsTest.java
+++ b/src/test/java/onyxpaddle/serve/MetricsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import onyxpaddle.config.NodeConfig;
 import onyxpaddle.serve.Loopback.Client;
@@ -117,4 +118,28 @@
             node.stop();
         }
     }
+
+    @Test
+    void rpcCallRefusedByANodeThatEndsIsCountedWithItsReason() throws Exception {
+        try (FakeServer box = new FakeServer("box");
+                StandInRpcServer records = new StandInRpcServer("records", 0, new onyxpaddle.standin.ExecutionCounter())) {
+            Sidecar node = Sidecar.start(config(box.address(), "127.0.0.1:" + records.address().getPort(), 3));
+            try (RpcCaller caller = new RpcCaller(node.address("calls"))) {
+                records.held(true);
+                caller.call("read");
+                await(node, "svc_inflight", 1);
+                Thread end = new Thread(node::drain);
+                end.start();
+                // Calls taken before the end begins are held; the first one that is answered was refused.
+                CompletableFuture<RpcCaller.Reply> call = caller.call("read");
+                for (long until = System.nanoTime() + 5_000_000_000L; !call.isDone() && System.nanoTime() < until; Thread.sleep(1)) {
+                    call = caller.call("read");
+                }
+                assertTrue(metric(node, "svc_events_total{kind=\"refusal\",reason=\"refused_node_ends\"}") > 0);
+                records.held(false);
+                end.join(Loopback.TIMEOUT_MS);
+            }
+            node.stop();
+        }
+    }
 }
