Requests that wait for a server to be listed no longer wake the node every 20 ms

Need: a tier without servers is a state that may last; each waiting request drew again every 20 ms, 50 wake-ups a second for each. Cause: the redraw made for servers short of credit was used where there was nobody to draw from. Change: such requests wait for a list or for their deadline, and are sent within 20 ms of a list that has a server, spread over that time. Result: MembershipTest.requestsThatWaitForAServerWakeNothingUpUntilOneIsListed and ...AreRefusedAtTheirDeadlineAndForgotten red before, green now.

--- a/src/main/java/onyxpaddle/RatioBalancer.java
+++ b/src/main/java/onyxpaddle/RatioBalancer.java
@@ -136,6 +136,8 @@
     private final Map<String, Request> requests = new HashMap<>();
     private final PriorityQueue<Wakeup> wakeups = new PriorityQueue<>();
     private final PriorityQueue<Request> waiting = new PriorityQueue<>();
+    /** Requests that wait for a server to be listed. */
+    private final Set<Request> withoutServer = new LinkedHashSet<>();
     private final Map<String, Quota> quotas = new HashMap<>();
     private boolean lateSeen;
     private double usualRank;
@@ -202,6 +204,9 @@
                 close(r);
             }
         }
+        if (!withoutServer.isEmpty() && !ready.isEmpty()) {
+            wakeRequestsWithoutServer();
+        }
         admitWaiting();
         armTimer();
         return actions;
@@ -742,6 +747,12 @@
             finish(r);
             return;
         }
+        if (ready.isEmpty()) {
+            r.wakeAt = answerCutoff(r);
+            schedule(r.wakeAt, r);
+            withoutServer.add(r);
+            return;
+        }
         Server server = draw(r);
         if (server == null) {
             r.wakeAt = Math.min(answerCutoff(r), now + REDRAW_INTERVAL);
@@ -769,6 +780,15 @@
         }
     }
 
+    /** Spread over a redraw interval, so that they do not all meet the first server that is listed. */
+    private void wakeRequestsWithoutServer() {
+        for (Request r : withoutServer) {
+            r.wakeAt = Math.min(answerCutoff(r), now + (long) (random.nextDouble() * REDRAW_INTERVAL));
+            schedule(r.wakeAt, r);
+        }
+        withoutServer.clear();
+    }
+
     private void onAttemptEnded(AttemptEnded ended) {
         Request r = requests.get(ended.request());
         if (r == null || ended.attempt() < 0 || ended.attempt() >= r.attempts.size()) {
@@ -975,6 +995,7 @@
     private void close(Request r) {
         if (!r.done) {
             r.done = true;
+            withoutServer.remove(r);
             if (r.admitted) {
                 admitted--;
             } else if (r.queued) {
--- a/src/test/java/onyxpaddle/MembershipTest.java
+++ b/src/test/java/onyxpaddle/MembershipTest.java
@@ -75,6 +75,31 @@
         assertEquals(learnt, mean(node, "a"));
     }
 
+    /** Guards against a node that draws again and again for each request that waits while no server is listed. */
+    @Test
+    void requestsThatWaitForAServerWakeNothingUpUntilOneIsListed() {
+        BalancerHarness node = BalancerHarness.withDefaults().list();
+        List<Action> actions = node.arrive("r1", "write");
+        assertTrue(only(actions, SetTimer.class).orElseThrow().after() > 1_900 * MS, actions.toString());
+        assertEquals(List.of(), node.arrive("r2", "write"));
+        node.now += SECOND;
+        actions = node.changes(node.entry("a", ServerState.READY, 0));
+        long wait = only(actions, SetTimer.class).orElseThrow().after();
+        assertTrue(wait <= 20 * MS, actions.toString());
+        node.now += 20 * MS;
+        List<Action> sends = node.handle(new Timer("due"));
+        assertEquals(2, sends.stream().filter(Send.class::isInstance).count(), sends.toString());
+    }
+
+    @Test
+    void requestsThatWaitForAServerAreRefusedAtTheirDeadlineAndForgotten() {
+        BalancerHarness node = BalancerHarness.withDefaults().list();
+        List<Action> actions = node.fire(node.arrive("r1", "write"));
+        assertTrue(only(actions, Refuse.class).isPresent(), actions.toString());
+        actions = node.changes(node.entry("a", ServerState.READY, 0));
+        assertEquals(List.of(), actions, "nothing goes out for a request that was refused");
+    }
+
     @Test
     void nothingLearntOfAServerIsUsedAfterItsRestartOrALongAbsence() {
         BalancerHarness node = BalancerHarness.withDefaults().list("a");
