TakeOverIT: replicas hold the first version before the regions are partitioned

The test waited until both nodes had the first version, which they may take from the publisher itself, and partitioned then. A replica without any version reports no staleness (it never heard from a publisher), so the wait could not end.

The test now waits until both replicas of the far side hold that version. No bound changes. The failure is not due to the program.

--- a/src/test/java/onyxpaddle/control/TakeOverIT.java
+++ b/src/test/java/onyxpaddle/control/TakeOverIT.java
@@ -145,9 +145,11 @@
             ConfiguredNode here = fleet.startNode("here", publisher, east, west, far);
             ConfiguredNode there = fleet.startNode("there", west, far, publisher, east);
             publisher.awaitReady();
-            publisher.publish(next());
+            ConfigurationVersion first = publisher.publish(next());
             String before = newest();
             fleet.awaitInForce(before);
+            awaitVersion(west, first);
+            awaitVersion(far, first);
 
             List<PartitionableLink> crossLinks = List.of(fleet.link(west, publisher), fleet.link(west, east), fleet.link(far, publisher),
                 fleet.link(far, east), fleet.link(east, west), fleet.link(east, far), here.link(west), here.link(far),
