A late answer puts no server back that the answer to a later call forbids

Cause: an answer that is late goes on beside further calls. If a later call was answered with a list below the held version (numbers begun anew, or an outdated replica), which takes servers out of use, the late whole list of the held version counted as current when it came, and put them back.

Change: calls are numbered; an answer to a call made before one that has been answered already (verdict overtaken, counted in svc_lists_total) takes servers out of use and puts none in, whatever its version.

Failing before: SlowListTest.lateAnswerPutsNoServerBack..., over sockets: a request went to the forbidden server.

--- a/src/main/java/onyxpaddle/membership/Discovery.java
+++ b/src/main/java/onyxpaddle/membership/Discovery.java
@@ -21,8 +21,9 @@
 
 /**
  * Keeps the list of servers up to date by long polling: one call at a time, each a watch from the current version, and the next one
- * immediately after each answer. An answer that is late may go on beside the next call, and counts if it comes first. Waits are short, because a change counts as delivered to the node soon after its wait even if the
- * call stalls. With an agent on each node it polls continuously; with a central discovery service it calls when the balancer
+ * immediately after each answer. An answer that is late may go on beside the next call, and counts if it comes first; if it comes later,
+ * it only takes servers out of use. Waits are short, because a change counts as delivered to the node soon after its wait even if the call
+ * stalls. With an agent on each node it polls continuously; with a central discovery service it calls when the balancer
  * subscribes and reports failed calls to the balancer. What an answer changes is decided by the {@link ServerTable}.
  */
 public final class Discovery {
@@ -64,6 +65,10 @@
     private boolean calling;
     private boolean stopped;
     private long calledAt;
+    /** Number of calls made so far. */
+    private long calls;
+    /** The last call answered with a list or changes. */
+    private long lastAnsweredCall;
 
     /**
      * {@code central}: discovery is one service for all nodes, not an agent on each; {@code table}: the servers in force, also those of an
@@ -130,12 +135,15 @@
         calling = true;
         calledAt = System.nanoTime();
         String uri = "/v1/endpoints" + (table.needsWholeList() ? "" : "?after=" + table.version() + "&wait_ms=" + watch.waitMs());
+        caller.call = ++calls;
         caller.client.call(uri, new Timeouts(watch.firstByteTimeoutMs(), watch.totalTimeoutMs(), PATIENCE_MS));
     }
 
     /** A connection to discovery and its call. */
     private final class Caller implements WatchClient.Listener {
         private final WatchClient client = new WatchClient(loop, allocator, address, MAX_ANSWER, this);
+        /** The number of its call. */
+        private long call;
 
         @Override
         public void failed(String reason, boolean refused) {
@@ -225,7 +233,9 @@
         int ready = update.count(ServerState.READY);
         ReceivedList received = new ReceivedList(update.whole(), update.version(), table.version(), ready, update.hosts().size() - ready,
             update.invalid().size(), update.invalid().isEmpty() ? "" : update.invalid().get(0).toString());
-        ServerTable.Applied applied = table.apply(update, now);
+        boolean overtaken = from.call < lastAnsweredCall;
+        lastAnsweredCall = Math.max(lastAnsweredCall, from.call);
+        ServerTable.Applied applied = overtaken ? table.applyOvertaken(update) : table.apply(update, now);
         status.received(applied.verdict(), received, now);
         listener.received(applied.list(), applied.current());
         boolean late = from != caller;
--- a/src/main/java/onyxpaddle/membership/ServerTable.java
+++ b/src/main/java/onyxpaddle/membership/ServerTable.java
@@ -33,7 +33,7 @@
      *
      * @param host its entry in the last current answer that could be read
      * @param readable whether its entry in the last current answer could be read
-     * @param forbiddenByNewer whether changes forbid its use that are newer than the list held
+     * @param forbiddenByNewer whether an answer forbids its use that is newer than the list held
      * @param forbiddenByOlder the highest version of an older answer that forbids its use
      */
     private record Listed(Host host, boolean readable, boolean forbiddenByNewer, long forbiddenByOlder) {
@@ -137,10 +137,7 @@
     public Applied apply(ListUpdate update, long now) {
         Verdict verdict = judge(update, now);
         if (verdict != Verdict.CURRENT) {
-            needsWholeList = true;
-            boolean changed = restrict(update);
-            newestVersion = update.whole() ? newestVersion : Math.max(newestVersion, update.version());
-            return new Applied(verdict, inForce(), changed);
+            return restrict(update, verdict);
         }
         version = update.version();
         newestVersion = version;
@@ -150,6 +147,18 @@
         return update.whole() ? replace(update) : merge(update);
     }
 
+    /**
+     * Applies an answer to a call made before another one that has been answered already. Whatever its version, discovery may have taken
+     * back since what it permits.
+     */
+    public Applied applyOvertaken(ListUpdate update) {
+        if (acceptsAnyVersion && update.whole()) {
+            acceptsAnyVersion = false;
+            newestVersion = update.version();
+        }
+        return restrict(update, Verdict.OVERTAKEN);
+    }
+
     private Verdict judge(ListUpdate update, long now) {
         if (!update.whole()) {
             return needsWholeList || update.version() < version ? Verdict.UNKNOWN_BASE : Verdict.CURRENT;
@@ -204,9 +213,10 @@
     }
 
     /** Takes out of use what the update forbids. An older whole list also permits what an older answer forbade. */
-    private boolean restrict(ListUpdate update) {
+    private Applied restrict(ListUpdate update, Verdict verdict) {
         Map<String, Entry> entries = update.entries();
-        boolean newer = !update.whole() && update.version() >= newestVersion;
+        boolean newer = update.version() >= newestVersion;
+        boolean permitting = verdict == Verdict.OLDER_LIST;
         boolean changed = false;
         for (Map.Entry<String, Listed> each : servers.entrySet()) {
             Listed before = each.getValue();
@@ -214,13 +224,15 @@
             Listed next = before;
             if (told == null ? update.whole() : !permits(told, before.host())) {
                 next = newer ? before.withForbiddenByNewer() : before.withForbiddenByOlder(update.version());
-            } else if (update.whole()) {
+            } else if (permitting) {
                 next = before.withPermittedByOlder(update.version());
             }
             changed |= !next.equals(before);
             each.setValue(next);
         }
-        return changed;
+        needsWholeList = true;
+        newestVersion = Math.max(newestVersion, update.version());
+        return new Applied(verdict, inForce(), changed);
     }
 
     /** Whether the entry names the same start of the server as ready, at the same addresses. */
--- a/src/main/java/onyxpaddle/node/ServerListStatus.java
+++ b/src/main/java/onyxpaddle/node/ServerListStatus.java
@@ -15,6 +15,8 @@
         OLDER_LIST,
         /** Changes to a list that this node does not have. */
         UNKNOWN_BASE,
+        /** It answers a call made before another one that has been answered already. */
+        OVERTAKEN,
         /** Not a list. */
         UNREADABLE;
 
--- a/src/test/java/onyxpaddle/membership/RandomTellingsTest.java
+++ b/src/test/java/onyxpaddle/membership/RandomTellingsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -11,6 +12,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import onyxpaddle.BalancerApi.ServerEntry;
 import onyxpaddle.BalancerApi.ServerState;
 import onyxpaddle.membership.ListUpdate.InvalidEntry;
@@ -19,13 +21,16 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Random answers of discovery: whole lists and changes, of rising, equal, falling and restarted versions, with entries that cannot be read.
- * Whichever way they are read, by the time at which they were written or by their versions, no server is in use that this reading forbids.
+ * Random answers of discovery: whole lists and changes, of rising, equal, falling and restarted versions, with entries that cannot be read,
+ * some of them received only after answers to later calls. Whichever way they are read, by the order of the calls or by their versions, no
+ * server is in use that this reading forbids.
  */
 class RandomTellingsTest {
     private static final int SEQUENCES = 2_000;
     private static final int TELLINGS = 500;
     private static final int SERVERS = 5;
+    /** Answers that are waited for beside later ones. */
+    private static final int MAX_LATE = 2;
     private static final long MS = 1_000_000L;
     private static final long DELIVERY_LIMIT = 6_000 * MS;
 
@@ -51,29 +56,50 @@
         }
     }
 
+    /** An answer of discovery; {@code call}: the number of its call. */
+    private record Answer(long call, ListUpdate update) {
+    }
+
     /** All readings of the answers so far. */
     private static final class Readings {
-        private final Reading byTime = new Reading();
-        private Reading byVersion = new Reading();
+        private final TreeMap<Long, ListUpdate> received = new TreeMap<>();
+        private Reading byCall = new Reading();
+        private final Reading byVersion = new Reading();
         private long newest;
         private long olderSince = Long.MAX_VALUE;
         private boolean replaced;
 
         Readings(ServerList known) {
             ListUpdate start = new ListUpdate(known.seq(), true, known.hosts(), List.of());
-            byTime.apply(start);
+            received.put(0L, start);
+            byCall.apply(start);
             byVersion.apply(start);
             newest = known.seq();
         }
 
-        void apply(ListUpdate update, long now) {
-            byTime.apply(update);
+        boolean isOvertaken(Answer answer) {
+            return answer.call() < received.lastKey();
+        }
+
+        void apply(Answer answer, long now) {
+            boolean overtaken = isOvertaken(answer);
+            received.put(answer.call(), answer.update());
+            if (overtaken) {
+                byCall = new Reading();
+                received.values().forEach(byCall::apply);
+            } else {
+                byCall.apply(answer.update());
+            }
+            applyByVersion(answer.update(), overtaken, now);
+        }
+
+        private void applyByVersion(ListUpdate update, boolean overtaken, long now) {
             boolean older = update.version() < newest && !(replaced && update.whole());
-            if (update.whole() && older && olderSince == Long.MAX_VALUE) {
+            if (update.whole() && older && !overtaken && olderSince == Long.MAX_VALUE) {
                 olderSince = now;
             }
             // A version that is the only one for as long as a change may take is the newest one, of restarted numbers.
-            boolean restarted = update.whole() && older && now - olderSince >= DELIVERY_LIMIT;
+            boolean restarted = update.whole() && older && !overtaken && now - olderSince >= DELIVERY_LIMIT;
             if (older && !restarted) {
                 return;
             }
@@ -81,13 +107,13 @@
             newest = update.version();
             if (update.whole()) {
                 replaced = false;
-                olderSince = Long.MAX_VALUE;
+                olderSince = overtaken ? olderSince : Long.MAX_VALUE;
             }
         }
 
         boolean permit(Host inUse) {
             String server = inUse.entry().server();
-            return agrees(inUse, byTime.ready.get(server)) && agrees(inUse, byVersion.ready.get(server));
+            return agrees(inUse, byCall.ready.get(server)) && agrees(inUse, byVersion.ready.get(server));
         }
 
         private static boolean agrees(Host inUse, Host told) {
@@ -157,17 +183,31 @@
         ServerTable table = new ServerTable(known);
         Readings readings = new Readings(known);
         List<Host> inUse = inUse(table);
+        ArrayDeque<Answer> late = new ArrayDeque<>();
         long now = 0;
         for (int number = 0; number < TELLINGS; number++) {
             now += random.nextInt(random.nextInt(20) == 0 ? 7_000 : 300) * MS;
             if (random.nextInt(100) == 0) {
                 table.discoveryReplaced();
+                late.clear();
                 readings.replaced = true;
                 readings.olderSince = Long.MAX_VALUE;
             }
-            ListUpdate update = tellings.next(table.version());
-            readings.apply(update, now);
-            boolean current = table.apply(update, now).current();
+            Answer answer = new Answer(number + 1, tellings.next(table.version()));
+            if (late.size() < MAX_LATE && random.nextInt(6) == 0) {
+                late.add(answer);
+                continue;
+            }
+            if (!late.isEmpty() && random.nextInt(3) == 0) {
+                answer = late.poll();
+            }
+            ListUpdate update = answer.update();
+            boolean overtaken = readings.isOvertaken(answer);
+            readings.apply(answer, now);
+            boolean current = (overtaken ? table.applyOvertaken(update) : table.apply(update, now)).current();
+            if (current) {
+                late.clear();
+            }
             if (decision.takesEffect(update, current)) {
                 inUse = inUse(table);
             }
--- a/src/test/java/onyxpaddle/membership/ServerTableTest.java
+++ b/src/test/java/onyxpaddle/membership/ServerTableTest.java
@@ -42,6 +42,10 @@
         return table.apply(new ListUpdate(version, true, hosts, List.of()), now).verdict();
     }
 
+    private Verdict overtakenWhole(long version, List<Host> hosts) {
+        return table.applyOvertaken(new ListUpdate(version, true, hosts, List.of())).verdict();
+    }
+
     private Verdict changes(long version, List<Host> hosts, InvalidEntry... invalid) {
         return table.apply(new ListUpdate(version, false, hosts, List.of(invalid)), now).verdict();
     }
@@ -148,6 +152,21 @@
         assertEquals("bc", inUse());
     }
 
+    @Test
+    void answerOvertakenByALaterOneTakesServersOutOfUseAndPutsNoneIn() {
+        assertEquals(Verdict.OLDER_LIST, whole(3, ready("b", "c")));
+        assertEquals("bc", inUse());
+        assertEquals(Verdict.OVERTAKEN, overtakenWhole(10, ready("a", "b", "c")));
+        assertEquals("bc", inUse());
+        assertEquals(Verdict.OVERTAKEN, overtakenWhole(12, ready("a", "b", "d")));
+        assertEquals("b", inUse());
+        assertTrue(table.needsWholeList());
+        assertEquals(Verdict.OLDER_LIST, whole(11, ready("b", "c", "d")));
+        assertEquals("b", inUse(), "below the version of the overtaken list");
+        assertEquals(Verdict.CURRENT, whole(12, ready("a", "b", "d")));
+        assertEquals("abd", inUse());
+    }
+
     @Test
     void serverAtAnotherAddressOrStartInAnOlderListIsNotUsed() {
         assertEquals(Verdict.OLDER_LIST, whole(9, List.of(host("a", ServerState.READY, 81, 0), host("b", ServerState.READY, 80, 7),
--- a/src/test/java/onyxpaddle/serve/SlowListTest.java
+++ b/src/test/java/onyxpaddle/serve/SlowListTest.java
@@ -16,8 +16,14 @@
 import onyxpaddle.serve.Loopback.FakeServer;
 import org.junit.jupiter.api.Test;
 
-/** Guards against a discovery whose answers are all slow, so that a node that gives each of them up never learns what it wrote. */
+/**
+ * Guards against a discovery whose answers are slow: a node that gives each of them up never learns what it wrote, and one that takes a late
+ * answer for the newest one forgets what a later call has told.
+ */
 class SlowListTest {
+    /** Enough to reach each of two servers almost certainly. */
+    private static final int REQUESTS = 20;
+
     /** Begins an answer to every call; the first goes on only after a number of calls, and the others never do. */
     private static final class PausingDiscovery extends Loopback.Peer {
         final BlockingQueue<String> calls = new LinkedBlockingQueue<>();
@@ -56,6 +62,47 @@
         }
     }
 
+    /** Pauses within its first answer, answers the second call with another list, and goes on with the first answer at the third call. */
+    private static final class OvertakingDiscovery extends Loopback.Peer {
+        /** Either the next call has come on the first connection, or the node has closed it. */
+        final CountDownLatch firstAnswerHandled = new CountDownLatch(1);
+        private final byte[] pausing;
+        private final byte[] overtaking;
+        private final CountDownLatch thirdCall = new CountDownLatch(1);
+        private final CountDownLatch closed = new CountDownLatch(1);
+        private final AtomicInteger connections = new AtomicInteger();
+
+        OvertakingDiscovery(String pausingList, String overtakingList) throws Exception {
+            pausing = Loopback.ok(pausingList).getBytes(StandardCharsets.UTF_8);
+            overtaking = Loopback.ok(overtakingList).getBytes(StandardCharsets.UTF_8);
+        }
+
+        @Override
+        void serve(Socket socket) throws Exception {
+            int connection = connections.getAndIncrement();
+            OutputStream out = socket.getOutputStream();
+            Loopback.head(socket.getInputStream());
+            if (connection == 0) {
+                out.write(pausing, 0, pausing.length / 2);
+                thirdCall.await();
+                out.write(pausing, pausing.length / 2, pausing.length - pausing.length / 2);
+                Loopback.head(socket.getInputStream());
+                firstAnswerHandled.countDown();
+            } else if (connection == 1) {
+                out.write(overtaking);
+            } else {
+                thirdCall.countDown();
+            }
+            closed.await();
+        }
+
+        @Override
+        public void close() throws java.io.IOException {
+            closed.countDown();
+            super.close();
+        }
+    }
+
     @Test
     void answerThatPausesIsReadToItsEndWhileFurtherCallsAreMade() throws Exception {
         try (FakeServer before = new FakeServer("s1"); FakeServer after = new FakeServer("s2", Loopback.ok("after"));
@@ -76,4 +123,24 @@
             }
         }
     }
+
+    @Test
+    void lateAnswerPutsNoServerBackThatTheAnswerToALaterCallForbids() throws Exception {
+        try (FakeServer forbidden = new FakeServer("s1"); FakeServer permitted = new FakeServer("s2");
+                OvertakingDiscovery discovery = new OvertakingDiscovery(Loopback.list(1, forbidden, permitted), Loopback.list(0, permitted))) {
+            String config = Loopback.config(new Loopback.FakeDiscovery("{}"), forbidden, permitted);
+            Node node = Node.start(PlatformConfig.parse(config.getBytes(StandardCharsets.UTF_8),
+                Map.of("GW_DISCOVERY", discovery.address())));
+            try (Client client = new Client(node.address())) {
+                assertTrue(discovery.firstAnswerHandled.await(Loopback.TIMEOUT_MS, TimeUnit.MILLISECONDS), "the first answer is not handled");
+                for (int request = 0; request < REQUESTS; request++) {
+                    permitted.answers.add(Loopback.ok("permitted"));
+                    forbidden.answers.add(Loopback.ok("forbidden"));
+                    assertEquals("200 permitted", client.send(Loopback.request("r" + request, "read")).readAnswer());
+                }
+            } finally {
+                node.stop();
+            }
+        }
+    }
 }
