SlowListTest: late calls are bounded, and a current answer ends them

Two parts of the late calls had no test that noticed them: removing the bound of two late calls, or leaving late calls open after a current answer, passed the whole suite. The stand-in now counts, at each call, the connections that the node holds.

--- a/src/test/java/onyxpaddle/serve/SlowListTest.java
+++ b/src/test/java/onyxpaddle/serve/SlowListTest.java
@@ -5,7 +5,10 @@
 
 import java.io.OutputStream;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
@@ -27,10 +30,12 @@
     /** Begins an answer to every call; the first goes on only after a number of calls, and the others never do. */
     private static final class PausingDiscovery extends Loopback.Peer {
         final BlockingQueue<String> calls = new LinkedBlockingQueue<>();
+        /** By call, the number of connections that the node had open when it came. */
+        final BlockingQueue<Integer> openConnections = new LinkedBlockingQueue<>();
+        private final List<Socket> sockets = new ArrayList<>();
         private final String answer;
         private final CountDownLatch callsBeforeTheRest;
         private final CountDownLatch closed = new CountDownLatch(1);
-        private final AtomicInteger connections = new AtomicInteger();
 
         PausingDiscovery(String list, int callsBeforeTheRest) throws Exception {
             answer = Loopback.ok(list);
@@ -39,8 +44,9 @@
 
         @Override
         void serve(Socket socket) throws Exception {
-            boolean first = connections.getAndIncrement() == 0;
+            boolean first = add(socket);
             for (String head = Loopback.head(socket.getInputStream()); head != null; head = Loopback.head(socket.getInputStream())) {
+                openConnections.add(open(socket));
                 calls.add(head.split("\r\n")[0]);
                 callsBeforeTheRest.countDown();
                 byte[] bytes = answer.getBytes(StandardCharsets.UTF_8);
@@ -55,6 +61,31 @@
             }
         }
 
+        private synchronized boolean add(Socket socket) {
+            sockets.add(socket);
+            return sockets.size() == 1;
+        }
+
+        /** Counts this connection and the others that the node has not closed. Their threads do not read from them meanwhile. */
+        private synchronized int open(Socket calling) throws Exception {
+            int open = 1;
+            for (Socket socket : sockets) {
+                open += socket != calling && isOpen(socket) ? 1 : 0;
+            }
+            return open;
+        }
+
+        private static boolean isOpen(Socket socket) throws Exception {
+            socket.setSoTimeout(1);
+            try {
+                return socket.getInputStream().read() >= 0;
+            } catch (SocketTimeoutException e) {
+                return true;
+            } finally {
+                socket.setSoTimeout(0);
+            }
+        }
+
         @Override
         public void close() throws java.io.IOException {
             closed.countDown();
@@ -118,6 +149,24 @@
                 assertTrue(discovery.calls.poll(Loopback.TIMEOUT_MS, TimeUnit.MILLISECONDS).contains("after=2"));
                 assertEquals("200 after", client.send(Loopback.request("r1", "read")).readAnswer());
                 assertEquals(0, before.requests.size());
+                assertEquals(List.of(1, 2, 3, 1), List.copyOf(discovery.openConnections), "a current answer ends the other calls");
+            } finally {
+                node.stop();
+            }
+        }
+    }
+
+    @Test
+    void answersThatNeverEndTakeNoMoreThanThreeConnections() throws Exception {
+        try (FakeServer server = new FakeServer("s1");
+                PausingDiscovery discovery = new PausingDiscovery(Loopback.list(2, server), Integer.MAX_VALUE)) {
+            String config = Loopback.config(new Loopback.FakeDiscovery("{}"), server);
+            Node node = Node.start(PlatformConfig.parse(config.getBytes(StandardCharsets.UTF_8),
+                Map.of("GW_DISCOVERY", discovery.address())));
+            try {
+                for (int open : new int[] {1, 2, 3, 3, 3}) {
+                    assertEquals(open, discovery.openConnections.poll(Loopback.TIMEOUT_MS, TimeUnit.MILLISECONDS));
+                }
             } finally {
                 node.stop();
             }
