--- a/src/main/java/onyxpaddle/http/DepartureLog.java
+++ b/src/main/java/onyxpaddle/http/DepartureLog.java
@@ -2,9 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import onyxpaddle.node.Log;
 
-/** Logs servers that drain or are gone by a list, with the time since the last attempt at each: some by name and the rest by number. */
+/** Describes servers that drain or are gone by a list, with the time since the last attempt at each: some by name, the rest by number. */
 final class DepartureLog {
     private static final int MAX_NAMES = 6;
 
@@ -23,10 +22,10 @@
         }
     }
 
-    /** Logs the servers that have left since the last call. */
-    void log(long version, long now) {
+    /** A log line on the servers that have left since the last call; empty if there are none. */
+    String nextLine(long version, long now) {
         if (named.isEmpty()) {
-            return;
+            return "";
         }
         StringBuilder line = new StringBuilder("servers leave by version ").append(version).append(", last attempt ms ago:");
         for (Departure departure : named) {
@@ -36,8 +35,8 @@
         if (unnamed > 0) {
             line.append(" and ").append(unnamed).append(" more");
         }
-        Log.line(line.toString());
         named.clear();
         unnamed = 0;
+        return line.toString();
     }
 }
--- a/src/main/java/onyxpaddle/http/HttpUpstream.java
+++ b/src/main/java/onyxpaddle/http/HttpUpstream.java
@@ -24,6 +24,7 @@
 import onyxpaddle.node.ResourceBudget.PoolShare;
 import onyxpaddle.node.Clock;
 import onyxpaddle.node.Dispatcher;
+import onyxpaddle.node.Log;
 import onyxpaddle.node.NodeEvent;
 import onyxpaddle.node.ServerList;
 import onyxpaddle.node.SocketBuffers;
@@ -131,7 +132,10 @@
             peer.address = host.address();
             peer.startedAt = host.entry().startedAt();
         }
-        departures.log(roster.seq(), clock.now());
+        String departed = departures.nextLine(roster.seq(), clock.now());
+        if (!departed.isEmpty()) {
+            Log.line(departed);
+        }
     }
 
     private void remove(String server) {
--- a/src/test/java/onyxpaddle/serve/StalledDrainTest.java
+++ b/src/test/java/onyxpaddle/serve/StalledDrainTest.java
@@ -7,10 +7,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import onyxpaddle.node.Dispatcher;
+import onyxpaddle.node.NodeEvent;
 import onyxpaddle.serve.Loopback.Client;
 import onyxpaddle.serve.Loopback.FakeServer;
 import onyxpaddle.serve.ScriptedDiscovery.SendList;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Requests that a stalled event loop reads before the news of a drain, in one turn with it, are not sent to the server that drains. */
 class StalledDrainTest {
@@ -77,8 +81,9 @@
     }
 
     /** The dial succeeds before the news arrives, and the event loop gets to both late. */
-    @Test
-    void requestWhoseDialSucceededBeforeTheNewsOfADrainAvoidsTheServer() throws Exception {
+    @ParameterizedTest
+    @ValueSource(longs = {150, 500, BLOCKED_MS})
+    void requestWhoseDialSucceededBeforeTheNewsOfADrainAvoidsTheServer(long blockedMs) throws Exception {
         try (FakeServer drains = new FakeServer("s1"); FakeServer stays = new FakeServer("s2"); FullBacklogServer full = new FullBacklogServer();
                 ScriptedDiscovery discovery = new ScriptedDiscovery(
                     new SendList(Loopback.list(1, drains).replace(drains.address(), full.address())))) {
@@ -92,10 +97,12 @@
                 try (Socket late = full.acceptDelayed()) {
                     stays.answers.add(Loopback.ok("stays"));
                     discovery.append(new SendList(Loopback.list(2, stays)));
-                    blocked.releaseAfter(BLOCKED_MS);
+                    blocked.releaseAfter(blockedMs);
                     assertEquals(-1, late.getInputStream().read());
                 }
                 assertEquals("200 stays", client.readAnswer());
+                Dispatcher dispatcher = node.pools().get("");
+                assertEquals(1, node.loop().submit(() -> dispatcher.events().total(NodeEvent.ATTEMPT_SERVER_LEAVING)).get());
             } finally {
                 node.stop();
             }
