Test of the reason of RPC calls refused near the connection limit; one reader of heads

svc_events_total's refused_connection_limit of MessagePack-RPC had no test. Callers with open calls are added until one is refused, and one such event has to be counted; counted as another reason it is red (expected 1, was 0). The two stand-ins for discovery read a call's head by the same code now. Left without a test: refused_no_memory and attempt_no_descriptor of RPC.

--- a/src/test/java/onyxpaddle/measure/ScriptedEndpoints.java
+++ b/src/test/java/onyxpaddle/measure/ScriptedEndpoints.java
@@ -1,7 +1,6 @@
 package onyxpaddle.measure;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -136,7 +135,7 @@
 
     private void serve(Socket socket) {
         try (socket) {
-            for (String head = head(socket.getInputStream()); head != null; head = head(socket.getInputStream())) {
+            for (String head = HttpHead.read(socket.getInputStream()); head != null; head = HttpHead.read(socket.getInputStream())) {
                 calls.add(System.nanoTime());
                 Matcher call = CALL.matcher(head);
                 if (!call.find()) {
@@ -188,19 +187,6 @@
         }
     }
 
-    /** The head of the next call; null at the end of the connection. */
-    private static String head(InputStream in) throws IOException {
-        StringBuilder head = new StringBuilder();
-        while (head.indexOf("\r\n\r\n") < 0) {
-            int next = in.read();
-            if (next < 0) {
-                return null;
-            }
-            head.append((char) next);
-        }
-        return head.toString();
-    }
-
     @Override
     public void close() throws IOException {
         listener.close();
--- a/src/test/java/onyxpaddle/measure/SwitchedDiscovery.java
+++ b/src/test/java/onyxpaddle/measure/SwitchedDiscovery.java
@@ -1,7 +1,6 @@
 package onyxpaddle.measure;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -48,12 +47,12 @@
 
     private void serve(Socket socket) {
         try (socket) {
-            for (String line = call(socket.getInputStream()); line != null; line = call(socket.getInputStream())) {
+            for (String head = HttpHead.read(socket.getInputStream()); head != null; head = HttpHead.read(socket.getInputStream())) {
                 String answer = list;
                 if (answer == null) {
                     TimeUnit.DAYS.sleep(1);
                 }
-                boolean watch = line.contains("after=" + seq + "&") && !line.contains("wait_ms=0");
+                boolean watch = head.contains("after=" + seq + "&") && !head.contains("wait_ms=0");
                 if (watch) {
                     TimeUnit.MILLISECONDS.sleep(WATCH_MS);
                     answer = "{\"seq\":" + seq + ",\"whole\":false,\"hosts\":[]}";
@@ -68,19 +67,6 @@
         }
     }
 
-    /** The first line of the next call; null where none comes. */
-    private static String call(InputStream in) throws IOException {
-        StringBuilder head = new StringBuilder();
-        while (head.indexOf("\r\n\r\n") < 0) {
-            int next = in.read();
-            if (next < 0) {
-                return null;
-            }
-            head.append((char) next);
-        }
-        return head.substring(0, head.indexOf("\r\n"));
-    }
-
     @Override
     public void close() throws IOException {
         listener.close();
--- a/src/test/java/onyxpaddle/serve/MetricsTest.java
+++ b/src/test/java/onyxpaddle/serve/MetricsTest.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import onyxpaddle.config.NodeConfig;
@@ -17,8 +19,13 @@
     private static final String BOOK = "POST /visits HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
 
     private static NodeConfig config(String http, String rpc, int attempts) {
+        return config("10000", http, rpc, attempts);
+    }
+
+    private static NodeConfig config(String descriptors, String http, String rpc, int attempts) {
         return SidecarRig.config("""
             version: 1
+            limits: {descriptors: %s}
             name: rig
             admin: "127.0.0.1:0"
             listeners:
@@ -34,7 +41,7 @@
               - {name: book, listener: in, path: /visits, pool: app, class: book}
             procedures:
               - {name: read, listener: calls, procedure: read, pool: records, class: read}
-            """.formatted(http, attempts, rpc));
+            """.formatted(descriptors, http, attempts, rpc));
     }
 
     private static long metric(Sidecar node, String series) throws Exception {
@@ -142,4 +149,38 @@
             node.stop();
         }
     }
+
+    @Test
+    void rpcCallRefusedNearTheConnectionLimitIsCountedWithItsReason() throws Exception {
+        List<RpcCaller> callers = new ArrayList<>();
+        try (FakeServer box = new FakeServer("box");
+                StandInRpcServer records = new StandInRpcServer("records", 0, new onyxpaddle.standin.ExecutionCounter())) {
+            Sidecar node = Sidecar.start(config("256", box.address(), "127.0.0.1:" + records.address().getPort(), 3));
+            try {
+                records.held(true);
+                CompletableFuture<RpcCaller.Reply> call;
+                do {
+                    callers.add(new RpcCaller(node.address("calls")));
+                    call = callers.get(callers.size() - 1).call("read");
+                    await(node, "svc_inflight", callers.size(), call);
+                } while (!call.isDone() && callers.size() < 256);
+                assertEquals("refused", call.get().nodeErrorCode());
+                assertEquals(1, metric(node, "svc_events_total{kind=\"refusal\",reason=\"refused_connection_limit\"}"));
+            } finally {
+                records.held(false);
+                for (RpcCaller caller : callers) {
+                    caller.close();
+                }
+                node.stop();
+            }
+        }
+    }
+
+    /** Waits until the series has this value or the call is answered. */
+    private static void await(Sidecar node, String series, long value, CompletableFuture<?> call) throws Exception {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Loopback.TIMEOUT_MS);
+        while (!call.isDone() && metric(node, series) != value) {
+            assertTrue(System.nanoTime() < end, () -> series + " is not " + value);
+        }
+    }
 }
