--- a/src/test/java/onyxpaddle/measure/DiscoverySoakIT.java
+++ b/src/test/java/onyxpaddle/measure/DiscoverySoakIT.java
@@ -46,8 +46,8 @@
     private static final long RECOVERY_MS = 8_000;
     private static final long SERVED_MS = 1_000;
 
-    /** What came of one seed. */
-    private record Outcome(List<ReceivedAttempt> forbidden, long unserved, long served, String timeline, String log) {
+    /** What came of one seed; {@code forbidden}: attempts by server and millisecond of the timeline. */
+    private record Outcome(List<String> forbidden, long unserved, long served, String timeline, String log) {
     }
 
     private static final ExecutorService PLAYS = Executors.newFixedThreadPool(SIDE_BY_SIDE);
@@ -110,7 +110,7 @@
                     SteadyLoad.Counts before = load.counts();
                     TimeUnit.MILLISECONDS.sleep(SERVED_MS);
                     SteadyLoad.Counts after = load.counts();
-                    return new Outcome(rig.forbidden(), after.unserved() - before.unserved() + after.broken() - before.broken(),
+                    return new Outcome(rig.forbidden().stream().map(this::describe).toList(), after.unserved() - before.unserved() + after.broken() - before.broken(),
                         after.served() - before.served(), mode + ", ms:\n" + String.join("\n", timeline) + "\n", rig.log());
                 }
             }
@@ -121,8 +121,16 @@
             note(publication.description());
         }
 
+        private String describe(ReceivedAttempt attempt) {
+            return attempt.server() + " at " + millis(attempt.at());
+        }
+
+        private long millis(long at) {
+            return TimeUnit.NANOSECONDS.toMillis(at - begin);
+        }
+
         private void note(String event) {
-            timeline.add(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begin) + " " + event);
+            timeline.add(millis(System.nanoTime()) + " " + event);
         }
 
         private void pause(int shortestMs, int longestMs) throws InterruptedException {
--- a/src/test/java/onyxpaddle/measure/ScriptedEndpoints.java
+++ b/src/test/java/onyxpaddle/measure/ScriptedEndpoints.java
@@ -5,6 +5,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -150,7 +151,7 @@
                     throw new IOException("not a call: " + head);
                 }
                 boolean whole = call.group(1) == null;
-                answer(socket.getOutputStream(), whole ? WHOLE : Long.parseLong(call.group(1)),
+                answer(socket, whole ? WHOLE : Long.parseLong(call.group(1)),
                     whole ? 0 : Long.parseLong(call.group(2)));
             }
         } catch (IOException e) {
@@ -160,7 +161,7 @@
         }
     }
 
-    private void answer(OutputStream out, long after, long waitMs) throws IOException, InterruptedException {
+    private void answer(Socket socket, long after, long waitMs) throws IOException, InterruptedException {
         Answer answer = null;
         Publication answeredBy;
         synchronized (this) {
@@ -176,13 +177,14 @@
             } while (true);
             answeredBy.answered |= answer != null;
         }
-        write(out, answer == null ? new Answer("{\"seq\":" + after + ",\"whole\":false,\"hosts\":[]}") : answer);
+        write(socket, answer == null ? new Answer("{\"seq\":" + after + ",\"whole\":false,\"hosts\":[]}") : answer);
         if (answer != null && answer.tells()) {
             answeredBy.writtenAt = Math.min(answeredBy.writtenAt, System.nanoTime());
         }
     }
 
-    private static void write(OutputStream out, Answer answer) throws IOException, InterruptedException {
+    private static void write(Socket socket, Answer answer) throws IOException, InterruptedException {
+        OutputStream out = socket.getOutputStream();
         byte[] bytes = ("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + answer.list().length() + "\r\n\r\n"
             + answer.list()).getBytes(StandardCharsets.US_ASCII);
         for (int piece = 0; piece < answer.pieces(); piece++) {
@@ -190,11 +192,22 @@
             int to = (int) ((long) bytes.length * (piece + 1) / answer.pieces());
             // The fault itself, and no wait for something.
             TimeUnit.MILLISECONDS.sleep(answer.millis() / answer.pieces());
+            requireOpen(socket);
             out.write(bytes, from, to - from);
             out.flush();
         }
     }
 
+    /** Throws if the node has closed the connection: what is written to it now would seem to be written, and reach nobody. */
+    private static void requireOpen(Socket socket) throws IOException {
+        socket.setSoTimeout(1);
+        try {
+            throw new IOException(socket.getInputStream().read() < 0 ? "the node has closed the connection" : "a call before its answer");
+        } catch (SocketTimeoutException e) {
+            socket.setSoTimeout(0);
+        }
+    }
+
     @Override
     public void close() throws IOException {
         listener.close();
