--- a/review/src/AlteredBody.java
+++ b/review/src/AlteredBody.java
@@ -35,6 +35,8 @@
                 if (!got.equals(sent.get(id))) {
                     altered.add(id);
                     rig.note("BROKEN: no client sent " + id + " in this form; its client sent " + sent.get(id));
+                    Rig.Server.answer(on, 400, "", new byte[0]);
+                    return;
                 }
                 if (toReset.remove(id)) {
                     rig.note(self.name + " resets the connection under " + id + ", before it has run anything of it");
@@ -83,7 +85,7 @@
                 rig.note("client of " + id + " got: " + outcome);
             }
         }
-        rig.note(REQUESTS + " requests, " + served + " answered 200, " + altered.size() + " run in a form that no client sent");
+        rig.note(REQUESTS + " requests, " + served + " answered 200, " + altered.size() + " at a server in a form that no client sent");
         rig.noteLogs(10);
         return altered.isEmpty() ? Rig.HELD : Rig.BROKEN;
     }
