--- a/review/src/Standstill.java
+++ b/review/src/Standstill.java
@@ -1,6 +1,7 @@
 import java.io.IOException;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -9,96 +10,184 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Case 2: many long bodies at a time for servers that read slowly, while other clients look up slots. Only the look-ups are judged: a
- * booking may also miss its time by what case 3 shows.
+ * Case 2: a node carries the most that the pages give one, and bookings have long bodies for servers that read slowly. Arrivals don't wait for
+ * answers; classes, shares, times, retries and their pauses are the site's. Only look-ups are judged: a booking may also miss its time by case 3.
  */
 final class Standstill {
-    /** With those who look up, under a quarter of the node's 1,024 descriptors; the page allows a third for requests. */
-    private static final int UPLOADERS = 240;
-    private static final int LOOKERS = 10;
+    /** First tries a second: 18 % of 2,000. */
+    private static final double PER_SECOND = 360;
+    private static final long LASTS_MS = 25_000;
+    /** A third of the node's 1,024 descriptors. */
+    private static final int MOST_CONNECTIONS = 341;
+    private static final int RETRIES = 3;
+    private static final int RETRY_AFTER_MS = 100;
+    /** A try is given up after this part of its class's time. */
+    private static final double TRY_SHARE = 0.55;
     private static final int BODY = 3_000_000;
     private static final int SHORT_BODY = 2_000;
-    /** A server reads 64 KiB at most of a connection in so many milliseconds: 1 MB/s; the page has peers of 64 kB/s. */
+    /** A server reads 64 KiB at most of a connection in so many milliseconds. */
     private static final int PAUSE_MS = 60;
-    private static final long LASTS = 30_000_000_000L;
+    /** Half a second after a client's time, the slack of 50 ms, and 50 ms for this process itself. */
+    private static final int LATEST_MS = 600;
+    /** Where this process itself stood still for longer, nothing is judged. */
+    private static final double MOST_OWN_PAUSE_MS = 400;
+
+    private static final List<Rig.RequestClass> CLASSES = List.of(new Rig.RequestClass("view-slots", "read_like", 0.6, 1.5, 3, 5),
+        new Rig.RequestClass("book-visit", "non_idempotent", 0.6, 1.5, 3, 5), new Rig.RequestClass("book-farm", "non_idempotent", 1.2, 3, 3, 5),
+        new Rig.RequestClass("book-campaign", "non_idempotent", 1.2, 3, 9, 5));
+    private static final int[] SHARES = {50, 27, 13, 10};
+
+    private final Rig rig;
+    private final int port;
+    private final byte[] body = new byte[Rig.TROUBLE ? BODY : SHORT_BODY];
+    private final ArrayDeque<Rig.Client> idle = new ArrayDeque<>();
+    private int connections;
+    private int mostConnections;
+    private final Map<String, Integer> outcomes = new TreeMap<>();
+    private final AtomicInteger lost = new AtomicInteger();
+    private final AtomicInteger tries = new AtomicInteger();
+    private volatile double longestOwnPause;
+
+    private Standstill(Rig rig, int port) {
+        this.rig = rig;
+        this.port = port;
+        new Random(1).nextBytes(body);
+    }
 
     public static void main(String[] arguments) {
-        Rig.run(arguments, Standstill::run);
+        Rig.run(arguments, rig -> {
+            Rig.Agent agent = rig.opened(new Rig.Agent());
+            Random work = new Random(7);
+            for (int i = 0; i < 12; i++) {
+                Rig.Server server = rig.opened(new Rig.Server("s-" + i, (self, request, on) -> {
+                    int ms;
+                    synchronized (work) {
+                        ms = 24 + work.nextInt(18);
+                    }
+                    Rig.sleep(ms);
+                    Rig.Server.answer(on, 200, "", request.headers().get("x-trace-id").getBytes(StandardCharsets.US_ASCII));
+                }));
+                server.pauseMs = Rig.TROUBLE ? PAUSE_MS : 0;
+                agent.put(server.name, server.port(), "ready", 0);
+            }
+            int port = Rig.freePort();
+            rig.new Node("n1", port, Rig.config("n1", port, agent, CLASSES, true), rig.folder.resolve("tmp")).awaitReady();
+            return new Standstill(rig, port).play();
+        });
     }
 
-    private static int run(Rig rig) throws Exception {
-        Rig.Agent agent = rig.opened(new Rig.Agent());
-        Random work = new Random(7);
-        for (int i = 0; i < 6; i++) {
-            Rig.Server server = rig.opened(new Rig.Server("s-" + i, (self, request, on) -> {
-                int ms;
-                synchronized (work) {
-                    ms = 24 + work.nextInt(18);
-                }
-                Rig.sleep(ms);
-                Rig.Server.answer(on, 200, "", request.headers().get("x-trace-id").getBytes(StandardCharsets.US_ASCII));
-            }));
-            server.pauseMs = Rig.TROUBLE ? PAUSE_MS : 0;
-            agent.put(server.name, server.port(), "ready", 0);
-        }
-        int port = Rig.freePort();
-        List<Rig.RequestClass> classes = List.of(new Rig.RequestClass("view-slots", "read_like", 0.6, 1.5, 3, 5),
-            new Rig.RequestClass("book-farm", "non_idempotent", 1.2, 3, 3, 5));
-        rig.new Node("n1", port, Rig.config("n1", port, agent, classes, true), rig.folder.resolve("tmp")).awaitReady();
-        byte[] body = new byte[Rig.TROUBLE ? BODY : SHORT_BODY];
-        new Random(1).nextBytes(body);
-        AtomicInteger lost = new AtomicInteger();
-        Map<String, Integer> outcomes = new TreeMap<>();
-        long until = System.nanoTime() + LASTS;
+    private int play() throws Exception {
+        Rig.thread("own pauses", () -> {
+            for (double last = rig.now(); ; last = rig.now()) {
+                Rig.sleep(10);
+                longestOwnPause = Math.max(longestOwnPause, rig.now() - last - 10);
+            }
+        });
+        Random random = new Random(2);
         List<Thread> clients = new ArrayList<>();
-        for (int c = 0; c < UPLOADERS + LOOKERS; c++) {
-            boolean looks = c >= UPLOADERS;
-            Random random = new Random(c);
-            clients.add(Rig.thread("client", () -> {
-                Rig.sleep(looks ? 0 : 2_000);
-                while (System.nanoTime() < until) {
-                    String id = String.format("%016x", random.nextLong());
-                    String outcome = request(rig, port, looks, id, body, lost);
-                    synchronized (outcomes) {
-                        outcomes.merge(outcome, 1, Integer::sum);
-                    }
-                    Rig.sleep(looks ? 100 : 50 + random.nextInt(200));
-                }
-            }));
+        double start = rig.now();
+        int arrivals = 0;
+        for (double at = start; at < start + LASTS_MS; at += -Math.log(1 - random.nextDouble()) * 1000 / PER_SECOND) {
+            if (at > rig.now()) {
+                Rig.sleep((long) (at - rig.now()));
+            }
+            int draw = random.nextInt(100);
+            int c = 0;
+            for (int sum = SHARES[0]; draw >= sum; sum += SHARES[++c]) {
+                // The class whose share the draw falls into.
+            }
+            Rig.RequestClass chosen = CLASSES.get(c);
+            long seed = random.nextLong();
+            arrivals++;
+            clients.add(Rig.thread("client", () -> client(chosen, new Random(seed))));
+        }
+        rig.join(clients, start + LASTS_MS + 45_000);
+        synchronized (outcomes) {
+            outcomes.forEach((outcome, count) -> rig.note(outcome + ": " + count));
         }
-        rig.join(clients, 60_000);
-        outcomes.forEach((outcome, count) -> rig.note(outcome + ": " + count));
-        rig.note(lost + " look-ups had no answer 0.5 s after their time");
+        rig.note(String.format("%d first tries in %d s, %d tries, at most %d connections at once", arrivals, LASTS_MS / 1000, tries.get(), mostConnections));
+        rig.note(lost + " look-ups had no answer in their time; this process itself stood still for at most " + Math.round(longestOwnPause) + " ms");
         rig.noteLogs(60);
+        if (longestOwnPause > MOST_OWN_PAUSE_MS) {
+            return Rig.CANNOT_RUN;
+        }
         return lost.get() > 0 ? Rig.BROKEN : Rig.HELD;
     }
 
-    /** One request on a new connection; returns what became of it. */
-    private static String request(Rig rig, int port, boolean looks, String id, byte[] body, AtomicInteger lost) {
-        double expires = looks ? 1.5 : 3;
-        String name = looks ? "look-up" : "booking";
+    private synchronized Rig.Client connect() throws IOException {
+        Rig.Client kept = idle.pollFirst();
+        if (kept != null) {
+            return kept;
+        }
+        if (connections == MOST_CONNECTIONS) {
+            return null;
+        }
+        mostConnections = Math.max(mostConnections, ++connections);
+        return new Rig.Client(port);
+    }
+
+    private synchronized void done(Rig.Client client, boolean keep) throws IOException {
+        if (keep) {
+            idle.addFirst(client);
+        } else {
+            connections--;
+            client.close();
+        }
+    }
+
+    /** A client's first try and its retries: what may not be repeated is tried again after a refusal only. */
+    private void client(Rig.RequestClass c, Random random) throws Exception {
+        boolean looks = c.effect().equals("read_like");
+        for (int i = 0; i <= RETRIES; i++) {
+            Rig.Client on = connect();
+            if (on == null) {
+                count(c, "no connection left to the client");
+                return;
+            }
+            tries.incrementAndGet();
+            String outcome = request(on, c, looks, String.format("%016x", random.nextLong()), i > 0);
+            count(c, outcome);
+            if (outcome.equals("200") || !looks && !outcome.equals("503")) {
+                return;
+            }
+            Rig.sleep(RETRY_AFTER_MS);
+        }
+    }
+
+    private void count(Rig.RequestClass c, String outcome) {
+        synchronized (outcomes) {
+            outcomes.merge(c.name() + ", " + outcome, 1, Integer::sum);
+        }
+    }
+
+    private String request(Rig.Client on, Rig.RequestClass c, boolean looks, String id, boolean retry) throws IOException {
+        double expires = c.deadline() * TRY_SHARE;
+        String extra = retry ? "X-Second-Try: 1\r\n" : "";
         double sent = -1;
-        try (Rig.Client client = new Rig.Client(port)) {
+        boolean keep = false;
+        try {
             if (looks) {
-                client.write(Rig.Client.head("GET", "/view-slots", "view-slots", id, expires, ""));
+                on.write(Rig.Client.head("GET", "/" + c.name(), c.name(), id, expires, extra));
             } else {
-                client.write(Rig.Client.head("POST", "/book-farm", "book-farm", id, expires, "Content-Length: " + body.length + "\r\n"));
-                client.write(body);
+                on.write(Rig.Client.head("POST", "/" + c.name(), c.name(), id, expires, extra + "Content-Length: " + body.length + "\r\n"));
+                on.write(body);
             }
             sent = rig.now();
-            Rig.Message answer = client.answer((int) (expires * 1000) + 600);
-            return name + ", " + (answer == null ? "connection closed" : "answer " + answer.status());
+            Rig.Message answer = on.answer((int) (expires * 1000) + LATEST_MS);
+            keep = answer != null && !"close".equalsIgnoreCase(answer.headers().get("connection"));
+            return answer == null ? "connection closed" : Integer.toString(answer.status());
         } catch (SocketTimeoutException e) {
-            // Its connection is open, its last byte was written, and its time and half a second are over.
-            if (!looks) {
-                return name + ", no answer in time (not judged here)";
+            // Its connection is open, its last byte was written, and its time, half a second and the slack are over.
+            if (looks) {
+                lost.incrementAndGet();
+                rig.note("BROKEN: look-up " + id + " has no answer " + Math.round(rig.now() - sent) + " ms after its last byte, with " + expires
+                    + " s to wait");
             }
-            lost.incrementAndGet();
-            rig.note("BROKEN: " + name + " " + id + " has no answer " + Math.round(rig.now() - sent) + " ms after its last byte, with "
-                + expires + " s to wait");
-            return name + ", no answer: lost";
+            return "no answer in time";
         } catch (IOException e) {
-            return name + ", " + (sent < 0 ? "connection broken while it was sent" : "connection reset");
+            return sent < 0 ? "connection broken while it was sent" : "connection reset";
+        } finally {
+            done(on, keep);
         }
     }
 }
