--- a/review/src/UnansweredUpload.java
+++ b/review/src/UnansweredUpload.java
@@ -12,7 +12,7 @@
     private static final int CLIENTS = 3;
     private static final int REQUESTS_EACH = 30;
     private static final int HANGS_AFTER = 9;
-    private static final int[] BODIES = {4_200_000, 5_200_000, 4_600_000, 6_000_000};
+    private static final int[] BODIES = {5_200_000, 4_200_000, 6_000_000, 7_000_000};
     private static final double EXPIRES = 3;
     /** The page's half a second after a client's time, the protocol page's slack of 50 ms, and 50 ms for this process itself. */
     private static final int LATEST_MS = 600;
