A request whose body has gone to one server is not sent again without it

With second copies no fault was needed: the copy took the rest of the body away from the first attempt.

Cause: the first MiB of a body that is passed on while it arrives was given back as soon as a later part had gone to a server, but only outcomes that prove that nothing ran forbade another attempt (NOT_REPLAYABLE); after RESET, ERROR and TIMED_OUT, for a second copy, and for a dial that came up late nobody asked whether the body was still there. What arrived between two attempts was even held anew, as if it were the whole.

Change: Upload owns all bytes of such a body and answers whether it is available. One attempt can take it, a second one throws; what arrives after that attempt has ended is dropped. An attempt that has the body is no longer ended early in favour of one that can't follow. NOT_REPLAYABLE is gone: a server that breaks off within a body counts as failed, not as full, and an upload whose client left counts for nothing.

--- a/src/main/java/onyxpaddle/BalancerApi.java
+++ b/src/main/java/onyxpaddle/BalancerApi.java
@@ -32,9 +32,7 @@
         OK(false), ERROR(false), FULL(true), TIMED_OUT(false), CONNECT_FAILED(true), RESET(false),
         CANCELLED(false), NOT_SENT(true),
         /** The server rejects the request as invalid, which does not count against the server. */
-        REJECTED(false),
-        /** It never ran but cannot be sent again: a part of its body was streamed and is no longer buffered. */
-        NOT_REPLAYABLE(true);
+        REJECTED(false);
 
         /** Whether this outcome proves that the request never ran at the server. */
         public final boolean neverRan;
@@ -139,7 +137,7 @@
 
     /** An input of the balancer. */
     public sealed interface Event permits Membership, Arrival, FirstByte, AttemptEnded, ClientGone, Timer,
-            Probed, TakenOut, ZoneShares {
+            Probed, TakenOut, ZoneShares, BodyConsumed {
     }
 
     /** A change of the server list, or its refusal. */
@@ -175,6 +173,13 @@
             boolean finished, double[] load) implements Event {
     }
 
+    /**
+     * An attempt has begun to take the request's body, which is passed on while it arrives and not kept: no
+     * further attempt can send it.
+     */
+    public record BodyConsumed(String request) implements Event {
+    }
+
     /** The client disconnected, or its request is over for another reason. */
     public record ClientGone(String request) implements Event {
     }
--- a/src/main/java/onyxpaddle/RatioBalancer.java
+++ b/src/main/java/onyxpaddle/RatioBalancer.java
@@ -198,6 +198,8 @@
             onTimer();
         } else if (event instanceof FirstByte first) {
             onFirstByte(first);
+        } else if (event instanceof BodyConsumed body) {
+            onBodyConsumed(body);
         } else if (event instanceof ClientGone gone) {
             Request r = requests.get(gone.request());
             if (r != null) {
@@ -492,7 +494,7 @@
     }
 
     private void recordFailure(Server server, Outcome outcome) {
-        if (outcome == Outcome.FULL || outcome == Outcome.NOT_REPLAYABLE) {
+        if (outcome == Outcome.FULL) {
             server.full.add(now);
             return;
         }
@@ -825,7 +827,7 @@
                     recordSuccess(r, attempt, ended.latency());
                 }
             }
-            case ERROR, FULL, NOT_REPLAYABLE -> {
+            case ERROR, FULL -> {
                 attempt.server.lastHeardAt = now;
                 recordFailure(attempt.server, ended.outcome());
             }
@@ -842,8 +844,7 @@
     }
 
     private void retryOrFinish(Request r, Outcome outcome) {
-        boolean allowed = outcome != Outcome.REJECTED && outcome != Outcome.NOT_REPLAYABLE && r.inFlight == 0
-            && mayAttempt(r);
+        boolean allowed = outcome != Outcome.REJECTED && r.inFlight == 0 && mayAttempt(r);
         if (allowed && (outcome.neverRan || spendRetry())) {
             if (r.attempts.size() < 2) {
                 dispatch(r);
@@ -858,10 +859,10 @@
         }
     }
 
-    /** Whether a further attempt keeps rule 2 and the site's limits. */
+    /** Whether a further attempt has a body to send, and keeps rule 2 and the site's limits. */
     private boolean mayAttempt(Request r) {
-        if (r.done || r.attempts.size() >= settings.limits().maxAttempts() || now >= answerCutoff(r)
-                || r.inFlight > 0 && !settings.limits().secondCopies()) {
+        if (r.done || r.bodyConsumed || r.attempts.size() >= settings.limits().maxAttempts()
+                || now >= answerCutoff(r) || r.inFlight > 0 && !settings.limits().secondCopies()) {
             return false;
         }
         return switch (r.model.requestClass.effect()) {
@@ -886,6 +887,15 @@
         return true;
     }
 
+    private void onBodyConsumed(BodyConsumed body) {
+        Request r = requests.get(body.request());
+        if (r != null) {
+            r.bodyConsumed = true;
+            // No second copy can follow, so the attempt is not overdue before the deadline.
+            r.wakeAt = 0;
+        }
+    }
+
     private void onFirstByte(FirstByte first) {
         Request r = requests.get(first.request());
         if (r == null || first.attempt() < 0 || first.attempt() >= r.attempts.size()) {
@@ -1179,6 +1189,8 @@
         boolean done;
         boolean queued;
         boolean admitted;
+        /** No further attempt can send its body, see {@link BodyConsumed}. */
+        boolean bodyConsumed;
         long wakeAt;
 
         Request(Arrival arrival, LatencyModel model, double worth, long number) {
--- a/src/main/java/onyxpaddle/http/BodyRelay.java
+++ b/src/main/java/onyxpaddle/http/BodyRelay.java
@@ -28,14 +28,10 @@
         this.lastProgressAt = clock.now();
     }
 
-    /** Sends the buffered part, and then what arrives from now on. */
-    void start(ByteBuf buffered) {
-        if (upload.complete()) {
-            take(buffered, true);
-        } else {
-            channel.writeAndFlush(new DefaultHttpContent(buffered));
-            upload.attach(this);
-        }
+    /** Takes the body: sends its held part, and then what arrives from now on. */
+    void start() {
+        channel.writeAndFlush(new DefaultHttpContent(upload.attach(this)));
+        upload.resume();
     }
 
     @Override
--- a/src/main/java/onyxpaddle/http/IncomingBody.java
+++ b/src/main/java/onyxpaddle/http/IncomingBody.java
@@ -1,7 +1,6 @@
 package onyxpaddle.http;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import onyxpaddle.node.Body;
 import onyxpaddle.node.Caller;
@@ -44,9 +43,6 @@
     private Exchange exchange;
     /** The streamed part; null as long as the body is only buffered. */
     private Upload upload;
-    /** What was received while neither buffer nor server accepted it, until an attempt reads it; null for none. */
-    private ByteBuf overflow;
-    private boolean overflowIsLast;
     private long pausedAt;
     private long pausedNanos;
     /** The last byte has arrived, or the rest is no longer needed. */
@@ -88,7 +84,8 @@
         if (received > request.maxBodyBytes()) {
             return Progress.TOO_LARGE;
         } else if (upload != null) {
-            return addStreamed(bytes, last) ? Progress.INCOMPLETE : Progress.NO_MEMORY;
+            addStreamed(bytes, last);
+            return Progress.INCOMPLETE;
         } else if (received <= request.maxBufferedBytes() && body.add(bytes)) {
             return last ? complete() : Progress.INCOMPLETE;
         } else if (request.mustBuffer() || received <= request.maxBufferedBytes() && body.size() < MIN_BUFFERED_BYTES) {
@@ -111,23 +108,15 @@
 
     /** Begins to stream the body, as it exceeds the buffer limit or the available memory. */
     private void startStreaming(ByteBuf bytes, boolean last, long arrivedAt) {
-        overflow = SocketBuffers.kept(bytes, channel.alloc());
-        overflowIsLast = last;
-        upload = new Upload(request.length(), this::setReading);
+        upload = new Upload(request.length(), body, this::setReading);
         exchange = new Exchange(request.terms(), request.head(), body, caller, upload);
+        addStreamed(bytes, last);
         setReading(false);
         request.pool().arrived(exchange, arrivedAt);
     }
 
     /** Resumes or pauses reading from the client, as the server's connection becomes writable or not. */
     private void setReading(boolean on) {
-        if (!done && on && overflow != null) {
-            // An attempt now reads the body: what could not be buffered precedes all further parts.
-            ByteBuf first = overflow;
-            overflow = null;
-            addStreamed(first, overflowIsLast);
-            first.release();
-        }
         if (done) {
             return;
         }
@@ -140,29 +129,12 @@
         channel.config().setAutoRead(on);
     }
 
-    /** Adds a part of a streamed body; false if it must be buffered and memory is full. */
-    private boolean addStreamed(ByteBuf bytes, boolean last) {
-        if (overflow != null) {
-            // Data that was already read when reading stopped.
-            overflow = Unpooled.wrappedBuffer(overflow, SocketBuffers.kept(bytes, channel.alloc()));
-            overflowIsLast = last;
-            return true;
-        }
-        boolean attached = upload.attached();
-        if (!attached && !body.add(bytes)) {
-            return false;
-        }
+    private void addStreamed(ByteBuf bytes, boolean last) {
         if (last) {
             done = true;
             onStreamed.run();
         }
-        if (attached) {
-            upload.offer(SocketBuffers.kept(bytes, channel.alloc()), last);
-            body.release();
-        } else if (last) {
-            upload.completeHeld();
-        }
-        return true;
+        upload.add(SocketBuffers.kept(bytes, channel.alloc()), last);
     }
 
     /** Called when no more input is available for now. */
@@ -178,7 +150,6 @@
             return;
         }
         done = true;
-        releaseOverflow();
         if (upload == null) {
             body.release();
         } else {
@@ -187,19 +158,11 @@
         }
     }
 
-    /** Called when the request is answered before its body is complete. The buffered part is released by the pool. */
+    /** Called when the request is answered before its body is complete. The pool releases what was received. */
     void abandonRest() {
         if (!done) {
             done = true;
-            releaseOverflow();
             upload.abort();
         }
     }
-
-    private void releaseOverflow() {
-        if (overflow != null) {
-            overflow.release();
-            overflow = null;
-        }
-    }
 }
--- a/src/main/java/onyxpaddle/http/ServerConnection.java
+++ b/src/main/java/onyxpaddle/http/ServerConnection.java
@@ -126,6 +126,9 @@
         startedAt = upstream.clock.now();
         reused = releasedAt > 0;
         Exchange exchange = next.exchange;
+        if (exchange.upload != null) {
+            upstream.dispatcher.bodyConsumed(next);
+        }
         HttpRequestHead head = upstream.bridge.head(exchange);
         method = head.method();
         maxAnswerBytes = head.maxAnswerBytes();
@@ -133,16 +136,16 @@
         long length = exchange.upload == null ? exchange.body.size() : exchange.upload.length();
         HttpHeaders headers = upstream.dialect.requestHeaders(head, length, channel.remoteAddress(),
             Math.min(exchange.timeLeft(startedAt), next.until - startedAt));
-        ByteBuf body = exchange.body.size() == 0 ? Unpooled.EMPTY_BUFFER : exchange.body.whole();
         throttle.reset();
         if (exchange.upload == null) {
+            ByteBuf body = exchange.body.size() == 0 ? Unpooled.EMPTY_BUFFER : exchange.body.whole();
             trackLastWrite(next, channel.writeAndFlush(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri(), body,
                 headers, EmptyHttpHeaders.INSTANCE)));
             return;
         }
         channel.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri(), headers));
         relay = new BodyRelay(exchange.upload, channel, upstream.clock, last -> trackLastWrite(next, last), () -> bodyAborted(next));
-        relay.start(body);
+        relay.start();
     }
 
     /** Registers the write that contains the request's last byte. */
@@ -153,7 +156,8 @@
 
     private void bodyAborted(Attempt of) {
         if (attempt == of) {
-            end(Outcome.CONNECT_FAILED);
+            // The server is not at fault.
+            end(Outcome.NOT_SENT);
             close(NodeEvent.SERVER_GIVEN_UP);
         }
     }
--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -202,12 +202,21 @@
 
     private void refuseUnsent(Exchange x, NodeEvent reason, long retryAfter) {
         x.finished = true;
-        x.body.release();
+        x.releaseBody();
         countResult(x.terms, RequestCounts.RequestResult.BUSY);
         events().count(reason, x.id);
         x.caller.refused(retryAfter, null);
     }
 
+    /** The attempt begins to take the request's streamed body, which no other attempt can send from now on. */
+    public void bodyConsumed(Attempt attempt) {
+        // Ending it early would serve another attempt, which is no longer possible.
+        attempt.until = attempt.exchange.deadline;
+        stopTimer(attempt);
+        attempt.timer = timers.add(attempt.until, () -> expire(attempt));
+        enqueue(new BodyConsumed(attempt.exchange.id));
+    }
+
     /** The last byte of a streamed request body is with the server: the request's time-out starts now. */
     public void uploaded(Attempt attempt) {
         Exchange x = attempt.exchange;
@@ -291,10 +300,8 @@
         if (siteGate != null) {
             siteGate.ended(clock.now(), attempt.server, outcome, clock.now() - attempt.sentAt);
         }
-        // The request can't be sent again: a part of its body went to a server and is no longer held.
-        Outcome reported = outcome.neverRan && x.upload != null && x.upload.started() ? Outcome.NOT_REPLAYABLE : outcome;
         // Load reports are not passed on: the balancer does not use them.
-        enqueue(new AttemptEnded(x.id, attempt.number, attempt.server, reported, clock.now() - attempt.sentAt, x.finished,
+        enqueue(new AttemptEnded(x.id, attempt.number, attempt.server, outcome, clock.now() - attempt.sentAt, x.finished,
             null));
         removeIfDone(x);
     }
@@ -472,7 +479,7 @@
      *
      * <p>This prevents attempts for callers that have left: the close may lie unread in the socket while a timer, a time-out or another
      * answer starts the next attempt, or a connect may succeed after the answer was given. It also prevents repeating a keyed
-     * request whose key the servers have forgotten meanwhile. The drawback: a caller that only shuts down its sending side and
+     * request whose key the servers have forgotten meanwhile, and an attempt that could send a part of the body only. The drawback: a caller that only shuts down its sending side and
      * waits counts as one that has left.
      */
     public boolean mayBegin(Attempt attempt) {
@@ -487,13 +494,28 @@
             if (!attempt.ended) {
                 ended(attempt, Outcome.NOT_SENT, null);
             }
-        } else if (!attempt.ended && (x.finished || x.keyExpired(attempt, now))) {
-            events().count(x.finished ? NodeEvent.ATTEMPT_ANSWERED : NodeEvent.ATTEMPT_KEY_EXPIRED, x.id);
-            ended(attempt, Outcome.NOT_SENT, null);
+        } else if (!attempt.ended) {
+            NodeEvent obstacle = obstacle(attempt, now);
+            if (obstacle != null) {
+                events().count(obstacle, x.id);
+                ended(attempt, Outcome.NOT_SENT, null);
+            }
         }
         return !attempt.ended;
     }
 
+    /** Why the attempt may not begin, apart from its caller; null if it may. */
+    private static NodeEvent obstacle(Attempt attempt, long now) {
+        Exchange x = attempt.exchange;
+        if (x.finished) {
+            return NodeEvent.ATTEMPT_ANSWERED;
+        }
+        if (x.keyExpired(attempt, now)) {
+            return NodeEvent.ATTEMPT_KEY_EXPIRED;
+        }
+        return x.bodyAvailable() ? null : NodeEvent.ATTEMPT_BODY_CONSUMED;
+    }
+
     private void cancel(Cancel cancel) {
         Exchange x = exchanges.get(cancel.request());
         if (x == null || cancel.attempt() < 0 || cancel.attempt() >= x.attempts.size()) {
@@ -521,7 +543,7 @@
 
     private void removeIfDone(Exchange x) {
         if (x.finished && x.pendingAttempts == 0 && exchanges.remove(x.id, x)) {
-            x.body.release();
+            x.releaseBody();
             release(x.failure);
         }
     }
--- a/src/main/java/onyxpaddle/node/Exchange.java
+++ b/src/main/java/onyxpaddle/node/Exchange.java
@@ -21,7 +21,7 @@
     public final boolean repeatable;
     public final Metadata head;
     public final Body body;
-    /** The rest of a streamed body; null if {@link #body} is complete. */
+    /** The streamed body, of which {@link #body} is the first part; null if {@link #body} is complete. */
     public final Upload upload;
     final Caller caller;
     final List<Attempt> attempts = new ArrayList<>(2);
@@ -64,6 +64,19 @@
         return caller.acceptsStreaming();
     }
 
+    /** Whether an attempt that begins now can send the whole body, from its first byte. */
+    public boolean bodyAvailable() {
+        return upload == null || upload.available();
+    }
+
+    /** Releases the body, which no further attempt may send. */
+    void releaseBody() {
+        body.release();
+        if (upload != null) {
+            upload.release();
+        }
+    }
+
     /** Whether the servers may have forgotten the key of this request, of which an earlier attempt may have run. */
     boolean keyExpired(Attempt next, long now) {
         RequestClass requestClass = terms.requestClass();
--- a/src/main/java/onyxpaddle/node/NodeEvent.java
+++ b/src/main/java/onyxpaddle/node/NodeEvent.java
@@ -48,6 +48,8 @@
     ATTEMPT_CLIENT_LEFT(Kind.NOT_BEGUN),
     ATTEMPT_ANSWERED(Kind.NOT_BEGUN),
     ATTEMPT_KEY_EXPIRED(Kind.NOT_BEGUN),
+    /** Another attempt has taken its request's streamed body. */
+    ATTEMPT_BODY_CONSUMED(Kind.NOT_BEGUN),
     /** No time or no attempt was left. */
     ATTEMPT_LIMIT(Kind.NOT_BEGUN),
     ATTEMPT_NO_DESCRIPTOR(Kind.NOT_BEGUN),
@@ -100,7 +102,7 @@
             case TIMED_OUT -> RETRY_AFTER_TIMEOUT;
             case CONNECT_FAILED -> RETRY_AFTER_CONNECT_FAILURE;
             case RESET -> RETRY_AFTER_RESET;
-            case OK, CANCELLED, NOT_SENT, REJECTED, NOT_REPLAYABLE -> RETRY_AFTER_OTHER;
+            case OK, CANCELLED, NOT_SENT, REJECTED -> RETRY_AFTER_OTHER;
         };
     }
 }
--- a/src/main/java/onyxpaddle/node/Upload.java
+++ b/src/main/java/onyxpaddle/node/Upload.java
@@ -1,14 +1,15 @@
 package onyxpaddle.node;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 
 /**
- * The streamed part of a request's body, which follows the part that is held. The request can be sent again with the held
- * part until any of the streamed part has gone to a server. The caller's side offers bytes as they arrive, one attempt at
- * a time takes them, and reading pauses while it can't take more. Used on the event loop only.
+ * The body of a request that is passed on to a server while it arrives. It is the owner of all of the body's bytes and decides
+ * whether the body is still {@link #available}: its first part is held, and reading is paused, until one attempt takes the body.
+ * From then on bytes go to that attempt as they arrive, and no other attempt can have them. Used on the event loop only.
  */
 public final class Upload {
-    /** The attempt that takes the streamed part. */
+    /** The attempt that takes the body. */
     public interface Sink {
         /** Takes the next bytes and their ownership; {@code last}: they complete the body. */
         void take(ByteBuf more, boolean last);
@@ -26,55 +27,89 @@
     }
 
     private final long length;
+    private final Body held;
     private final Reader reader;
     private Sink sink;
-    private boolean started;
-    private boolean complete;
-
-    /** {@code length}: of the complete body as announced by the caller, in bytes; -1 if it comes in chunks. */
-    public Upload(long length, Reader reader) {
+    /** An attempt has taken the body, or the body was released. */
+    private boolean consumed;
+    /** The body's last byte has arrived. */
+    private boolean received;
+    /** Bytes that follow the held part and arrived before an attempt took the body; null for none. */
+    private ByteBuf unheld;
+
+    /**
+     * Creates the body of which {@code held} is the first part.
+     *
+     * @param length of the complete body as announced by the caller, in bytes; -1 if it comes in chunks
+     */
+    public Upload(long length, Body held, Reader reader) {
         this.length = length;
+        this.held = held;
         this.reader = reader;
     }
 
+    /** The complete body's length in bytes as announced by the caller; -1 if it comes in chunks. */
     public long length() {
         return length;
     }
 
-    /** Whether bytes that are not held have gone to a server. */
-    public boolean started() {
-        return started;
+    /** Whether an attempt can still have the whole body, from its first byte. */
+    public boolean available() {
+        return !consumed;
     }
 
     /** Whether the body's last byte has arrived. */
-    public boolean complete() {
-        return complete;
+    public boolean received() {
+        return received;
     }
 
-    /** Sets the attempt that takes what arrives from now on; it has sent what is held. */
-    public void attach(Sink to) {
-        if (!complete) {
-            sink = to;
-            reader.read(true);
+    /** Adds the next bytes from the caller, of which it takes the ownership; {@code last}: they complete the body. */
+    public void add(ByteBuf more, boolean last) {
+        received |= last;
+        if (sink != null) {
+            sink.take(more, last);
+        } else if (consumed) {
+            more.release();
+        } else {
+            unheld = unheld == null ? more : Unpooled.wrappedBuffer(unheld, more);
+        }
+    }
+
+    /** Gives the body to an attempt and returns the held part, which it must send before it calls {@link #resume}. */
+    public ByteBuf attach(Sink to) {
+        if (consumed) {
+            throw new IllegalStateException("the body is no longer available");
         }
+        consumed = true;
+        sink = to;
+        return held.size() == 0 ? Unpooled.EMPTY_BUFFER : held.whole();
     }
 
-    /** The last byte has arrived while no attempt was attached: the complete body is held. */
-    public void completeHeld() {
-        complete = true;
+    /** Passes what has arrived meanwhile to the attached attempt, and resumes reading. */
+    public void resume() {
+        held.release();
+        ByteBuf first = unheld;
+        unheld = null;
+        if (first != null) {
+            sink.take(first, received);
+        }
+        if (!received) {
+            reader.read(true);
+        }
     }
 
+    /** Lets the attached attempt write out what it was given: no more input is available for now. */
     public void flush() {
         if (sink != null) {
             sink.flush();
         }
     }
 
-    /** Detaches an attempt that takes no more. */
+    /** Detaches an attempt that takes no more. What still arrives is dropped. */
     public void detach(Sink from) {
         if (sink == from) {
             sink = null;
-            if (!complete) {
+            if (!received) {
                 reader.read(false);
             }
         }
@@ -82,23 +117,11 @@
 
     /** Resumes or pauses reading, as the attached attempt has room again or has none. */
     public void setWritable(Sink by, boolean on) {
-        if (sink == by && !complete) {
+        if (sink == by && !received) {
             reader.read(on);
         }
     }
 
-    /** Whether an attempt is attached and takes what arrives next; otherwise it is held. */
-    public boolean attached() {
-        return sink != null;
-    }
-
-    /** Passes the next bytes to the attempt that is {@link #attached}. */
-    public void offer(ByteBuf more, boolean last) {
-        started = true;
-        complete = last;
-        sink.take(more, last);
-    }
-
     /** The caller has left, or has sent a malformed body. */
     public void abort() {
         Sink from = sink;
@@ -107,4 +130,14 @@
             from.aborted();
         }
     }
+
+    /** Releases the bytes that no attempt has taken; the body is not available afterwards. */
+    public void release() {
+        consumed = true;
+        held.release();
+        if (unheld != null) {
+            unheld.release();
+            unheld = null;
+        }
+    }
 }
--- a/src/main/java/onyxpaddle/site/PlanGate.java
+++ b/src/main/java/onyxpaddle/site/PlanGate.java
@@ -120,7 +120,7 @@
             return;
         }
         switch (outcome) {
-            case OK, ERROR, FULL, REJECTED, NOT_REPLAYABLE -> sites.answered(now, site, server);
+            case OK, ERROR, FULL, REJECTED -> sites.answered(now, site, server);
             case TIMED_OUT, CONNECT_FAILED -> sites.unreachable(now, site, server);
             case CANCELLED -> {
                 // Another attempt was quicker, or the client left: only a long silence counts as a failure.
--- a/src/test/java/onyxpaddle/FurtherAttemptsTest.java
+++ b/src/test/java/onyxpaddle/FurtherAttemptsTest.java
@@ -92,6 +92,38 @@
         assertEquals(0, cancel.attempt());
     }
 
+    /** Guards against a further attempt that has a part of the body to send, or none of it. */
+    @Test
+    void requestWhoseBodyIsConsumedGetsNoFurtherAttemptAndOneAnswer() {
+        for (String requestClass : List.of("read", "write", "put")) {
+            for (Outcome outcome : Outcome.values()) {
+                if (outcome == Outcome.OK) {
+                    continue;
+                }
+                String id = requestClass + outcome;
+                String server = sent(node.arrive(id, requestClass));
+                assertTrue(node.handle(new BodyConsumed(id)).stream().noneMatch(Send.class::isInstance));
+                List<Action> actions = node.end(id, 0, server, outcome, MS);
+                assertNull(sent(actions), id);
+                assertTrue(only(actions, Fail.class).isPresent() != only(actions, Refuse.class).isPresent(), id + ": " + actions);
+                if (requestClass.equals("write")) {
+                    assertEquals(outcome.neverRan, only(actions, Refuse.class).isPresent(), id);
+                }
+            }
+        }
+    }
+
+    /** Guards against a second copy that takes the body away from the first attempt. */
+    @Test
+    void requestWhoseBodyIsConsumedGetsNoSecondCopy() {
+        List<Action> actions = node.arrive("r", "put");
+        assertNotNull(sent(actions));
+        node.handle(new BodyConsumed("r"));
+        for (long end = node.now + 3 * BalancerHarness.SECOND; node.now < end; node.now += 10 * MS) {
+            assertNull(sent(node.handle(new Timer("due"))));
+        }
+    }
+
     @Test
     void repeatsOfRequestsThatMayHaveRunStayWithinTheRetryBudget() {
         int repeats = 0;
--- /dev/null
+++ b/src/test/java/onyxpaddle/serve/LongBodyTest.java
@@ -0,0 +1,40 @@
+package onyxpaddle.serve;
+
+import static onyxpaddle.serve.UploadCase.ALL;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import onyxpaddle.BalancerApi.Effect;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Requests whose bodies are passed on while they arrive: each goes out whole or not at all, and has its answer in its client's time. */
+class LongBodyTest {
+    private static final int MB = 1_000_000;
+    private static final int SERVERS = 3;
+    private static final int PARALLEL = 3;
+
+    private static void assertNoFault(UploadCase upload, int servers, int requests) throws Exception {
+        UploadTrial.Result result = new UploadTrial(upload, servers).run(requests, PARALLEL);
+        assertEquals(List.of(), result.faults(), upload + ": answers " + result.answers() + ", " + result.attempts() + " attempts");
+    }
+
+    /** Guards against a further attempt with the rest of a body, or none of it, after the first part has gone to another server. */
+    @ParameterizedTest
+    @EnumSource(names = {"RESETS", "CLOSES", "FAILS", "CUTS_ANSWER", "TURNS_AWAY", "RESETS_MIDWAY", "RESETS_AT_HEAD"})
+    void keyedRequestIsNotSentAgainWithoutItsBody(UploadConduct conduct) throws Exception {
+        for (boolean chunked : new boolean[] {false, true}) {
+            assertNoFault(new UploadCase(Effect.KEYED, 2_200_000, chunked, false, 0, conduct, 1, 2_000), SERVERS, 6);
+        }
+    }
+
+    /** Guards against a second copy that takes the rest of a body away from the first attempt. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 400})
+    void secondCopyDoesNotTakeTheBodyFromTheFirstAttempt(int spreadMs) throws Exception {
+        for (boolean chunked : new boolean[] {false, true}) {
+            assertNoFault(new UploadCase(Effect.KEYED, 3 * MB, chunked, true, spreadMs, UploadConduct.SERVES_LATE, ALL, 3_000), SERVERS, 6);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/onyxpaddle/serve/UploadTrial.java
@@ -0,0 +1,208 @@
+package onyxpaddle.serve;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import onyxpaddle.BalancerApi.Effect;
+import onyxpaddle.serve.Loopback.FakeDiscovery;
+import onyxpaddle.serve.Loopback.FakeServer;
+
+/**
+ * Plays one case against a node and judges it by what clients sent and read and what servers read and wrote, never by what the node
+ * says of itself. Times are those of the protocol page; what this process stood still itself is granted on top.
+ */
+final class UploadTrial {
+    /** How late after its client's time a request has its answer at the latest: the page's 0.5 s, its slack, and 50 ms for this process. */
+    private static final long LATEST_ANSWER = TimeUnit.MILLISECONDS.toNanos(600);
+    /** How long after its answer nothing more may begin for a request. */
+    private static final long NOTHING_AFTER_ANSWER = TimeUnit.MILLISECONDS.toNanos(100);
+    static final int LATE_MS = 400;
+
+    /** One attempt as its server read it; {@code whole} is null as long as the request has not been read whole. */
+    static final class Attempt {
+        final String request;
+        /** When its first byte was read. */
+        final long beganAt;
+        UploadServer.Digest whole;
+        UploadConduct conduct;
+
+        Attempt(String request, long beganAt) {
+            this.request = request;
+            this.beganAt = beganAt;
+        }
+    }
+
+    private final UploadCase upload;
+    private final int servers;
+    private final List<Attempt> attempts = new ArrayList<>();
+    private final Map<String, Integer> attemptsByRequest = new HashMap<>();
+    private final List<UploadClient> clients = new ArrayList<>();
+    private final CountDownLatch ended = new CountDownLatch(1);
+
+    /** {@code servers}: how many are listed. */
+    UploadTrial(UploadCase upload, int servers) {
+        this.upload = upload;
+        this.servers = servers;
+    }
+
+    static String className(Effect effect) {
+        return switch (effect) {
+            case SAFE -> "view";
+            case KEYED -> "farm";
+            case UNSAFE -> "book";
+        };
+    }
+
+    /** What was found in one trial. */
+    record Result(List<String> faults, int attempts, Map<Integer, Integer> answers) {
+    }
+
+    /** Sends {@code requests} requests, {@code parallel} at a time. */
+    Result run(int requests, int parallel) throws Exception {
+        List<FakeServer> listed = new ArrayList<>();
+        PauseMeter pauses = new PauseMeter();
+        Node node = null;
+        FakeDiscovery discovery = null;
+        try {
+            for (int i = 0; i < servers; i++) {
+                UploadServer server = new UploadServer("s" + i, this);
+                listed.add(server);
+                if (upload.conduct() == UploadConduct.REFUSES_CONNECTIONS && i % 2 == 0) {
+                    server.close();
+                }
+            }
+            FakeServer[] list = listed.toArray(new FakeServer[0]);
+            discovery = new FakeDiscovery(Loopback.list(1, list));
+            node = Node.start(PlatformConfig.parse(config(discovery, list).getBytes(StandardCharsets.UTF_8), Map.of()));
+            send(node, requests, parallel);
+            return judge(pauses);
+        } finally {
+            ended.countDown();
+            pauses.close();
+            if (node != null) {
+                node.stop();
+            }
+            if (discovery != null) {
+                discovery.close();
+            }
+            for (FakeServer server : listed) {
+                server.close();
+            }
+        }
+    }
+
+    private void send(Node node, int requests, int parallel) throws Exception {
+        try (Loopback.Client client = new Loopback.Client(node.address())) {
+            while (servers > 0 && !client.send("GET /ready HTTP/1.1\r\n\r\n").readAnswer().startsWith("200")) {
+                TimeUnit.MILLISECONDS.sleep(1);
+            }
+        }
+        int limitMs = upload.timeoutMs() + (int) TimeUnit.NANOSECONDS.toMillis(LATEST_ANSWER) + 500;
+        for (int sent = 0; sent < requests; sent += parallel) {
+            List<Thread> running = new ArrayList<>();
+            for (int i = sent; i < Math.min(requests, sent + parallel); i++) {
+                UploadClient client = new UploadClient(upload, "r" + i + "-" + upload.size());
+                clients.add(client);
+                Thread thread = new Thread(() -> {
+                    try {
+                        client.run(node.address(), limitMs);
+                    } catch (Exception e) {
+                        throw new IllegalStateException(e);
+                    }
+                });
+                thread.start();
+                running.add(thread);
+            }
+            for (Thread thread : running) {
+                thread.join();
+            }
+        }
+    }
+
+    private String config(FakeDiscovery discovery, FakeServer... list) {
+        return """
+            {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"1","limits":{"sockets":256},"known":%s,
+             "settings":{"az":"a","areas":["a"],"quantumS":0.002,"membershipMode":"push","weights":"nominal",
+              "classes":[{"name":"view","effect":"read_like","aimS":0.4,"deadlineS":10,"worth":1},
+                         {"name":"farm","effect":"idempotency_key","group":"all","memorySpanS":5,"aimS":0.4,"deadlineS":10,"worth":1},
+                         {"name":"book","effect":"non_idempotent","aimS":0.4,"deadlineS":10,"worth":1}],
+              "limits":{"maxAttempts":6,"cancel":true,"retryAfter":true,"maxRetryAfterS":1,"dialTimeoutS":0.15,
+                        "keepaliveS":5,"secondCopies":%s},
+              "rules":{"drainGraceS":2}}}""".formatted(discovery.address(), Loopback.list(1, list), upload.secondCopies());
+    }
+
+    // ---- what servers report ----
+
+    synchronized Attempt began(String request, long beganAt) {
+        Attempt attempt = new Attempt(request, beganAt);
+        attempts.add(attempt);
+        int number = attemptsByRequest.merge(request, 1, Integer::sum);
+        attempt.conduct = number <= upload.attempts() && upload.conduct() != UploadConduct.REFUSES_CONNECTIONS ? upload.conduct()
+            : UploadConduct.SERVES;
+        return attempt;
+    }
+
+    synchronized UploadConduct conduct(Attempt attempt) {
+        return attempt.conduct;
+    }
+
+    synchronized void readWhole(Attempt attempt, UploadServer.Digest digest) {
+        attempt.whole = digest;
+    }
+
+    void awaitEnd() throws InterruptedException {
+        ended.await();
+    }
+
+    // ---- the judgement ----
+
+    private synchronized Result judge(PauseMeter pauses) {
+        List<String> faults = new ArrayList<>();
+        Map<Integer, Integer> answers = new HashMap<>();
+        for (UploadClient client : clients) {
+            answers.merge(client.status, 1, Integer::sum);
+            List<Attempt> own = attempts.stream().filter(a -> a.request.equals(client.id)).toList();
+            judgeAnswer(client, pauses, faults);
+            judgeEffects(client, own, faults);
+            own.forEach(attempt -> judgeAttempt(client, attempt, pauses, faults));
+        }
+        return new Result(faults, attempts.size(), answers);
+    }
+
+    private void judgeAnswer(UploadClient client, PauseMeter pauses, List<String> faults) {
+        long from = client.writtenAt > 0 ? client.writtenAt : client.wroteAt;
+        long due = from + TimeUnit.MILLISECONDS.toNanos(upload.timeoutMs()) + LATEST_ANSWER;
+        due += pauses.longestWithin(from, due);
+        if (client.wordAt == 0 || client.wordAt > due) {
+            faults.add(client.id + (client.writtenAt > 0 ? " has no answer in time" : " got no word while it could not write on"));
+        } else if (client.status == 0 && client.writtenAt > 0) {
+            faults.add(client.id + " was read and closed with no answer");
+        }
+    }
+
+    private void judgeEffects(UploadClient client, List<Attempt> own, List<String> faults) {
+        List<Attempt> mayHaveRun = own.stream().filter(a -> a.whole != null && a.conduct.mayRun).toList();
+        if (upload.effect() != Effect.UNSAFE) {
+            return;
+        }
+        if (mayHaveRun.size() > 1) {
+            faults.add(client.id + " may have run " + mayHaveRun.size() + " times");
+        }
+        if (client.status == 503 && !mayHaveRun.isEmpty()) {
+            faults.add(client.id + " was refused as never run and may have run");
+        }
+    }
+
+    private void judgeAttempt(UploadClient client, Attempt attempt, PauseMeter pauses, List<String> faults) {
+        if (attempt.whole != null && !attempt.whole.equals(client.digest)) {
+            faults.add(client.id + " was altered: " + attempt.whole.length() + " bytes of " + client.digest.length());
+        }
+        if (client.wordAt > 0 && attempt.beganAt > client.wordAt + NOTHING_AFTER_ANSWER + pauses.longestWithin(client.wordAt, attempt.beganAt)) {
+            faults.add(client.id + ": an attempt began after the answer");
+        }
+    }
+}
