A long request's time counts from its client's last byte, wherever its body is

Also seen from outside: no answer where no server is listed (5 to 8 of 30), clients that can't write on and get no word, and servers that are told up to the full time for a client that has waited already.

Cause: the time of a body that is passed on while it arrives began when its last byte was with a server, and 900 s stood for it before that; a body that did not move was given up after 30 s. The client's wait counts from its own last byte, which may lie in the sockets unread, as the node reads no faster than the server does.

Change: one place (Dispatcher.deadline) counts every request's time from when its caller can have written the last byte at the earliest. For a body that is still read, LastByteBound tells that by what was read: the caller is never further ahead than the sockets hold (the node's receive buffer, and 4 MiB of the caller's), and something that arrives after a silence was not written before it. The deadline moves on while the body makes progress; none for as long as the class waits ends the attempt, the client gets 503 (nothing has run, as the last byte was not written), a log line names the server, and the event refused_body_stalled counts it. The same bound gives the time told to a server.

--- a/src/main/java/onyxpaddle/http/IncomingBody.java
+++ b/src/main/java/onyxpaddle/http/IncomingBody.java
@@ -1,13 +1,14 @@
 package onyxpaddle.http;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.Channel;
 import onyxpaddle.node.Body;
 import onyxpaddle.node.Caller;
 import onyxpaddle.node.Clock;
 import onyxpaddle.node.Exchange;
+import onyxpaddle.node.LastByteBound;
 import onyxpaddle.node.SocketBuffers;
 import onyxpaddle.node.Upload;
+import onyxpaddle.socket.PollableChannel;
 
 /**
  * The body of one request as it is received. It is buffered whole if it is small enough and memory allows. Otherwise a server
@@ -34,7 +35,7 @@
     }
 
     private final RoutedRequest request;
-    private final Channel channel;
+    private final PollableChannel channel;
     private final Clock clock;
     private final Caller caller;
     private final Runnable onStreamed;
@@ -43,18 +44,20 @@
     private Exchange exchange;
     /** The streamed part; null as long as the body is only buffered. */
     private Upload upload;
+    private final LastByteBound lastByteBound;
     private long pausedAt;
     private long pausedNanos;
     /** The last byte has arrived, or the rest is no longer needed. */
     private boolean done;
 
     /** {@code onStreamed}: called when the last byte of a streamed body has arrived. */
-    IncomingBody(RoutedRequest request, Channel channel, Clock clock, Caller caller, Runnable onStreamed) {
+    IncomingBody(RoutedRequest request, PollableChannel channel, Clock clock, Caller caller, Runnable onStreamed) {
         this.request = request;
         this.channel = channel;
         this.clock = clock;
         this.caller = caller;
         this.onStreamed = onStreamed;
+        this.lastByteBound = new LastByteBound(request.length(), channel.arrivalBound());
         this.body = new Body(request.bytes(), Math.min(request.length(), request.maxBufferedBytes()), request.maxBodyBytes());
     }
 
@@ -81,6 +84,10 @@
     /** {@code arrivedAt}: a time before which the part did not arrive. */
     Progress add(ByteBuf bytes, boolean last, long arrivedAt) {
         received += bytes.readableBytes();
+        if (received > request.maxBufferedBytes()) {
+            lastByteBound.setReceiveBuffer(channel.config().getReceiveBufferSize());
+        }
+        lastByteBound.read(received, arrivedAt, clock.now());
         if (received > request.maxBodyBytes()) {
             return Progress.TOO_LARGE;
         } else if (upload != null) {
@@ -93,7 +100,7 @@
         } else if (request.pool().hasRequest(request.terms().id())) {
             return Progress.INVALID;
         }
-        startStreaming(bytes, last, arrivedAt);
+        startStreaming(bytes, last);
         return Progress.INCOMPLETE;
     }
 
@@ -107,14 +114,31 @@
     }
 
     /** Begins to stream the body, as it exceeds the buffer limit or the available memory. */
-    private void startStreaming(ByteBuf bytes, boolean last, long arrivedAt) {
-        upload = new Upload(request.length(), body, this::setReading);
+    private void startStreaming(ByteBuf bytes, boolean last) {
+        upload = new Upload(request.length(), body, reader);
         exchange = new Exchange(request.terms(), request.head(), body, caller, upload);
-        addStreamed(bytes, last);
-        setReading(false);
-        request.pool().arrived(exchange, arrivedAt);
+        upload.add(SocketBuffers.kept(bytes, channel.alloc()), last);
+        if (last) {
+            endStreaming();
+        } else {
+            reader.read(false);
+        }
+        request.pool().arrived(exchange, lastByteBound.get());
     }
 
+    private final Upload.Reader reader = new Upload.Reader() {
+        @Override
+        public void read(boolean on) {
+            setReading(on);
+        }
+
+        @Override
+        public long waitsSince() {
+            long bound = lastByteBound.get(channel.nextArrivalBound(), clock.now());
+            return paused() ? Math.min(bound, pausedAt) : bound;
+        }
+    };
+
     /** Resumes or pauses reading from the client, as the server's connection becomes writable or not. */
     private void setReading(boolean on) {
         if (done) {
@@ -131,12 +155,18 @@
 
     private void addStreamed(ByteBuf bytes, boolean last) {
         if (last) {
-            done = true;
-            onStreamed.run();
+            endStreaming();
+            request.pool().bodyReceived(exchange, lastByteBound.get());
         }
         upload.add(SocketBuffers.kept(bytes, channel.alloc()), last);
     }
 
+    /** The last byte of a streamed body has arrived. */
+    private void endStreaming() {
+        done = true;
+        onStreamed.run();
+    }
+
     /** Called when no more input is available for now. */
     void flush() {
         if (upload != null) {
--- a/src/main/java/onyxpaddle/http/ServerConnection.java
+++ b/src/main/java/onyxpaddle/http/ServerConnection.java
@@ -45,8 +45,7 @@
     /** Larger answers are streamed to callers that accept it; smaller ones are buffered whole. */
     private static final long MAX_BUFFERED_BYTES = 64 * 1024;
     /**
-     * How long a server may send nothing of a streamed answer, or accept nothing of a streamed body. The limit for answers is a
-     * default, see {@link UpstreamDialect#stallTimeout}.
+     * How long a server may send nothing of a streamed answer by default, see {@link UpstreamDialect#stallTimeout}.
      */
     static final long STALL_TIMEOUT_NANOS = 30_000_000_000L;
 
@@ -144,7 +143,7 @@
             return;
         }
         channel.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri(), headers));
-        relay = new BodyRelay(exchange.upload, channel, upstream.clock, last -> trackLastWrite(next, last), () -> bodyAborted(next));
+        relay = new BodyRelay(exchange.upload, channel, last -> trackLastWrite(next, last), () -> bodyAborted(next));
         relay.start();
     }
 
@@ -396,8 +395,7 @@
     }
 
     /**
-     * Closes the connection if the unneeded rest of an answer, a streamed answer or a streamed body stalls. Attempts have a timeout
-     * of their own.
+     * Closes the connection if the unneeded rest of an answer or a streamed answer stalls. Attempts have a timeout of their own.
      */
     void checkProgress(long now) {
         if (exchangeOpen && attempt == null && now - startedAt > DISCARD_TIMEOUT_NANOS) {
@@ -405,7 +403,7 @@
         }
         boolean stalled = sink != null && !throttle.paused()
             && now - lastDataAt > upstream.dialect.stallTimeout(now > attempt.exchange.deadline());
-        if (stalled || relay != null && relay.stalled(now, STALL_TIMEOUT_NANOS)) {
+        if (stalled) {
             close(NodeEvent.SERVER_STALLED);
         }
     }
--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -27,8 +27,8 @@
     private static final long MAX_POLL_AGE = 1_000_000_000L;
     /** A timer so short runs in the next turn of the event loop, after that turn's reads. */
     private static final long NEXT_TURN_MS = 1;
-    /** How long a streamed request body may take; the front's limit on the rate of the body is stricter. */
-    private static final long MAX_UPLOAD_TIME = 900_000_000_000L;
+
+    private static final long STALLED_BODY_LOG_INTERVAL = 1_000_000_000L;
 
     private final Clock clock;
     private final ScheduledExecutorService loop;
@@ -49,6 +49,9 @@
     private boolean runningTimers;
     private boolean processing;
     private int unanswered;
+    /** Since the last log line on them. */
+    private int stalledBodies;
+    private long stalledBodyLoggedAt;
     /** Results in this pool, by ordinal of {@link RequestCounts.RequestResult}; {@link RequestCounts} has them by class. */
     private final long[] resultCounts = new long[RequestCounts.RequestResult.values().length];
 
@@ -165,18 +168,21 @@
     // ---- events from callers, servers and discovery ----
 
     /**
-     * A request has been read completely. Its time-out starts now, unless the node is far behind: the answer is due at most
-     * {@link #MAX_ANSWER_DELAY} after the time-out as counted from {@code arrivedAt}, the earliest possible arrival of the last byte.
-     * A node short of processor time would otherwise grant each request its full time from when it gets to it, and answer long
-     * after the caller has left. A request without any time left is refused unsent. The drawback: where a long turn of the event
-     * loop is mistaken for a long wait, the end of the caller's time is lost.
+     * A request has been read completely, or as far as it is held before a server takes its body. Its time-out starts now, unless the node
+     * is far behind: the answer is due at most {@link #MAX_ANSWER_DELAY} after the time-out as counted from {@code arrivedAt}, the earliest
+     * possible arrival of the last byte. A node short of processor time would otherwise grant each request its full time from when it gets
+     * to it, and answer long after the caller has left. A request without any time left is refused unsent. The drawback: where a long turn
+     * of the event loop is mistaken for a long wait, the end of the caller's time is lost. While a streamed body arrives, the deadline
+     * moves, see {@link #extend}.
      */
     public void arrived(Exchange x, long arrivedAt) {
         runDueTimers();
         long now = clock.now();
         Terms terms = x.terms;
-        long endsAt = terms.callerTimeout() + Math.min(now, arrivedAt + MAX_ANSWER_DELAY);
-        events().record(NodeDelay.READ, now - arrivedAt, now);
+        long endsAt = deadline(x, arrivedAt, now);
+        if (x.upload == null) {
+            events().record(NodeDelay.READ, now - arrivedAt, now);
+        }
         if (endsAt <= now) {
             refuseUnsent(x, NodeEvent.REFUSED_NO_TIME_LEFT, 0);
             return;
@@ -191,11 +197,9 @@
             return;
         }
         x.arrivedAt = arrivedAt;
-        x.deadline = endsAt + (x.upload == null ? 0 : MAX_UPLOAD_TIME);
         exchanges.put(x.id, x);
         unanswered++;
-        // Ends a request that the balancer left unanswered, for example after an exception.
-        x.overdueTimer = timers.add(x.deadline + OVERDUE_MARGIN, () -> overdue(x));
+        setDeadline(x, endsAt);
         enqueue(new Arrival(x.id, terms.requestClass().name(), x.deadline, terms.tenant(), terms.cost(),
             terms.clientRetry()));
     }
@@ -211,30 +215,69 @@
     /** The attempt begins to take the request's streamed body, which no other attempt can send from now on. */
     public void bodyConsumed(Attempt attempt) {
         // Ending it early would serve another attempt, which is no longer possible.
-        attempt.until = attempt.exchange.deadline;
-        stopTimer(attempt);
-        attempt.timer = timers.add(attempt.until, () -> expire(attempt));
+        endBy(attempt, attempt.exchange.deadline);
         enqueue(new BodyConsumed(attempt.exchange.id));
     }
 
-    /** The last byte of a streamed request body is with the server: the request's time-out starts now. */
-    public void uploaded(Attempt attempt) {
-        Exchange x = attempt.exchange;
-        if (x.finished || attempt.ended) {
+    /** The last byte of a streamed request body has been read; {@code arrivedAt}: a time before which it did not arrive. */
+    public void bodyReceived(Exchange x, long arrivedAt) {
+        x.upload.lastByteRead();
+        if (x.finished) {
             return;
         }
         long now = clock.now();
-        x.arrivedAt = now;
-        x.deadline = now + x.terms.callerTimeout();
-        x.overdueTimer.cancel();
-        x.overdueTimer = timers.add(x.deadline + OVERDUE_MARGIN, () -> overdue(x));
-        attempt.sentAt = now;
-        attempt.until = x.deadline;
-        stopTimer(attempt);
-        attempt.timer = timers.add(x.deadline, () -> expire(attempt));
+        x.arrivedAt = arrivedAt;
+        setDeadline(x, deadline(x, arrivedAt, now));
+        if (!x.bodyAvailable()) {
+            x.attempts.stream().filter(attempt -> !attempt.ended).forEach(attempt -> endBy(attempt, x.deadline));
+        }
         runDueTimers();
     }
 
+    /** The last byte of a streamed request body is with the server, which may run the request from now on. */
+    public void uploaded(Attempt attempt) {
+        attempt.sentAt = clock.now();
+    }
+
+    /** When the time of a request is up whose caller waits since {@code since}, or since later, but no later than now. */
+    private static long deadline(Exchange x, long since, long now) {
+        return x.terms.callerTimeout() + Math.min(now, since + MAX_ANSWER_DELAY);
+    }
+
+    private void setDeadline(Exchange x, long deadline) {
+        x.deadline = deadline;
+        if (x.overdueTimer != null) {
+            x.overdueTimer.cancel();
+        }
+        // Ends a request that the balancer left unanswered, for example after an exception.
+        x.overdueTimer = timers.add(deadline + OVERDUE_MARGIN, () -> overdue(x));
+    }
+
+    private void endBy(Attempt attempt, long until) {
+        stopTimer(attempt);
+        attempt.until = until;
+        attempt.timer = timers.add(until, () -> expire(attempt));
+    }
+
+    /**
+     * Moves the deadline of a request whose body an attempt takes while it arrives. The caller's wait counts from its last byte, so the
+     * request goes on for as long as the upload makes progress and the caller can't have written that byte too long ago.
+     */
+    private boolean extend(Attempt attempt) {
+        Exchange x = attempt.exchange;
+        if (!x.receivesBody() || x.bodyAvailable()) {
+            return false;
+        }
+        long now = clock.now();
+        long deadline = deadline(x, x.waitsSince(), now);
+        if (deadline <= now) {
+            return false;
+        }
+        setDeadline(x, deadline);
+        endBy(attempt, deadline);
+        return true;
+    }
+
     /**
      * Starts streaming an attempt's answer to the caller: it becomes the request's final answer, and has no time-out. The
      * attempt still ends by {@link #ended}, without an answer. Null if nobody waits for it.
@@ -331,11 +374,27 @@
     }
 
     private void expire(Attempt attempt) {
-        if (!attempt.ended) {
-            // A request that was not written completely has never run, however long the wait was.
-            boolean written = attempt.written();
-            upstream.giveUp(attempt);
-            ended(attempt, written ? Outcome.TIMED_OUT : Outcome.CONNECT_FAILED, null);
+        if (attempt.ended || extend(attempt)) {
+            return;
+        }
+        if (attempt.exchange.receivesBody() && !attempt.exchange.bodyAvailable()) {
+            attempt.exchange.bodyStalled = true;
+            logStalledBody(attempt);
+        }
+        // A request that was not written completely has never run, however long the wait was.
+        boolean written = attempt.written();
+        upstream.giveUp(attempt);
+        ended(attempt, written ? Outcome.TIMED_OUT : Outcome.CONNECT_FAILED, null);
+    }
+
+    private void logStalledBody(Attempt attempt) {
+        long now = clock.now();
+        stalledBodies++;
+        if (now - stalledBodyLoggedAt >= STALLED_BODY_LOG_INTERVAL) {
+            stalledBodyLoggedAt = now;
+            Log.line("server " + attempt.server + " did not take the body of request " + attempt.exchange.id + " in its caller's time; "
+                + stalledBodies + " such requests since the last such line");
+            stalledBodies = 0;
         }
     }
 
@@ -414,7 +473,7 @@
             Exchange x = exchanges.get(refuse.request());
             if (x != null && finish(x)) {
                 count(x, RequestCounts.RequestResult.BUSY);
-                events().count(NodeEvent.REFUSED_BALANCER, x.id);
+                events().count(x.bodyStalled ? NodeEvent.REFUSED_BODY_STALLED : NodeEvent.REFUSED_BALANCER, x.id);
                 x.caller.refused(refuse.retryAfter(), x.failure);
                 removeIfDone(x);
             }
@@ -447,7 +506,7 @@
             ended(attempt, Outcome.NOT_SENT, null);
             return;
         }
-        attempt.timer = timers.add(until, () -> expire(attempt));
+        endBy(attempt, until);
         whenCurrent(() -> begin(attempt));
     }
 
@@ -479,8 +538,8 @@
      *
      * <p>This prevents attempts for callers that have left: the close may lie unread in the socket while a timer, a time-out or another
      * answer starts the next attempt, or a connect may succeed after the answer was given. It also prevents repeating a keyed
-     * request whose key the servers have forgotten meanwhile, and an attempt that could send a part of the body only. The drawback: a caller that only shuts down its sending side and
-     * waits counts as one that has left.
+     * request whose key the servers have forgotten meanwhile, and an attempt that could send a part of the body only. The drawback: a
+     * caller that only shuts down its sending side and waits counts as one that has left.
      */
     public boolean mayBegin(Attempt attempt) {
         if (attempt.ended) {
--- a/src/main/java/onyxpaddle/node/Exchange.java
+++ b/src/main/java/onyxpaddle/node/Exchange.java
@@ -32,6 +32,8 @@
     int pendingAttempts;
     /** The final answer has been given or has begun, or nobody waits for it. */
     boolean finished;
+    /** The attempt that took its body was given up before the body's last byte had been read. */
+    boolean bodyStalled;
     TimerQueue.Entry overdueTimer;
     /** A server's own answer on a failure, for the caller if no other server succeeds; null for none. */
     Answer failure;
@@ -47,11 +49,21 @@
     /**
      * The caller's remaining time as told to a server, in nanoseconds, at least 0. It counts from the earliest possible arrival of the
      * last byte plus {@link #ARRIVAL_UNCERTAINTY}. The node itself may wait longer, see {@link Dispatcher#arrived}, but a server
-     * that was told so would work on for a caller that has left. For a streamed body it is the full time, which starts at its end.
+     * that was told so would work on for a caller that has left. While a streamed body arrives, its caller may have written the last
+     * byte already.
      */
     public long timeLeft(long now) {
-        return upload != null ? terms.callerTimeout()
-            : Math.max(0, Math.min(terms.callerTimeout(), arrivedAt + ARRIVAL_UNCERTAINTY + terms.callerTimeout() - now));
+        return Math.max(0, Math.min(terms.callerTimeout(), waitsSince() + ARRIVAL_UNCERTAINTY + terms.callerTimeout() - now));
+    }
+
+    /** The earliest time from which the caller's wait can count. */
+    long waitsSince() {
+        return receivesBody() ? upload.waitsSince() : arrivedAt;
+    }
+
+    /** Whether the body's last byte has not been read. */
+    boolean receivesBody() {
+        return upload != null && !upload.received();
     }
 
     /** When the caller's time is up, by the node's clock. */
--- /dev/null
+++ b/src/main/java/onyxpaddle/node/LastByteBound.java
@@ -0,0 +1,82 @@
+package onyxpaddle.node;
+
+import java.util.ArrayDeque;
+
+/**
+ * A lower bound of when the last byte of a body can have been written by its caller, from what has been read of it so far. Bytes that
+ * are written and not yet read lie in the sockets between the caller and the node, first in the caller's: that the node's socket is
+ * empty for a moment after a read tells nothing of those. Two observations raise the bound: nothing arrived for {@link #QUIET}
+ * while the node was ready to read, or the caller would have to be further ahead than the sockets allow. It does no I/O and gets all
+ * times, in nanoseconds of the node's clock.
+ */
+public final class LastByteBound {
+    /** In bytes: Linux lets a socket's send buffer grow to 4 MiB unless it is configured otherwise. */
+    static final long MAX_SEND_BUFFER = 4 << 20;
+    /** In bytes: what a receive buffer may grow to, likewise. */
+    static final long MAX_RECEIVE_BUFFER = 6 << 20;
+    /** Time in which bytes that the caller's socket holds arrive once the node's has room. */
+    static final long QUIET = 1_000_000L;
+    /** Bytes between two marks. */
+    private static final long MARK_DISTANCE = 512 * 1024;
+
+    /** At the time {@code at}, {@code bytes} had been read. */
+    private record Mark(long bytes, long at) {
+    }
+
+    private final long length;
+    private final ArrayDeque<Mark> marks = new ArrayDeque<>();
+    /** In bytes, of the node's socket. */
+    private long receiveBuffer = MAX_RECEIVE_BUFFER;
+    private long total;
+    private long readAt;
+    private long bound;
+
+    /**
+     * Creates the bound for a body of which nothing has been read.
+     *
+     * @param length of the body as announced by the caller, in bytes; -1 if it comes in chunks
+     * @param arrivedAt a time before which the request's head did not arrive
+     */
+    public LastByteBound(long length, long arrivedAt) {
+        this.length = length;
+        this.bound = arrivedAt;
+        this.readAt = arrivedAt;
+    }
+
+    /** Records that {@code total} bytes of the body had been read at {@code now}; the last of them did not arrive before {@code arrivedAt}. */
+    public void read(long total, long arrivedAt, long now) {
+        this.total = total;
+        bound = get(arrivedAt, now);
+        readAt = now;
+        if (marks.isEmpty() || total - marks.peekLast().bytes() >= MARK_DISTANCE) {
+            marks.add(new Mark(total, now));
+        }
+        while (!marks.isEmpty() && isAhead(marks.peekFirst().bytes())) {
+            bound = Math.max(bound, marks.poll().at());
+        }
+    }
+
+    /** Sets the present size of the receive buffer of the node's socket, which the system adapts, in bytes. */
+    public void setReceiveBuffer(long bytes) {
+        receiveBuffer = bytes;
+    }
+
+    /** Returns the bound as known from what has been read. */
+    public long get() {
+        return bound;
+    }
+
+    /** Returns the bound at {@code now}; {@code nextArrival}: a time before which what is read next has not arrived. */
+    public long get(long nextArrival, long now) {
+        if (isAhead(total)) {
+            return now;
+        }
+        return nextArrival - readAt >= QUIET ? Math.max(bound, nextArrival) : bound;
+    }
+
+    /** Whether the last byte was still out of the sockets' reach when {@code bytes} had been read. */
+    private boolean isAhead(long bytes) {
+        long atLeast = length >= 0 ? length : total + 1;
+        return atLeast - bytes > receiveBuffer + MAX_SEND_BUFFER;
+    }
+}
--- a/src/main/java/onyxpaddle/node/NodeEvent.java
+++ b/src/main/java/onyxpaddle/node/NodeEvent.java
@@ -64,7 +64,9 @@
     REFUSED_BALANCER(Kind.REFUSAL),
     REFUSED_CONNECTION_LIMIT(Kind.REFUSAL),
     REFUSED_NODE_ENDS(Kind.REFUSAL),
-    REFUSED_NO_MEMORY(Kind.REFUSAL);
+    REFUSED_NO_MEMORY(Kind.REFUSAL),
+    /** Its body made no progress, or not enough, within its caller's time. */
+    REFUSED_BODY_STALLED(Kind.REFUSAL);
 
     /** What is counted. */
     public enum Kind {
--- a/src/main/java/onyxpaddle/node/Upload.java
+++ b/src/main/java/onyxpaddle/node/Upload.java
@@ -24,6 +24,12 @@
     /** The caller's side, whose reading can be paused and resumed. */
     public interface Reader {
         void read(boolean on);
+
+        /**
+         * The time from which the caller's wait counts, as far as is known while the last byte has not been read: a time before which
+         * the caller can't have written it, but no later than when the upload made progress last.
+         */
+        long waitsSince();
     }
 
     private final long length;
@@ -63,6 +69,16 @@
         return received;
     }
 
+    /** See {@link Reader#waitsSince}; only before the body's last byte has arrived. */
+    long waitsSince() {
+        return reader.waitsSince();
+    }
+
+    /** The body's last byte has been read, and is added next. */
+    void lastByteRead() {
+        received = true;
+    }
+
     /** Adds the next bytes from the caller, of which it takes the ownership; {@code last}: they complete the body. */
     public void add(ByteBuf more, boolean last) {
         received |= last;
--- a/src/main/java/onyxpaddle/socket/PollableChannel.java
+++ b/src/main/java/onyxpaddle/socket/PollableChannel.java
@@ -65,6 +65,11 @@
         return deliveredBound;
     }
 
+    /** A time before which the data that the pipeline receives next has not arrived. */
+    public long nextArrivalBound() {
+        return prefetched == null ? nextBound() : prefetchedBound;
+    }
+
     /** Whether the event loop's polls report data on it. */
     private boolean watched() {
         if (!isRegistered()) {
--- a/src/test/java/onyxpaddle/node/UploadTest.java
+++ b/src/test/java/onyxpaddle/node/UploadTest.java
@@ -57,7 +57,16 @@
         Body held = new Body(budget, -1, MAX_BYTES);
         assertTrue(held.add(Unpooled.wrappedBuffer(first)));
         sent.write(first);
-        return new Upload(-1, held, on -> { });
+        return new Upload(-1, held, new Upload.Reader() {
+            @Override
+            public void read(boolean on) {
+            }
+
+            @Override
+            public long waitsSince() {
+                return 0;
+            }
+        });
     }
 
     private ByteBuf part(byte[] bytes) throws IOException {
--- a/src/test/java/onyxpaddle/serve/LongBodyTest.java
+++ b/src/test/java/onyxpaddle/serve/LongBodyTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import onyxpaddle.BalancerApi.Effect;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -37,4 +38,29 @@
             assertNoFault(new UploadCase(Effect.KEYED, 3 * MB, chunked, true, spreadMs, UploadConduct.SERVES_LATE, ALL, 3_000), SERVERS, 6);
         }
     }
+
+    /** Guards against a time that begins only when a server has the last byte: a server that hangs never takes it. */
+    @ParameterizedTest
+    @EnumSource(names = {"READS_NOTHING", "STOPS_MIDWAY", "NEVER_ANSWERS", "READS_SLOWLY"})
+    void requestForAHangingServerIsAnsweredInItsClientsTime(UploadConduct conduct) throws Exception {
+        for (boolean chunked : new boolean[] {false, true}) {
+            assertNoFault(new UploadCase(Effect.UNSAFE, 4 * MB, chunked, false, 0, conduct, 1, 700), SERVERS, 3);
+        }
+    }
+
+    /** Guards against a client that can't write on and waits without a word while no server takes its body. */
+    @Test
+    void clientThatCannotWriteOnIsRefusedWhenNoServerReads() throws Exception {
+        for (boolean chunked : new boolean[] {false, true}) {
+            assertNoFault(new UploadCase(Effect.UNSAFE, 20 * MB, chunked, false, 0, UploadConduct.READS_NOTHING, ALL, 700), SERVERS, 3);
+        }
+    }
+
+    /** Guards against a long request that waits for a server for minutes. */
+    @Test
+    void requestWithoutAServerIsRefusedInItsClientsTime() throws Exception {
+        for (boolean chunked : new boolean[] {false, true}) {
+            assertNoFault(new UploadCase(Effect.UNSAFE, 3 * MB, chunked, false, 0, UploadConduct.SERVES, 0, 700), 0, 3);
+        }
+    }
 }
--- a/src/test/java/onyxpaddle/serve/UploadServer.java
+++ b/src/test/java/onyxpaddle/serve/UploadServer.java
@@ -20,6 +20,7 @@
     /** What is read of a body before a conduct that begins midway. */
     private static final int MIDWAY_BYTES = 100_000;
     private static final Pattern ID = header("x-trace-id", "(\\S+)");
+    private static final Pattern EXPIRES = header("x-expires-in", "([0-9.]+)");
     private static final Pattern LENGTH = header("content-length", "([0-9]+)");
     private static final Pattern CHUNKED = header("transfer-encoding", "(chunked)");
 
@@ -57,7 +58,8 @@
     /** Handles one attempt; returns whether the connection can carry another. */
     private boolean handle(String head, long beganAt, InputStream in, Socket socket) throws Exception {
         String id = find(ID, head);
-        UploadTrial.Attempt attempt = trial.began(id, beganAt);
+        double told = Double.parseDouble(find(EXPIRES, head));
+        UploadTrial.Attempt attempt = trial.began(id, beganAt, TimeUnit.MILLISECONDS.toNanos(Math.round(told * 1000)));
         UploadConduct conduct = trial.conduct(attempt);
         if (conduct.point == UploadConduct.Point.HEAD) {
             return act(conduct, socket);
@@ -103,7 +105,8 @@
     }
 
     private static void answer(Socket socket, String status, String headers, String body) throws IOException {
-        socket.getOutputStream().write(ascii("HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n" + body));
+        String head = "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n";
+        socket.getOutputStream().write(ascii(head + body));
     }
 
     private static byte[] ascii(String text) {
--- a/src/test/java/onyxpaddle/serve/UploadTrial.java
+++ b/src/test/java/onyxpaddle/serve/UploadTrial.java
@@ -18,6 +18,8 @@
 final class UploadTrial {
     /** How late after its client's time a request has its answer at the latest: the page's 0.5 s, its slack, and 50 ms for this process. */
     private static final long LATEST_ANSWER = TimeUnit.MILLISECONDS.toNanos(600);
+    /** What the time told to a server may exceed the client's time by. */
+    private static final long TOLD_SLACK = TimeUnit.MILLISECONDS.toNanos(150);
     /** How long after its answer nothing more may begin for a request. */
     private static final long NOTHING_AFTER_ANSWER = TimeUnit.MILLISECONDS.toNanos(100);
     static final int LATE_MS = 400;
@@ -27,12 +29,14 @@
         final String request;
         /** When its first byte was read. */
         final long beganAt;
+        final long told;
         UploadServer.Digest whole;
         UploadConduct conduct;
 
-        Attempt(String request, long beganAt) {
+        Attempt(String request, long beganAt, long told) {
             this.request = request;
             this.beganAt = beganAt;
+            this.told = told;
         }
     }
 
@@ -137,8 +141,8 @@
 
     // ---- what servers report ----
 
-    synchronized Attempt began(String request, long beganAt) {
-        Attempt attempt = new Attempt(request, beganAt);
+    synchronized Attempt began(String request, long beganAt, long told) {
+        Attempt attempt = new Attempt(request, beganAt, told);
         attempts.add(attempt);
         int number = attemptsByRequest.merge(request, 1, Integer::sum);
         attempt.conduct = number <= upload.attempts() && upload.conduct() != UploadConduct.REFUSES_CONNECTIONS ? upload.conduct()
@@ -201,7 +205,14 @@
         if (attempt.whole != null && !attempt.whole.equals(client.digest)) {
             faults.add(client.id + " was altered: " + attempt.whole.length() + " bytes of " + client.digest.length());
         }
-        if (client.wordAt > 0 && attempt.beganAt > client.wordAt + NOTHING_AFTER_ANSWER + pauses.longestWithin(client.wordAt, attempt.beganAt)) {
+        long paused = pauses.longestWithin(client.writtenAt, attempt.beganAt);
+        long gone = client.writtenAt > 0 ? Math.max(0, attempt.beganAt - client.writtenAt) : 0;
+        long excess = attempt.told + gone - TimeUnit.MILLISECONDS.toNanos(upload.timeoutMs());
+        if (excess > TOLD_SLACK + paused) {
+            faults.add(client.id + ": a server was told " + TimeUnit.NANOSECONDS.toMillis(excess) + " ms more than its client had left");
+        }
+        long allowedUntil = client.wordAt + NOTHING_AFTER_ANSWER + pauses.longestWithin(client.wordAt, attempt.beganAt);
+        if (client.wordAt > 0 && attempt.beganAt > allowedUntil) {
             faults.add(client.id + ": an attempt began after the answer");
         }
     }
