The held part of a long body stays counted until it has been written

Need: its bytes went back to the node's budget for bodies when an attempt took the body, while they still waited in the connection's queue, up to 1 MiB for each attempt at a server that reads slowly; the budget gave the same bytes out again.

Change: BodyRelay gives the held part back when its write has ended, in success or failure.

--- a/src/main/java/onyxpaddle/http/BodyRelay.java
+++ b/src/main/java/onyxpaddle/http/BodyRelay.java
@@ -25,7 +25,7 @@
 
     /** Takes the body: sends its held part, and then what arrives from now on. */
     void start() {
-        channel.writeAndFlush(new DefaultHttpContent(upload.attach(this)));
+        channel.writeAndFlush(new DefaultHttpContent(upload.attach(this))).addListener(written -> upload.releaseHeld());
         upload.resume();
     }
 
--- a/src/main/java/onyxpaddle/node/LastByteBound.java
+++ b/src/main/java/onyxpaddle/node/LastByteBound.java
@@ -45,7 +45,9 @@
         this.readAt = arrivedAt;
     }
 
-    /** Records that {@code total} bytes of the body had been read at {@code now}; the last of them did not arrive before {@code arrivedAt}. */
+    /**
+     * Records that {@code total} bytes of the body had been read at {@code now}. The last of them did not arrive before {@code arrivedAt}.
+     */
     public void read(long total, long arrivedAt, long now) {
         this.total = total;
         bound = get(arrivedAt, now);
--- a/src/main/java/onyxpaddle/node/Upload.java
+++ b/src/main/java/onyxpaddle/node/Upload.java
@@ -101,9 +101,13 @@
         return held.size() == 0 ? Unpooled.EMPTY_BUFFER : held.whole();
     }
 
+    /** The held part that {@link #attach} returned has been written, or never will be: its bytes are free. */
+    public void releaseHeld() {
+        held.release();
+    }
+
     /** Passes what has arrived meanwhile to the attached attempt, and resumes reading. */
     public void resume() {
-        held.release();
         ByteBuf first = unheld;
         unheld = null;
         if (first != null) {
--- a/src/test/java/onyxpaddle/node/UploadTest.java
+++ b/src/test/java/onyxpaddle/node/UploadTest.java
@@ -106,6 +106,22 @@
         given.forEach(part -> assertEquals(0, part.refCnt()));
     }
 
+    /** Guards against memory that is given out again while its bytes still wait to be written to a slow server. */
+    @Test
+    void heldBytesAreCountedUntilTheyHaveBeenWritten() throws IOException {
+        Upload upload = upload(new byte[100]);
+        long counted = budget.held();
+        assertTrue(counted >= 100);
+        Attempt attempt = new Attempt();
+        attempt.start(upload);
+        upload.add(part(new byte[] {1}), true);
+        assertEquals(counted, budget.held());
+        upload.releaseHeld();
+        assertEquals(0, budget.held());
+        upload.release();
+        assertEquals(0, budget.held());
+    }
+
     @Test
     void attemptHasTheWholeBodyInAnyOrderOfArrivalAndEventsAndNothingLeaks() throws IOException {
         for (int seed = 0; seed < 500; seed++) {
--- a/src/test/java/onyxpaddle/serve/EventLoopDelayTest.java
+++ b/src/test/java/onyxpaddle/serve/EventLoopDelayTest.java
@@ -50,10 +50,12 @@
     @ParameterizedTest
     @ValueSource(ints = {60_000, 300_000, 1_000_000, 1_600_000})
     void serverIsToldTheTimeFromWhenTheClientWroteItsLastByte(int length) throws Exception {
-        try (FakeServer server = new FakeServer("s1", Loopback.ok("fine")); Loopback rig = new Loopback(server); Client client = rig.client()) {
+        try (FakeServer server = new FakeServer("s1", Loopback.ok("fine")); Loopback rig = new Loopback(server);
+                Client client = rig.client()) {
             client.awaitReady();
             BlockedEventLoop blocked = new BlockedEventLoop(rig.node.loop());
-            client.send(Loopback.request("r1", "book", "Content-Length: " + length, "X-Expires-In: " + 2 * DEADLINE_S) + "x".repeat(length));
+            String head = Loopback.request("r1", "book", "Content-Length: " + length, "X-Expires-In: " + 2 * DEADLINE_S);
+            client.send(head + "x".repeat(length));
             blocked.releaseAfter(BLOCKED_MS);
             assertEquals("200 fine", client.readAnswer());
             double told = Double.parseDouble(server.nextRequest().replaceAll("(?si).*x-expires-in: *([0-9.]+).*", "$1"));
