Dispatcher's timers are a class of their own, and a trial's threads start in one place

Messages of the matrix say when an attempt began. No behaviour changes.

Result: the unit tests of node, LongBodyIT and PartialUploadDrainTest green.

--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -44,9 +44,7 @@
     private SiteGate siteGate;
     private Upstream upstream;
     private Runnable onSubscribe = () -> { };
-    private final TimerQueue timers = new TimerQueue();
-    private long wakeUpAt = Long.MAX_VALUE;
-    private boolean runningTimers;
+    private final LoopTimers timers;
     private boolean processing;
     private int unanswered;
     /** Since the last log line on them. */
@@ -65,6 +63,7 @@
             InFlightLimit limit) {
         this.clock = clock;
         this.loop = loop;
+        this.timers = new LoopTimers(clock, loop);
         this.balancer = balancer;
         this.limits = limits;
         this.limit = limit;
@@ -176,7 +175,7 @@
      * moves, see {@link #extend}.
      */
     public void arrived(Exchange x, long arrivedAt) {
-        runDueTimers();
+        timers.runDue();
         long now = clock.now();
         Terms terms = x.terms;
         long endsAt = deadline(x, arrivedAt, now);
@@ -231,7 +230,7 @@
         if (!x.bodyAvailable()) {
             x.attempts.stream().filter(attempt -> !attempt.ended).forEach(attempt -> endBy(attempt, x.deadline));
         }
-        runDueTimers();
+        timers.runDue();
     }
 
     /** The last byte of a streamed request body is with the server, which may run the request from now on. */
@@ -414,41 +413,7 @@
         } finally {
             processing = false;
         }
-        runDueTimers();
-    }
-
-    // ---- timers ----
-
-    /** Runs due timers: called after each event, and by the event loop's own timer. */
-    private void runDueTimers() {
-        if (runningTimers) {
-            return;
-        }
-        runningTimers = true;
-        try {
-            for (TimerQueue.Entry due = timers.pollDue(clock.now()); due != null; due = timers.pollDue(clock.now())) {
-                try {
-                    due.run();
-                } catch (RuntimeException e) {
-                    // This may run within the arrival of an unrelated request, which must not fail for it.
-                    Log.failure("timer task failed", e);
-                }
-            }
-        } finally {
-            runningTimers = false;
-        }
-        long next = timers.nextAt();
-        if (next < wakeUpAt) {
-            wakeUpAt = next;
-            loop.schedule(() -> onWakeUp(next), next - clock.now(), TimeUnit.NANOSECONDS);
-        }
-    }
-
-    private void onWakeUp(long scheduledAt) {
-        if (wakeUpAt == scheduledAt) {
-            wakeUpAt = Long.MAX_VALUE;
-        }
-        runDueTimers();
+        timers.runDue();
     }
 
     private void process(Event event) {
--- a/src/test/java/onyxpaddle/serve/Loopback.java
+++ b/src/test/java/onyxpaddle/serve/Loopback.java
@@ -177,11 +177,12 @@
             listener.close();
         }
 
-        private interface Task {
+        interface Task {
             void run() throws Exception;
         }
 
-        private static void daemon(Task task) {
+        /** Runs a task on a thread of its own until it fails. */
+        static void daemon(Task task) {
             Thread thread = new Thread(() -> {
                 try {
                     task.run();
--- a/src/test/java/onyxpaddle/serve/PartialUploadDrainTest.java
+++ b/src/test/java/onyxpaddle/serve/PartialUploadDrainTest.java
@@ -19,7 +19,8 @@
     @Test
     void requestBegunBeforeTheNewsOfADrainIsWrittenOnAfterTheGrace() throws Exception {
         String half = "b".repeat(HALF_BODY);
-        try (FakeServer drains = new FakeServer("s1", Loopback.ok("begun before")); FakeServer stays = new FakeServer("s2", Loopback.ok("new"));
+        try (FakeServer drains = new FakeServer("s1", Loopback.ok("begun before"));
+                FakeServer stays = new FakeServer("s2", Loopback.ok("new"));
                 ScriptedDiscovery discovery = new ScriptedDiscovery(new SendList(Loopback.list(1, drains)))) {
             Node node = discovery.startNode(drains);
             try (Client uploading = new Client(node.address())) {
--- a/src/test/java/onyxpaddle/serve/TrialDelay.java
+++ b/src/test/java/onyxpaddle/serve/TrialDelay.java
@@ -30,24 +30,8 @@
     private volatile boolean closed;
 
     TrialDelay() throws IOException {
-        start(this::watch);
-        start(this::accept);
-    }
-
-    private interface Task {
-        void run() throws Exception;
-    }
-
-    private static void start(Task task) {
-        Thread thread = new Thread(() -> {
-            try {
-                task.run();
-            } catch (Exception e) {
-                // The trial is over.
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
+        Loopback.Peer.daemon(this::watch);
+        Loopback.Peer.daemon(this::accept);
     }
 
     private void watch() throws Exception {
@@ -64,7 +48,7 @@
     private void accept() throws IOException {
         while (!closed) {
             Socket socket = listener.accept();
-            start(() -> {
+            Loopback.Peer.daemon(() -> {
                 try (socket) {
                     record(reads, new DataInputStream(socket.getInputStream()).readLong());
                 }
--- a/src/test/java/onyxpaddle/serve/UploadClient.java
+++ b/src/test/java/onyxpaddle/serve/UploadClient.java
@@ -27,6 +27,8 @@
     final String id;
     private final UploadCase upload;
     private final int offset;
+    /** When it began to write. */
+    volatile long beganAt;
     /** When the write of the last byte returned, by the system's monotonic clock; 0 if it has not. */
     volatile long writtenAt;
     /** When a write last returned. */
@@ -50,7 +52,8 @@
         try (Loopback.Client client = new Loopback.Client(node)) {
             client.socket.setTcpNoDelay(true);
             client.socket.setSoTimeout(0);
-            wroteAt = System.nanoTime();
+            beganAt = System.nanoTime();
+            wroteAt = beganAt;
             Thread reader = new Thread(() -> read(client));
             reader.setDaemon(true);
             reader.start();
--- a/src/test/java/onyxpaddle/serve/UploadConduct.java
+++ b/src/test/java/onyxpaddle/serve/UploadConduct.java
@@ -1,6 +1,6 @@
 package onyxpaddle.serve;
 
-/** What a server does with an attempt of which the test sends a body: PROTOCOL's table of outcomes, each before, within and after the body. */
+/** What a server does with an attempt whose request has a body: each outcome of the protocol page, before, within and after the body. */
 enum UploadConduct {
     SERVES(Point.AFTER, true),
     /** Serves after a time that is long for the class. */
@@ -37,9 +37,4 @@
         this.point = point;
         this.mayRun = mayRun;
     }
-
-    /** Whether the server keeps the connection, without a word, until the node closes it. */
-    boolean hangs() {
-        return this == READS_NOTHING || this == STOPS_MIDWAY || this == NEVER_ANSWERS;
-    }
 }
--- a/src/test/java/onyxpaddle/serve/UploadTrial.java
+++ b/src/test/java/onyxpaddle/serve/UploadTrial.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -223,7 +224,10 @@
         long gone = client.writtenAt > 0 ? Math.max(0, attempt.beganAt - client.writtenAt) : 0;
         long excess = attempt.told + gone - TimeUnit.MILLISECONDS.toNanos(upload.timeoutMs());
         if (excess > TOLD_SLACK + ownDelay) {
-            faults.add(client.id + ": a server was told " + TimeUnit.NANOSECONDS.toMillis(excess) + " ms more than its client had left");
+            faults.add(String.format(Locale.ROOT, "%s: a server was told %d ms more than its client had left, %d ms after the last byte, %d ms after"
+                + " the first, %d ms of it the trial's own", client.id, TimeUnit.NANOSECONDS.toMillis(excess),
+                TimeUnit.NANOSECONDS.toMillis(gone), TimeUnit.NANOSECONDS.toMillis(attempt.beganAt - client.beganAt),
+                TimeUnit.NANOSECONDS.toMillis(ownDelay)));
         }
         long allowedUntil = client.wordAt + NOTHING_AFTER_ANSWER + delays.within(client.wordAt, attempt.beganAt);
         if (client.wordAt > 0 && attempt.beganAt > allowedUntil) {
