--- a/src/test/java/onyxpaddle/serve/SidecarBodyStreamingTest.java
+++ b/src/test/java/onyxpaddle/serve/SidecarBodyStreamingTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import onyxpaddle.serve.Loopback.Client;
+import onyxpaddle.serve.Loopback.FakeServer;
 import onyxpaddle.standin.StandInServer;
 import org.junit.jupiter.api.Test;
 
@@ -50,6 +51,21 @@
         }
     }
 
+    /** Guards against a further attempt that announces a body whose first part has gone to another server. */
+    @Test
+    void safeRequestIsNotSentAgainWithoutItsBody() throws Exception {
+        try (FakeServer one = new FakeServer("one", FakeServer.RESET); FakeServer other = new FakeServer("other", FakeServer.RESET);
+                StandInServer unused = new StandInServer("box", 0);
+                SidecarRig rig = new SidecarRig(config("64 KiB", unused).replace(unused.hostPort(), one.address() + ", " + other.address())
+                    .replace("methods: [GET, HEAD]", "methods: [POST]"))) {
+            String body = "x".repeat(1_000_000);
+            assertEquals(503, rig.post("/slots", body).statusCode());
+            assertEquals(1, one.requests.size() + other.requests.size());
+            String request = one.requests.isEmpty() ? other.nextRequest() : one.nextRequest();
+            assertTrue(request.endsWith("\r\n\r\n" + body), "the server got another body");
+        }
+    }
+
     @Test
     void contentLengthAboveTheLimitIsRejectedAtTheHead() throws Exception {
         try (StandInServer box = new StandInServer("box", 0); SidecarRig rig = new SidecarRig(config("64 KiB", box));
