LastByteBound keeps its marks from the first receive window on only

Need: each request, also one without a body, had a queue of sixteen places and a mark made for it, on the ordinary path.

Change: the queue is made once more than 64 KiB of a body have been read; below that the bound needs none.

--- a/src/main/java/onyxpaddle/node/LastByteBound.java
+++ b/src/main/java/onyxpaddle/node/LastByteBound.java
@@ -26,7 +26,8 @@
     }
 
     private final long length;
-    private final ArrayDeque<Mark> marks = new ArrayDeque<>();
+    /** Null up to {@link #FIRST_WINDOW}, as for most requests. */
+    private ArrayDeque<Mark> marks;
     /** In bytes, of the node's socket. */
     private long receiveBuffer = MAX_RECEIVE_BUFFER;
     private long total;
@@ -52,6 +53,15 @@
         this.total = total;
         bound = get(arrivedAt, now);
         readAt = now;
+        if (total > FIRST_WINDOW) {
+            mark(now);
+        }
+    }
+
+    private void mark(long now) {
+        if (marks == null) {
+            marks = new ArrayDeque<>();
+        }
         if (marks.isEmpty() || total - marks.peekLast().bytes() >= MARK_DISTANCE) {
             marks.add(new Mark(total, now));
         }
