An empty socket right after the node has not read proves nothing of a long body

Bytes in the client's socket had not had the time to come.

Change: silence counts from when the node reads again, and is 20 ms; or the socket is empty after 0.1 s in which the node has kept up: no pause, no bytes that lay for a turn of over 20 ms, no turn that read 16 KiB and more.

--- a/src/main/java/onyxpaddle/http/IncomingBody.java
+++ b/src/main/java/onyxpaddle/http/IncomingBody.java
@@ -92,7 +92,7 @@
         if (received > request.maxBufferedBytes()) {
             lastByteBound.setReceiveBuffer(channel.config().getReceiveBufferSize());
         }
-        lastByteBound.read(received, arrivedAt, clock.now());
+        lastByteBound.read(received, arrivedAt, clock.turnStart(), clock.now());
         if (received > request.maxBodyBytes()) {
             return Progress.TOO_LARGE;
         } else if (upload != null) {
@@ -150,8 +150,10 @@
             return;
         }
         if (on && pausedAt > 0) {
-            pausedNanos += clock.now() - pausedAt;
+            long now = clock.now();
+            pausedNanos += now - pausedAt;
             pausedAt = 0;
+            lastByteBound.resumed(now);
         } else if (!on && pausedAt == 0) {
             pausedAt = clock.now();
         }
--- a/src/main/java/onyxpaddle/node/LastByteBound.java
+++ b/src/main/java/onyxpaddle/node/LastByteBound.java
@@ -4,10 +4,11 @@
 
 /**
  * A lower bound of when the last byte of a body can have been written by its caller, from what has been read of it so far. Bytes that
- * are written and not yet read lie in the sockets between the caller and the node. Beyond what the node's socket takes at first, some
- * of them may wait in the caller's: that the node's socket is empty for a moment after a read tells nothing of those. Two
- * observations raise the bound: nothing arrived for {@link #QUIET} while the node was ready to read, or the caller would have to be
- * further ahead than the sockets allow. It does no I/O and gets all times, in nanoseconds of the node's clock.
+ * are written and not yet read lie in the sockets between the caller and the node. While the node reads less than comes, as a server
+ * takes no more or its event loop is late, some of them wait in the caller's: that the node's socket is empty for a moment tells
+ * nothing of those. Three observations raise the bound: the socket stayed empty for {@link #QUIET}, it was empty after the node had kept
+ * up with its caller for {@link #SETTLED}, or the caller would have to be further ahead than the sockets allow. It does no I/O and gets
+ * all times, in nanoseconds of the node's clock.
  */
 public final class LastByteBound {
     /** In bytes: Linux lets a socket's send buffer grow to 4 MiB unless it is configured otherwise. */
@@ -16,8 +17,14 @@
     static final long MAX_RECEIVE_BUFFER = 6 << 20;
     /** Bytes of a connection that reach the node's socket without being read: Linux's first receive window. */
     static final long FIRST_WINDOW = 64 * 1024;
-    /** Time in which bytes that the caller's socket holds arrive once the node's has room. */
-    static final long QUIET = 1_000_000L;
+    /** Time in which bytes that wait in the caller's socket arrive once the node's has room. */
+    static final long QUIET = 20_000_000L;
+    /** Time in which all bytes arrive that the caller's socket holds, if the node reads what comes. */
+    static final long SETTLED = 100_000_000L;
+    /** A caller whose socket holds bytes back fills the node's, so that a turn of the event loop reads at least so many. */
+    static final long BACKLOG_READ = 16 * 1024;
+    /** Bytes that lay unread for longer, while the event loop was in a turn, came while the node did not keep up. */
+    static final long MAX_READ_DELAY = 20_000_000L;
     /** Bytes between two marks. */
     private static final long MARK_DISTANCE = 512 * 1024;
 
@@ -32,6 +39,11 @@
     private long receiveBuffer = MAX_RECEIVE_BUFFER;
     private long total;
     private long readAt;
+    /** Since when the node has kept up with its caller. */
+    private long keepsUpSince;
+    /** The event loop's turn of the last read, by its start, and how much had been read before it. */
+    private long turn;
+    private long totalBeforeTurn;
     private long bound;
 
     /**
@@ -44,15 +56,29 @@
         this.length = length;
         this.bound = arrivedAt;
         this.readAt = arrivedAt;
+        this.keepsUpSince = arrivedAt;
+    }
+
+    /** The node reads again after it had paused. */
+    public void resumed(long now) {
+        keepsUpSince = now;
     }
 
     /**
-     * Records that {@code total} bytes of the body had been read at {@code now}. The last of them did not arrive before {@code arrivedAt}.
+     * Records that {@code total} bytes of the body had been read at {@code now}, in the event loop's turn that began at {@code turnStart}.
+     * The last of them did not arrive before {@code arrivedAt}.
      */
-    public void read(long total, long arrivedAt, long now) {
+    public void read(long total, long arrivedAt, long turnStart, long now) {
+        if (turnStart != turn) {
+            turn = turnStart;
+            totalBeforeTurn = this.total;
+        }
         this.total = total;
         bound = get(arrivedAt, now);
         readAt = now;
+        if (total - totalBeforeTurn >= BACKLOG_READ || turnStart - arrivedAt > MAX_READ_DELAY) {
+            keepsUpSince = now;
+        }
         if (total > FIRST_WINDOW) {
             mark(now);
         }
@@ -85,7 +111,12 @@
         if (isAhead(total)) {
             return now;
         }
-        return total <= FIRST_WINDOW || nextArrival - readAt >= QUIET ? Math.max(bound, nextArrival) : bound;
+        return total <= FIRST_WINDOW || provesEmpty(nextArrival) ? Math.max(bound, nextArrival) : bound;
+    }
+
+    /** Whether the caller's socket held nothing when the node's was empty at the time {@code at}. */
+    private boolean provesEmpty(long at) {
+        return at - Math.max(readAt, keepsUpSince) >= QUIET || at - keepsUpSince >= SETTLED;
     }
 
     /** Whether the last byte was still out of the sockets' reach when {@code bytes} had been read. */
