--- a/src/main/java/onyxpaddle/standin/StandInServer.java
+++ b/src/main/java/onyxpaddle/standin/StandInServer.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpChunkedInput;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -35,12 +36,13 @@
  * unique; requests without the header only add to the total. It can be frozen, and its answers can have faults.
  *
  * <p>A request can set the answer with the headers {@code X-Answer-Status}, {@code X-Answer-Bytes} and {@code X-Answer-Delay}
- * (milliseconds).
+ * (milliseconds). With {@code X-Answer-Tiny-Chunks} that many chunks of one byte follow an answer, which is then in chunked coding.
  */
 public final class StandInServer extends StandIn<StandInServer> {
     private static final int MAX_BODY_BYTES = 64 << 20;
     /** Larger answers are streamed instead of built in memory, and have no faults. */
     private static final int MAX_BUFFERED_BYTES = 1 << 20;
+    private static final String TINY_CHUNKS = "X-Answer-Tiny-Chunks";
     private static final int CHUNK_BYTES = 64 * 1024;
 
     /** Notified of received and executed requests, on the event loop of the server. */
@@ -224,6 +226,10 @@
                 response.release();
                 return;
             }
+            if (response.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
+                after(context, millis, () -> writeTinyChunks(context, response));
+                return;
+            }
             Fault fault = faults.next();
             after(context, millis + (fault == Fault.DELAY ? faults.delayMillis() : 0), () -> {
                 writeWithFault(context, response, keep, fault);
@@ -240,6 +246,14 @@
             context.writeAndFlush(new HttpChunkedInput(new ChunkedStream(new RepeatedByteStream(length), CHUNK_BYTES)));
         }
 
+        private static void writeTinyChunks(ChannelHandlerContext context, DefaultFullHttpResponse response) {
+            int count = Integer.parseInt(response.headers().get(TINY_CHUNKS));
+            String text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(response.content().readableBytes())
+                + "\r\n" + response.content().toString(StandardCharsets.US_ASCII) + "\r\n" + "1\r\nx\r\n".repeat(count) + "0\r\n\r\n";
+            response.release();
+            context.pipeline().firstContext().writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+        }
+
         private void writeWithFault(ChannelHandlerContext context, DefaultFullHttpResponse response, boolean keep, Fault fault) {
             byte[] head = ("HTTP/1.1 200 OK\r\nContent-Length: " + response.content().readableBytes() + "\r\n\r\n")
                 .getBytes(StandardCharsets.US_ASCII);
@@ -276,6 +290,10 @@
                 + " bytes\n";
             DefaultFullHttpResponse response = answer(code, bytes < 0 ? text : "x".repeat((int) Math.min(MAX_BODY_BYTES, bytes)));
             response.headers().set("X-Stand-In", name);
+            if (request.headers().contains(TINY_CHUNKS)) {
+                response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+                response.headers().set(TINY_CHUNKS, number(request, TINY_CHUNKS, 0));
+            }
             return response;
         }
 
--- a/src/test/java/onyxpaddle/measure/LookUps.java
+++ b/src/test/java/onyxpaddle/measure/LookUps.java
@@ -15,10 +15,16 @@
 final class LookUps {
     /** The deadline of their class, half a second in which an answer only earns nothing, and 0.1 s of slack. */
     private static final int LATEST_ANSWER_MS = 3_600;
+    private static final double AIM_MS = 500;
     private static final int THREADS = 200;
 
-    /** {@code lost}: had no answer in time, or a close without an answer. */
-    record Outcome(int served, int refused, int lost, double longestMs) {
+    /**
+     * What became of them.
+     *
+     * @param lost had no answer in time, or a close without an answer
+     * @param late were answered, but not within their class's aim
+     */
+    record Outcome(int served, int refused, int lost, int late, double longestMs) {
     }
 
     private record Answer(String statusLine, double millis) {
@@ -48,14 +54,16 @@
     private static Outcome outcome(List<Future<Answer>> answers) throws Exception {
         int served = 0;
         int refused = 0;
+        int late = 0;
         double longest = 0;
         for (Future<Answer> future : answers) {
             Answer answer = future.get();
             served += answer.statusLine().startsWith("HTTP/1.1 200") ? 1 : 0;
             refused += answer.statusLine().startsWith("HTTP/1.1 503") ? 1 : 0;
+            late += !answer.statusLine().isEmpty() && answer.millis() > AIM_MS ? 1 : 0;
             longest = Math.max(longest, answer.millis());
         }
-        return new Outcome(served, refused, answers.size() - served - refused, longest);
+        return new Outcome(served, refused, answers.size() - served - refused, late, longest);
     }
 
     private Answer ask(String id) {
--- a/src/test/java/onyxpaddle/measure/SlowClients.java
+++ b/src/test/java/onyxpaddle/measure/SlowClients.java
@@ -6,10 +6,11 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.channels.SocketChannel;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
-import onyxpaddle.measure.SlowConduct.Reading;
+import onyxpaddle.measure.PeerConduct.Reading;
 
-/** Many clients of one conduct, on one thread. */
+/** Many clients on one thread, whose conducts take turns. */
 final class SlowClients implements AutoCloseable {
     private static final int READ_BYTES = 64 * 1024;
     private static final int SLOW_READ_BYTES = 500;
@@ -17,7 +18,7 @@
     private static final int POLL_MS = 10;
 
     private final InetSocketAddress node;
-    private final SlowConduct conduct;
+    private final List<? extends PeerConduct> conducts;
     private final boolean reconnects;
     private final Selector selector = Selector.open();
     private final ByteBuffer into = ByteBuffer.allocate(READ_BYTES);
@@ -26,33 +27,38 @@
     private long requests;
 
     /** {@code reconnects}: a client whose connection was closed connects again at once. */
-    SlowClients(InetSocketAddress node, SlowConduct conduct, int count, boolean reconnects) throws IOException {
+    SlowClients(InetSocketAddress node, List<? extends PeerConduct> conducts, int count, boolean reconnects) throws IOException {
         this.node = node;
-        this.conduct = conduct;
+        this.conducts = conducts;
         this.reconnects = reconnects;
         for (int i = 0; i < count; i++) {
-            connect();
+            connect(conducts.get(i % conducts.size()));
         }
         thread.setDaemon(true);
         thread.start();
     }
 
     private static final class Client {
+        final PeerConduct conduct;
         ByteBuffer out;
         long nextWriteAt;
         long nextReadAt;
+
+        Client(PeerConduct conduct) {
+            this.conduct = conduct;
+        }
     }
 
-    private void connect() throws IOException {
+    private void connect(PeerConduct conduct) throws IOException {
         SocketChannel channel = SocketChannel.open();
         channel.configureBlocking(false);
-        Client client = new Client();
-        client.out = opening();
+        Client client = new Client(conduct);
+        client.out = opening(conduct);
         channel.connect(node);
         channel.register(selector, SelectionKey.OP_CONNECT, client);
     }
 
-    private ByteBuffer opening() {
+    private ByteBuffer opening(PeerConduct conduct) {
         return ByteBuffer.wrap(conduct.opening("slow-" + ++requests));
     }
 
@@ -79,22 +85,23 @@
             }
             write(channel, client, now);
             read(channel, client, now);
-            boolean writes = client.out.hasRemaining() || conduct.repeats;
-            key.interestOps((conduct.reading == Reading.AT_ONCE ? SelectionKey.OP_READ : 0) | (writes ? SelectionKey.OP_WRITE : 0));
+            boolean writes = client.out.hasRemaining() || client.conduct.repeats();
+            key.interestOps((client.conduct.reading() == Reading.AT_ONCE ? SelectionKey.OP_READ : 0) | (writes ? SelectionKey.OP_WRITE : 0));
         } catch (IOException e) {
             channel.close();
             if (reconnects) {
-                connect();
+                connect(client.conduct);
             }
         }
     }
 
     private void write(SocketChannel channel, Client client, long now) throws IOException {
-        if (!client.out.hasRemaining() && conduct.repeats) {
-            client.out = opening();
+        PeerConduct conduct = client.conduct;
+        if (!client.out.hasRemaining() && conduct.repeats()) {
+            client.out = opening(conduct);
         } else if (!client.out.hasRemaining() && conduct.writesMore() && now >= client.nextWriteAt) {
             client.out = ByteBuffer.wrap(conduct.more("slow-" + ++requests));
-            client.nextWriteAt = now + TimeUnit.MILLISECONDS.toNanos(conduct.intervalMs);
+            client.nextWriteAt = now + TimeUnit.MILLISECONDS.toNanos(conduct.intervalMs());
         }
         if (client.out.hasRemaining()) {
             channel.write(client.out);
@@ -102,8 +109,8 @@
     }
 
     private void read(SocketChannel channel, Client client, long now) throws IOException {
-        boolean slow = conduct.reading == Reading.SLOWLY;
-        if (conduct.reading == Reading.NEVER || slow && now < client.nextReadAt) {
+        boolean slow = client.conduct.reading() == Reading.SLOWLY;
+        if (client.conduct.reading() == Reading.NEVER || slow && now < client.nextReadAt) {
             return;
         }
         client.nextReadAt = now + SLOW_READ_INTERVAL;
--- a/src/test/java/onyxpaddle/measure/SlowConduct.java
+++ b/src/test/java/onyxpaddle/measure/SlowConduct.java
@@ -3,7 +3,7 @@
 import java.nio.charset.StandardCharsets;
 
 /** What a client does that takes its time, stops, or floods, in the bytes that it writes and in how it reads. */
-enum SlowConduct {
+enum SlowConduct implements PeerConduct {
     /** A head of many short fields that stops before its end. */
     STOPS_IN_A_HEAD_OF_MANY_FIELDS(head("GET", "") + "a:\r\n".repeat(3_900), "", 0, Reading.AT_ONCE, false),
     /** A head with one long field that stops before its end. */
@@ -25,17 +25,11 @@
     PIPELINES(request().repeat(40), "", 0, Reading.AT_ONCE, true),
     PIPELINES_AND_READS_NOTHING(request().repeat(40), "", 0, Reading.NEVER, true);
 
-    /** How it reads what comes. */
-    enum Reading {
-        AT_ONCE, SLOWLY, NEVER
-    }
-
     private final String opening;
     private final String more;
-    final int intervalMs;
-    final Reading reading;
-    /** Begins anew on the same connection as soon as all is written. */
-    final boolean repeats;
+    private final int intervalMs;
+    private final Reading reading;
+    private final boolean repeats;
 
     SlowConduct(String opening, String more, int intervalMs, Reading reading, boolean repeats) {
         this.opening = opening;
@@ -54,17 +48,33 @@
         return head("GET", "") + "\r\n";
     }
 
-    /** What it writes first. */
-    byte[] opening(String id) {
+    @Override
+    public byte[] opening(String id) {
         return opening.replace("%s", id).getBytes(StandardCharsets.US_ASCII);
     }
 
-    /** What it writes in each interval after that; empty for nothing. */
-    byte[] more(String id) {
+    @Override
+    public byte[] more(String id) {
         return more.replace("%s", id).getBytes(StandardCharsets.US_ASCII);
     }
 
-    boolean writesMore() {
+    @Override
+    public boolean writesMore() {
         return !more.isEmpty();
     }
+
+    @Override
+    public int intervalMs() {
+        return intervalMs;
+    }
+
+    @Override
+    public Reading reading() {
+        return reading;
+    }
+
+    @Override
+    public boolean repeats() {
+        return repeats;
+    }
 }
--- a/src/test/java/onyxpaddle/measure/SlowPeersIT.java
+++ b/src/test/java/onyxpaddle/measure/SlowPeersIT.java
@@ -24,6 +24,7 @@
     private static final int SERVERS = 6;
     private static final long DEFAULT_SEED = 1;
     private static final int CASES_OF_A_PART = 3;
+    private static final int CUT_CASES_OF_A_PART = 4;
     private static final int TROUBLE_S = Integer.getInteger("peers.seconds", 4);
     private static final int LOOK_UPS_PER_SECOND = 40;
     private static final int LOOK_UPS_AFTERWARDS = 40;
@@ -33,35 +34,44 @@
     private static final Limits FEW_DESCRIPTORS = new Limits(256, 192);
 
     /** {@code reconnects}: clients connect again at once when they are closed. */
-    record PeerCase(SlowConduct conduct, int clients, boolean reconnects, Limits limits) {
+    record PeerCase(List<? extends PeerConduct> conducts, int clients, boolean reconnects, Limits limits) {
     }
 
+    private static final List<PeerConduct> MIXED = List.of(SlowConduct.WRITES_A_HEAD_BYTE_BY_BYTE, CutConduct.STOPS_IN_MANY_SHORT_FIELDS,
+        SlowConduct.STOPS_IN_A_BODY, CutConduct.STOPS_IN_TINY_CHUNKS, CutConduct.BURSTS_OF_TINY_CHUNKS, SlowConduct.WRITES_A_BODY_SLOWLY,
+        SlowConduct.READS_SLOWLY, CutConduct.READS_NOTHING_OF_TINY_CHUNKS);
+
     private static List<PeerCase> allCases() {
         List<PeerCase> cases = new ArrayList<>();
         for (SlowConduct conduct : SlowConduct.values()) {
-            cases.add(new PeerCase(conduct, 1, true, FULL));
-            cases.add(new PeerCase(conduct, 60, true, FULL));
-            if (!conduct.repeats) {
-                cases.add(new PeerCase(conduct, 540, false, FULL));
-                cases.add(new PeerCase(conduct, 900, true, FULL));
-                cases.add(new PeerCase(conduct, 540, true, LEAST_MEMORY));
-                cases.add(new PeerCase(conduct, 200, true, FEW_DESCRIPTORS));
+            cases.add(new PeerCase(List.of(conduct), 1, true, FULL));
+            cases.add(new PeerCase(List.of(conduct), 60, true, FULL));
+            if (!conduct.repeats()) {
+                cases.add(new PeerCase(List.of(conduct), 540, false, FULL));
+                cases.add(new PeerCase(List.of(conduct), 900, true, FULL));
+                cases.add(new PeerCase(List.of(conduct), 540, true, LEAST_MEMORY));
+                cases.add(new PeerCase(List.of(conduct), 200, true, FEW_DESCRIPTORS));
             }
         }
         return cases;
     }
 
     static Stream<PeerCase> cases() {
-        List<PeerCase> cases = allCases();
+        return part(allCases(), CASES_OF_A_PART).stream();
+    }
+
+    /** So many of the cases as are to be played, drawn from a seed. */
+    private static List<PeerCase> part(List<PeerCase> cases, int count) {
         String only = System.getProperty("peers.only");
         if (only != null) {
-            return cases.stream().filter(c -> c.toString().matches(only));
+            return cases.stream().filter(c -> c.toString().matches(only)).toList();
         }
-        if (!Boolean.getBoolean("peers.all")) {
-            Collections.shuffle(cases, new Random(Long.getLong("peers.seed", DEFAULT_SEED)));
-            cases = cases.subList(0, CASES_OF_A_PART);
+        if (Boolean.getBoolean("peers.all")) {
+            return cases;
         }
-        return cases.stream();
+        List<PeerCase> shuffled = new ArrayList<>(cases);
+        Collections.shuffle(shuffled, new Random(Long.getLong("peers.seed", DEFAULT_SEED)));
+        return shuffled.subList(0, count);
     }
 
     @ParameterizedTest(name = "{0}")
@@ -73,13 +83,38 @@
     /** Guards against direct memory that unread bytes of stopped uploads fill, whose failed reservations stop the event loop. */
     @Test
     void uploadsThatStopHalfwayDoNotStopTheEventLoop() throws Exception {
-        assertEquals(List.of(), play(new PeerCase(SlowConduct.STOPS_IN_A_BODY, 540, false, FULL)));
+        assertEquals(List.of(), play(new PeerCase(List.of(SlowConduct.STOPS_IN_A_BODY), 540, false, FULL)));
     }
 
     /** Guards against a heap that the decoded fields of unfinished heads fill. */
     @Test
     void headsOfManyFieldsDoNotFillTheHeap() throws Exception {
-        assertEquals(List.of(), play(new PeerCase(SlowConduct.STOPS_IN_A_HEAD_OF_MANY_FIELDS, 540, false, FULL)));
+        assertEquals(List.of(), play(new PeerCase(List.of(SlowConduct.STOPS_IN_A_HEAD_OF_MANY_FIELDS), 540, false, FULL)));
+    }
+
+    /** Rows of incident f81610: the clients' bytes are few, and cut into pieces. */
+    static Stream<PeerCase> cutCases() {
+        List<PeerCase> cases = List.of(
+            new PeerCase(List.of(CutConduct.TINY_CHUNKS_BEHIND_A_REQUEST), 20, true, FULL),
+            new PeerCase(List.of(CutConduct.TINY_CHUNKS_BEHIND_A_MEGABYTE), 40, true, FULL),
+            new PeerCase(List.of(CutConduct.STOPS_IN_TINY_CHUNKS), 540, false, FULL),
+            new PeerCase(List.of(CutConduct.WRITES_TINY_CHUNKS), 60, true, FULL),
+            new PeerCase(List.of(CutConduct.READS_NOTHING_OF_TINY_CHUNKS), 40, true, FULL),
+            new PeerCase(List.of(CutConduct.STOPS_IN_MANY_SHORT_FIELDS), 540, true, FULL),
+            new PeerCase(List.of(SlowConduct.STOPS_IN_A_BODY, SlowConduct.WRITES_A_BODY_SLOWLY, SlowConduct.STOPS_IN_A_BODY,
+                CutConduct.BURSTS_OF_TINY_CHUNKS), 500, true, FULL),
+            new PeerCase(MIXED, 900, true, FULL),
+            new PeerCase(MIXED, 560, false, FULL),
+            new PeerCase(MIXED, 300, true, FEW_DESCRIPTORS),
+            new PeerCase(MIXED, 540, true, LEAST_MEMORY));
+        return part(cases, CUT_CASES_OF_A_PART).stream();
+    }
+
+    /** Guards against memory, stack depth and turns of the event loop that grow with the number of a peer's pieces, not with its bytes. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("cutCases")
+    void bytesInTinyPiecesCostTheProcessNoMoreThanItsBounds(PeerCase peers) throws Exception {
+        assertEquals(List.of(), play(peers));
     }
 
     private static List<String> play(PeerCase peers) throws Exception {
@@ -87,7 +122,7 @@
         try (PlatformRig rig = new PlatformRig(SERVERS, peers.limits())) {
             ServeProcess node = rig.start(false);
             LookUps lookUps = new LookUps(rig.listen);
-            SlowClients clients = new SlowClients(rig.listen, peers.conduct(), peers.clients(), peers.reconnects());
+            SlowClients clients = new SlowClients(rig.listen, peers.conducts(), peers.clients(), peers.reconnects());
             LookUps.Outcome during;
             try {
                 during = lookUps.run("beside-", TROUBLE_S * LOOK_UPS_PER_SECOND, LOOK_UPS_PER_SECOND);
@@ -112,7 +147,8 @@
             faults.add("the process ended with " + node.process().exitValue() + ": " + node.log());
             return;
         }
-        node.log().lines().filter(line -> line.contains("OutOfMemoryError")).limit(1).forEach(faults::add);
+        node.log().lines().filter(line -> line.contains("Error: ") || line.contains("StackOverflowError") || line.contains("OutOfMemoryError")).limit(1).forEach(faults::add);
+        node.call("GET /metrics").lines().filter(line -> line.startsWith("svc_longest_delay")).forEach(System.out::println);
         System.out.println(Math.round(node.peakResidentMiB()) + " MiB of " + peers.limits().memoryMb());
         if (node.peakResidentMiB() > peers.limits().memoryMb()) {
             faults.add("used " + Math.round(node.peakResidentMiB()) + " MiB");
--- a/src/test/java/onyxpaddle/node/UploadTest.java
+++ b/src/test/java/onyxpaddle/node/UploadTest.java
@@ -17,6 +17,7 @@
 
 class UploadTest {
     private static final int MAX_BYTES = 1 << 20;
+    private static final int PIECES = 20_000;
 
     private final SharedLimit.Share budget = new SharedLimit(MAX_BYTES).join();
     private final List<ByteBuf> given = new ArrayList<>();
@@ -122,6 +123,32 @@
         assertEquals(0, budget.held());
     }
 
+    /** Guards against buffers that nest, and so end the stack, one level for each piece that waits for a server. */
+    @Test
+    void bytesThatWaitInTinyPiecesDoNotNest() throws IOException {
+        Upload upload = upload(new byte[1]);
+        for (int i = 0; i < PIECES; i++) {
+            upload.add(part(new byte[] {(byte) i}), false);
+        }
+        Attempt attempt = new Attempt();
+        attempt.start(upload);
+        assertArrayEquals(sent.toByteArray(), attempt.got.toByteArray());
+        upload.release();
+        assertEquals(0, budget.held());
+    }
+
+    /** Guards against memory that bytes take which wait for a server, and that is counted by nobody. */
+    @Test
+    void bytesThatWaitAreCounted() throws IOException {
+        Upload upload = upload(new byte[1]);
+        for (int i = 0; i < PIECES; i++) {
+            upload.add(part(new byte[] {(byte) i}), false);
+        }
+        assertTrue(budget.held() >= PIECES, budget.held() + " bytes");
+        upload.release();
+        assertEquals(0, budget.held());
+    }
+
     @Test
     void attemptHasTheWholeBodyInAnyOrderOfArrivalAndEventsAndNothingLeaks() throws IOException {
         for (int seed = 0; seed < 500; seed++) {
