Bytes that wait for a server are flat and counted, however their client cuts them

Cause: Upload.add wrapped what waited and what came into a new composite buffer, one level of nesting for each piece of a body that waits for a server; reading or releasing some thousand levels ends the stack. Its bytes were in no account either. Change: such bytes are appended to the chunks of the body's held part, and counted there. It works because the depth no longer depends on what a peer sends. No other composite in the program wraps one that it made before.

--- a/src/main/java/onyxpaddle/node/Body.java
+++ b/src/main/java/onyxpaddle/node/Body.java
@@ -32,29 +32,57 @@
         this.firstChunkSize = (int) Math.min(Math.min(MAX_CHUNK, maxBytes), expected < 0 ? 1024 : Math.max(1, expected));
     }
 
-    /** Appends the buffer's bytes; false if that exceeds the size limit or the budget. */
+    /** Appends the buffer's bytes; false if that exceeds the size limit or the budget, after as many bytes as there was room for. */
     public boolean add(ByteBuf more) {
         if (size + more.readableBytes() > maxBytes) {
             return false;
         }
         while (more.isReadable()) {
-            if (chunks.isEmpty() || lastLength == last().length) {
-                int next = chunks.isEmpty() ? firstChunkSize : Math.max(MAX_CHUNK / 8, (int) Math.min(MAX_CHUNK, size));
+            if (isFull()) {
+                int next = nextChunkSize();
                 if (!budget.take(next, reserved + next <= SMALL_BODY ? 1 : LARGE_BODY_PART)) {
                     return false;
                 }
-                reserved += next;
-                chunks.add(new byte[next]);
-                lastLength = 0;
+                append(next);
             }
-            int count = Math.min(more.readableBytes(), last().length - lastLength);
-            more.readBytes(last(), lastLength, count);
-            lastLength += count;
-            size += count;
+            fillLast(more);
         }
         return true;
     }
 
+    /** Appends the buffer's bytes, which have been read already, whatever the limits; they are counted all the same. */
+    void forceAdd(ByteBuf more) {
+        while (more.isReadable()) {
+            if (isFull()) {
+                int next = nextChunkSize();
+                budget.forceTake(next);
+                append(next);
+            }
+            fillLast(more);
+        }
+    }
+
+    private boolean isFull() {
+        return chunks.isEmpty() || lastLength == last().length;
+    }
+
+    private int nextChunkSize() {
+        return chunks.isEmpty() ? firstChunkSize : Math.max(MAX_CHUNK / 8, (int) Math.min(MAX_CHUNK, size));
+    }
+
+    private void append(int chunkSize) {
+        reserved += chunkSize;
+        chunks.add(new byte[chunkSize]);
+        lastLength = 0;
+    }
+
+    private void fillLast(ByteBuf from) {
+        int count = Math.min(from.readableBytes(), last().length - lastLength);
+        from.readBytes(last(), lastLength, count);
+        lastLength += count;
+        size += count;
+    }
+
     private byte[] last() {
         return chunks.get(chunks.size() - 1);
     }
--- a/src/main/java/onyxpaddle/node/Upload.java
+++ b/src/main/java/onyxpaddle/node/Upload.java
@@ -40,8 +40,6 @@
     private boolean consumed;
     /** The body's last byte has arrived. */
     private boolean received;
-    /** Bytes that follow the held part and arrived before an attempt took the body; null for none. */
-    private ByteBuf unheld;
 
     /**
      * Creates the body of which {@code held} is the first part.
@@ -87,7 +85,8 @@
         } else if (consumed) {
             more.release();
         } else {
-            unheld = unheld == null ? more : Unpooled.wrappedBuffer(unheld, more);
+            held.forceAdd(more);
+            more.release();
         }
     }
 
@@ -106,14 +105,11 @@
         held.release();
     }
 
-    /** Passes what has arrived meanwhile to the attached attempt, and resumes reading. */
+    /** The held part is with the attached attempt: completes it if the body's last byte has arrived, and resumes reading otherwise. */
     public void resume() {
-        ByteBuf first = unheld;
-        unheld = null;
-        if (first != null) {
-            sink.take(first, received);
-        }
-        if (!received) {
+        if (received) {
+            sink.take(Unpooled.EMPTY_BUFFER, true);
+        } else {
             reader.read(true);
         }
     }
@@ -155,9 +151,5 @@
     public void release() {
         consumed = true;
         held.release();
-        if (unheld != null) {
-            unheld.release();
-            unheld = null;
-        }
     }
 }
