What waits behind a request is in few buffers and counted by what it takes of the heap

What callers saw: with 20 clients that send 0.7 MB in chunks of one byte behind a small request, the heap is used up within two seconds, the process ends with 3 and all look-ups are lost. Cause: PipelinedRequests kept a record, a content and a buffer for each piece, and counted its payload: 143 times less than it took. Change: bytes of a body are appended to buffers of 2 KiB and more, whose whole capacity is counted, with what stands around it; the end of a request is counted too. HeadBudget names what is asked of the front for it, so that it can be tested by itself. Evidence: PipelinedRequestsTest measures the heap of 1,000 connections.

--- a/src/main/java/onyxpaddle/http/HeadMemory.java
+++ b/src/main/java/onyxpaddle/http/HeadMemory.java
@@ -15,14 +15,14 @@
     /** Heap bytes of a field beside its characters. */
     private static final int BYTES_PER_FIELD = 128;
 
-    private final HttpFront front;
+    private final HeadBudget budget;
     /** Bytes read of a head that is not complete. */
     private long undecodedBytes;
     /** Heap bytes taken for the head of the current request. */
     private long decodedCost;
 
-    HeadMemory(HttpFront front) {
-        this.front = front;
+    HeadMemory(HeadBudget budget) {
+        this.budget = budget;
     }
 
     /** About how many heap bytes a decoded head takes. */
@@ -38,7 +38,7 @@
 
     /** Counts bytes of a head that is not complete; false if there is no memory for them. */
     boolean addUndecoded(long bytes) {
-        if (!front.reserveHead(bytes * BYTES_PER_UNDECODED_BYTE)) {
+        if (!budget.reserveHead(bytes * BYTES_PER_UNDECODED_BYTE)) {
             return false;
         }
         // Added: to make room, this head itself may have been given up and released meanwhile.
@@ -51,7 +51,7 @@
         if (bytes > undecodedBytes) {
             return addUndecoded(bytes - undecodedBytes);
         }
-        front.releaseHead((undecodedBytes - bytes) * BYTES_PER_UNDECODED_BYTE);
+        budget.releaseHead((undecodedBytes - bytes) * BYTES_PER_UNDECODED_BYTE);
         undecodedBytes = bytes;
         return true;
     }
@@ -60,7 +60,7 @@
     boolean decoded(HttpRequest request) {
         release();
         long cost = of(request);
-        if (!front.reserveHead(cost)) {
+        if (!budget.reserveHead(cost)) {
             return false;
         }
         decodedCost = cost;
@@ -69,7 +69,7 @@
 
     /** The current request has its answer. */
     void answered() {
-        front.releaseHead(decodedCost);
+        budget.releaseHead(decodedCost);
         decodedCost = 0;
     }
 
--- a/src/main/java/onyxpaddle/http/HttpFront.java
+++ b/src/main/java/onyxpaddle/http/HttpFront.java
@@ -13,7 +13,7 @@
 import onyxpaddle.socket.PollableChannel;
 
 /** The front for HTTP/1.1. Tracks idle and incomplete connections, and applies the drain rules of the node to them. */
-public final class HttpFront extends ListeningFront<ClientConnection> {
+public final class HttpFront extends ListeningFront<ClientConnection> implements HeadBudget {
     private static final int MAX_INITIAL_LINE_BYTES = 8 * 1024;
     private static final int MAX_HEADER_BYTES = 16 * 1024;
     private static final long SWEEP_MS = 250;
@@ -82,7 +82,8 @@
     // ---- memory of heads ----
 
     /** Takes memory for a head, if need be from those that have held a part of one for longest; false if there is none. */
-    boolean reserveHead(long bytes) {
+    @Override
+    public boolean reserveHead(long bytes) {
         while (!heads.take(bytes)) {
             if (!giveUpOldestHead()) {
                 return false;
@@ -99,7 +100,8 @@
         }).orElse(false);
     }
 
-    void releaseHead(long bytes) {
+    @Override
+    public void releaseHead(long bytes) {
         heads.giveBack(bytes);
     }
 
--- a/src/main/java/onyxpaddle/http/PipelinedRequests.java
+++ b/src/main/java/onyxpaddle/http/PipelinedRequests.java
@@ -1,6 +1,8 @@
 package onyxpaddle.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
@@ -20,13 +22,19 @@
     private static final int MAX_REQUESTS = 16;
     /** Discarded requests from which on a client counts as one that floods. */
     private static final int FLOOD_REQUESTS = 64;
+    /** Of a buffer for parts of a body. */
+    private static final int MIN_BUFFER_BYTES = 2 * 1024;
+    /** Heap bytes of such a buffer beside its capacity. */
+    private static final int BYTES_PER_BUFFER = 192;
+    /** Heap bytes of the end of a request. */
+    private static final int BYTES_PER_LAST_PART = 64;
     private static final int MAX_BODY_BYTES = 2 * SocketBuffers.READ_SIZE;
 
-    /** A decoded part; {@code arrivedAt}: a time before which it did not arrive. */
+    /** A decoded part; {@code arrivedAt}: a time before which its last byte did not arrive. */
     record Part(HttpObject message, long arrivedAt, long heldBytes) {
     }
 
-    private final HttpFront front;
+    private final HeadBudget budget;
     private final ArrayDeque<Part> parts = new ArrayDeque<>();
     private int requests;
     private int bodyBytes;
@@ -41,8 +49,8 @@
     /** Input that is no request, behind the discarded ones; null for none. */
     private Part malformed;
 
-    PipelinedRequests(HttpFront front) {
-        this.front = front;
+    PipelinedRequests(HeadBudget budget) {
+        this.budget = budget;
     }
 
     /** Whether nothing is kept and no refusal is due. */
@@ -94,29 +102,56 @@
             parts.add(new Part(message, arrivedAt, 0));
             return true;
         }
-        int bytes = message instanceof HttpContent content ? content.content().readableBytes() : 0;
-        long held = bytes;
         if (message instanceof HttpRequest request) {
-            if (requests >= MAX_REQUESTS) {
-                return false;
-            }
-            held += HeadMemory.of(request);
-            requests++;
+            return keepHead(request, arrivedAt);
         }
-        if (bodyBytes + bytes > MAX_BODY_BYTES || !front.reserveHead(held)) {
+        HttpContent content = (HttpContent) message;
+        if (content.content().isReadable() && !keepBytes(content.content(), arrivedAt)) {
             return false;
         }
-        bodyBytes += bytes;
-        parts.add(new Part(bytes > 0 ? unpinned((HttpContent) message) : message, arrivedAt, held));
-        incompleteParts = message instanceof LastHttpContent ? 0 : incompleteParts + 1;
+        boolean last = content instanceof LastHttpContent;
+        content.release();
+        if (last) {
+            parts.add(new Part(LastHttpContent.EMPTY_LAST_CONTENT, arrivedAt, 0));
+            incompleteParts = 0;
+        }
         return true;
     }
 
-    /** A copy, as the bytes of a part pin the whole buffer that they were read into. */
-    private static HttpContent unpinned(HttpContent content) {
-        HttpContent copy = content.replace(Unpooled.copiedBuffer(content.content()));
-        content.release();
-        return copy;
+    private boolean keepHead(HttpRequest request, long arrivedAt) {
+        long cost = HeadMemory.of(request) + BYTES_PER_LAST_PART;
+        if (requests >= MAX_REQUESTS || !budget.reserveHead(cost)) {
+            return false;
+        }
+        requests++;
+        parts.add(new Part(request, arrivedAt, cost));
+        incompleteParts++;
+        return true;
+    }
+
+    /** Copies bytes of a body into as few buffers as possible, as a peer may send them one by one; false if there is no memory. */
+    private boolean keepBytes(ByteBuf bytes, long arrivedAt) {
+        int count = bytes.readableBytes();
+        Part last = parts.peekLast();
+        boolean appends = incompleteParts > 0 && last.message() instanceof HttpContent;
+        ByteBuf room = appends ? ((HttpContent) last.message()).content() : Unpooled.EMPTY_BUFFER;
+        int rest = Math.max(0, count - room.writableBytes());
+        int capacity = Math.max(MIN_BUFFER_BYTES, rest);
+        if (bodyBytes + count > MAX_BODY_BYTES || rest > 0 && !budget.reserveHead(BYTES_PER_BUFFER + capacity)) {
+            return false;
+        }
+        bodyBytes += count;
+        if (count > rest) {
+            room.writeBytes(bytes, count - rest);
+            parts.pollLast();
+            parts.add(new Part(last.message(), arrivedAt, last.heldBytes()));
+        }
+        if (rest > 0) {
+            ByteBuf buffer = Unpooled.buffer(capacity, capacity).writeBytes(bytes);
+            parts.add(new Part(new DefaultHttpContent(buffer), arrivedAt, BYTES_PER_BUFFER + capacity));
+            incompleteParts++;
+        }
+        return true;
     }
 
     /** The request whose part could not be kept is refused as a whole. */
@@ -132,7 +167,7 @@
     }
 
     private void release(Part part) {
-        front.releaseHead(part.heldBytes());
+        budget.releaseHead(part.heldBytes());
         if (part.message() instanceof HttpRequest) {
             requests--;
         } else if (part.message() instanceof HttpContent content) {
