The decoded fields of unfinished heads and trailers are counted as what they take

Cause: an unfinished head was counted with three bytes for each byte read; a field of four bytes takes some 80 once it is decoded, and Netty decodes each line as it comes, of trailers too. Change: the factory of a connection's fields tells how many of what is not complete are decoded, and each is counted as in a complete head.

--- a/src/main/java/onyxpaddle/http/BoundedHttpHeaders.java
+++ b/src/main/java/onyxpaddle/http/BoundedHttpHeaders.java
@@ -13,23 +13,37 @@
 final class BoundedHttpHeaders extends DefaultHttpHeaders {
     static final int MAX_FIELDS = 128;
 
-    private static final HttpHeadersFactory FACTORY = new HttpHeadersFactory() {
+    /** Creates the fields of one connection's heads and trailers, and tells how many those that are being decoded have so far. */
+    static final class Factory implements HttpHeadersFactory {
+        private BoundedHttpHeaders latest;
+
         @Override
         public HttpHeaders newHeaders() {
-            return new BoundedHttpHeaders();
+            latest = new BoundedHttpHeaders();
+            return latest;
         }
 
         @Override
         public HttpHeaders newEmptyHeaders() {
-            return new BoundedHttpHeaders();
+            return newHeaders();
+        }
+
+        /** What was decoded last is complete. */
+        void complete() {
+            latest = null;
         }
-    };
+
+        /** How many fields of what is not complete have been decoded. */
+        int incompleteFields() {
+            return latest == null ? 0 : latest.added;
+        }
+    }
 
     private int added;
 
     /** Lets a decoder fail on heads and trailers of more fields. */
-    static HttpDecoderConfig limit(HttpDecoderConfig config) {
-        return config.setHeadersFactory(FACTORY).setTrailersFactory(FACTORY);
+    static HttpDecoderConfig limit(HttpDecoderConfig config, Factory factory) {
+        return config.setHeadersFactory(factory).setTrailersFactory(factory);
     }
 
     @Override
--- a/src/main/java/onyxpaddle/http/ClientConnection.java
+++ b/src/main/java/onyxpaddle/http/ClientConnection.java
@@ -163,7 +163,8 @@
         if (state == State.CLOSING) {
             return;
         }
-        boolean held = decodedPart ? headMemory.setUndecoded(decoder.bytesBehindLastPart()) : headMemory.addUndecoded(count);
+        int fields = decoder.incompleteFields();
+        boolean held = decodedPart ? headMemory.setUndecoded(decoder.bytesBehindLastPart(), fields) : headMemory.addUndecoded(count, fields);
         if (state == State.CLOSING) {
             // It was given up to make room, for itself.
             headMemory.release();
@@ -179,7 +180,7 @@
     /** Stops decoding: the decoder's input is dropped. */
     private void dropInput() {
         dropsInput = true;
-        headMemory.setUndecoded(0);
+        headMemory.setUndecoded(0, 0);
         front.headChanged(this);
         if (channel.pipeline().context(decoder) != null) {
             channel.pipeline().remove(decoder);
--- a/src/main/java/onyxpaddle/http/HeadMemory.java
+++ b/src/main/java/onyxpaddle/http/HeadMemory.java
@@ -18,6 +18,8 @@
     private final HeadBudget budget;
     /** Bytes read of a head that is not complete. */
     private long undecodedBytes;
+    /** Heap bytes taken for them, and for the fields that were decoded of them. */
+    private long undecodedCost;
     /** Heap bytes taken for the head of the current request. */
     private long decodedCost;
 
@@ -36,22 +38,25 @@
         return sum;
     }
 
-    /** Counts bytes of a head that is not complete; false if there is no memory for them. */
-    boolean addUndecoded(long bytes) {
-        if (!budget.reserveHead(bytes * BYTES_PER_UNDECODED_BYTE)) {
-            return false;
-        }
-        // Added: to make room, this head itself may have been given up and released meanwhile.
-        undecodedBytes += bytes;
-        return true;
+    /**
+     * Counts a head, or trailers, as far as they have been read: {@code more} bytes beside those that were counted before, and so many
+     * decoded fields. False if there is no memory for them.
+     */
+    boolean addUndecoded(long more, int fields) {
+        return setUndecoded(undecodedBytes + more, fields);
     }
 
-    /** Sets how many bytes of a head that is not complete are held at most; false if there is no memory for them. */
-    boolean setUndecoded(long bytes) {
-        if (bytes > undecodedBytes) {
-            return addUndecoded(bytes - undecodedBytes);
+    /** Sets how many bytes of a head that is not complete are held at most, and its fields; false if there is no memory for them. */
+    boolean setUndecoded(long bytes, int fields) {
+        long growth = bytes * BYTES_PER_UNDECODED_BYTE + (long) fields * BYTES_PER_FIELD - undecodedCost;
+        if (growth > 0 && !budget.reserveHead(growth)) {
+            return false;
+        }
+        if (growth < 0) {
+            budget.releaseHead(-growth);
         }
-        budget.releaseHead((undecodedBytes - bytes) * BYTES_PER_UNDECODED_BYTE);
+        // Added: to make room, this head itself may have been given up and released meanwhile.
+        undecodedCost += growth;
         undecodedBytes = bytes;
         return true;
     }
@@ -75,12 +80,12 @@
 
     /** Nothing is held any more. */
     void release() {
-        setUndecoded(0);
+        setUndecoded(0, 0);
         answered();
     }
 
     /** Whether a part of a head is held. */
     boolean holdsUndecoded() {
-        return undecodedBytes > 0;
+        return undecodedCost > 0;
     }
 }
--- a/src/main/java/onyxpaddle/http/HttpFront.java
+++ b/src/main/java/onyxpaddle/http/HttpFront.java
@@ -53,8 +53,8 @@
 
     @Override
     protected void begin(PollableChannel channel) {
-        RequestDecoder decoder = new RequestDecoder(BoundedHttpHeaders.limit(new HttpDecoderConfig()
-            .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES).setMaxHeaderSize(MAX_HEADER_BYTES).setMaxChunkSize(SocketBuffers.READ_SIZE)));
+        RequestDecoder decoder = new RequestDecoder(new HttpDecoderConfig()
+            .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES).setMaxHeaderSize(MAX_HEADER_BYTES).setMaxChunkSize(SocketBuffers.READ_SIZE));
         ClientConnection connection = new ClientConnection(this, channel, decoder);
         channel.pipeline().addLast(connection.rawByteHandler(), decoder, new HttpResponseEncoder(), connection);
     }
--- a/src/main/java/onyxpaddle/http/RequestDecoder.java
+++ b/src/main/java/onyxpaddle/http/RequestDecoder.java
@@ -3,7 +3,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
 
 /**
@@ -13,8 +15,15 @@
 final class RequestDecoder extends HttpRequestDecoder {
     private int bytesBehindLastPart;
 
+    private final BoundedHttpHeaders.Factory fields;
+
     RequestDecoder(HttpDecoderConfig config) {
-        super(config);
+        this(config, new BoundedHttpHeaders.Factory());
+    }
+
+    private RequestDecoder(HttpDecoderConfig config, BoundedHttpHeaders.Factory fields) {
+        super(BoundedHttpHeaders.limit(config, fields));
+        this.fields = fields;
     }
 
     @Override
@@ -23,9 +32,17 @@
         super.decode(context, in, out);
         if (out.size() > before) {
             bytesBehindLastPart = in.readableBytes();
+            if (out.get(out.size() - 1) instanceof HttpRequest || out.get(out.size() - 1) instanceof LastHttpContent) {
+                fields.complete();
+            }
         }
     }
 
+    /** How many fields it has decoded of a head, or of trailers, that are not complete. */
+    int incompleteFields() {
+        return fields.incompleteFields();
+    }
+
     /** How many of the bytes that it was given followed the last part that it decoded. */
     int bytesBehindLastPart() {
         return bytesBehindLastPart;
--- a/src/main/java/onyxpaddle/http/ServerConnection.java
+++ b/src/main/java/onyxpaddle/http/ServerConnection.java
@@ -103,7 +103,8 @@
         this.server = server;
         this.channel = channel;
         this.throttle = new ReadThrottle(channel);
-        decoder = new AnswerDecoder(BoundedHttpHeaders.limit(new HttpDecoderConfig().setMaxChunkSize(SocketBuffers.READ_SIZE)));
+        decoder = new AnswerDecoder(BoundedHttpHeaders.limit(new HttpDecoderConfig().setMaxChunkSize(SocketBuffers.READ_SIZE),
+            new BoundedHttpHeaders.Factory()));
         channel.pipeline().addLast(new HttpRequestEncoder(), decoder, this);
     }
 
