An eviction looks past connections that may not be closed

Cause: an eviction gives up after 16 connections, and counted those that may not be closed in any case, such as streamed bodies, which need no system call to tell. They stay at the front of the order, so that nothing was evicted (1 to 14 in a second). Change: only polls count.

--- a/src/main/java/onyxpaddle/http/HttpFront.java
+++ b/src/main/java/onyxpaddle/http/HttpFront.java
@@ -67,12 +67,15 @@
 
     /** The first of the oldest connections that can be closed without losing a request; null for none. */
     private static ClientConnection firstClosable(LinkedHashSet<ClientConnection> from) {
-        int asked = 0;
+        int polls = 0;
         for (ClientConnection c : from) {
+            if (c.waits()) {
+                continue;
+            }
             if (c.safeToClose()) {
                 return c;
             }
-            if (++asked >= MAX_EVICTION_POLLS) {
+            if (++polls >= MAX_EVICTION_POLLS) {
                 return null;
             }
         }
