A close behind a body that waits for a server is seen, or its request is not begun

Cause: while a streamed body waited for a server its client was not read, so a close behind the rest lay unread; mayHaveLeft answered for requests that were whole only, and a poll that reached its limit counted as proof that the client was there. Change: such a body is read on into the account of bodies while it waits. PeerPresence keeps the latest time at which the reads prove that a peer had not closed: bytes prove it of their arrival, an empty socket of its time, and not for 20 ms after more lay unread than a first window. Up to 50 ms after that time an attempt may begin, half of the 0.1 s. Beyond that a whole request waits until it is known. One that still arrives begins, as memory may end before its client's bytes do, but its last byte, without which no server begins, is kept back until its client is known to be there. No wait for a request that is read within 50 ms. The native way (POLLRDHUP, TCP_INFO) was not taken: a close waits in the client's own system behind what the node's socket has no room for, so nothing on the node's side shows it.

--- a/src/main/java/onyxpaddle/http/ClientConnection.java
+++ b/src/main/java/onyxpaddle/http/ClientConnection.java
@@ -634,7 +634,7 @@
 
     @Override
     public boolean mayHaveLeft() {
-        return state == State.WAITING && channel.mayHideEnd();
+        return (state == State.WAITING || incoming != null && incoming.streaming()) && channel.mayHideEnd();
     }
 
     @Override
--- a/src/main/java/onyxpaddle/http/IncomingBody.java
+++ b/src/main/java/onyxpaddle/http/IncomingBody.java
@@ -126,8 +126,6 @@
         upload.add(SocketBuffers.kept(bytes, channel.alloc()), last);
         if (last) {
             endStreaming();
-        } else {
-            reader.read(false);
         }
         request.pool().arrived(exchange, lastByteBound.get());
     }
--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -253,6 +253,7 @@
             x.attempts.stream().filter(attempt -> !attempt.ended).forEach(attempt -> endBy(attempt, x.deadline));
         }
         timers.runDue();
+        confirmEnd(x);
     }
 
     /** The last byte of a streamed request body is with the server, which may run the request from now on. */
@@ -527,10 +528,32 @@
      * the server is listed.
      */
     public void whenCurrent(Attempt attempt, Runnable task) {
-        if (mayHaveLeft(attempt)) {
+        boolean unknown = mayHaveLeft(attempt);
+        if (unknown && !attempt.exchange.receivesBody()) {
             loop.schedule(() -> whenCurrent(attempt, task), CALLER_CHECK_MS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        if (unknown) {
+            attempt.exchange.upload.holdEnd();
+        }
+        whenCurrent(task);
+    }
+
+    /**
+     * Passes on the end of a streamed body once its caller is known to be there. An attempt may begin while that is not known, as much of
+     * the body is unread; but a server begins a request only with its last byte, so that a caller which has left has none begun for it.
+     */
+    private void confirmEnd(Exchange x) {
+        if (x.finished || !x.upload.holdsEnd()) {
+            return;
+        }
+        if (x.caller.left()) {
+            events().count(NodeEvent.ATTEMPT_CLIENT_LEFT, x.id);
+            clientGone(x);
+        } else if (x.caller.mayHaveLeft()) {
+            loop.schedule(() -> confirmEnd(x), CALLER_CHECK_MS, TimeUnit.MILLISECONDS);
         } else {
-            whenCurrent(task);
+            x.upload.passEnd();
         }
     }
 
--- a/src/main/java/onyxpaddle/node/Upload.java
+++ b/src/main/java/onyxpaddle/node/Upload.java
@@ -5,7 +5,7 @@
 
 /**
  * The body of a request that is passed on to a server while it arrives. It is the owner of all of the body's bytes and decides
- * whether the body is still {@link #available}: its first part is held, and reading is paused, until one attempt takes the body.
+ * whether the body is still {@link #available}: its first part is held, as far as memory allows, until one attempt takes the body.
  * From then on bytes go to that attempt as they arrive, and no other attempt can have them. Used on the event loop only.
  */
 public final class Upload {
@@ -40,6 +40,10 @@
     private boolean consumed;
     /** The body's last byte has arrived. */
     private boolean received;
+    /** The last part is not passed on yet. */
+    private boolean holdsEnd;
+    /** The last part that is held; null for none. */
+    private ByteBuf heldEnd;
 
     /**
      * Creates the body of which {@code held} is the first part.
@@ -80,13 +84,59 @@
     /** Adds the next bytes from the caller, of which it takes the ownership; {@code last}: they complete the body. */
     public void add(ByteBuf more, boolean last) {
         received |= last;
-        if (sink != null) {
-            sink.take(more, last);
+        if (sink != null && last) {
+            takeEnd(more);
+        } else if (sink != null) {
+            sink.take(more, false);
         } else if (consumed) {
             more.release();
         } else {
+            hold(more);
+        }
+    }
+
+    /** While no attempt has taken the body, reading goes on as far as memory allows: only so it is seen that the caller leaves. */
+    private void hold(ByteBuf more) {
+        if (!held.add(more)) {
             held.forceAdd(more);
-            more.release();
+            reader.read(false);
+        }
+        more.release();
+    }
+
+    private void takeEnd(ByteBuf end) {
+        if (holdsEnd) {
+            heldEnd = end;
+        } else {
+            sink.take(end, true);
+        }
+    }
+
+    /** Holds the last part back until {@link #passEnd}. */
+    void holdEnd() {
+        holdsEnd = true;
+    }
+
+    boolean holdsEnd() {
+        return holdsEnd;
+    }
+
+    /** Passes the last part on, now or when it comes. */
+    void passEnd() {
+        holdsEnd = false;
+        ByteBuf end = heldEnd;
+        heldEnd = null;
+        if (sink != null && end != null) {
+            sink.take(end, true);
+        } else if (end != null) {
+            end.release();
+        }
+    }
+
+    private void releaseEnd() {
+        if (heldEnd != null) {
+            heldEnd.release();
+            heldEnd = null;
         }
     }
 
@@ -108,7 +158,7 @@
     /** The held part is with the attached attempt: completes it if the body's last byte has arrived, and resumes reading otherwise. */
     public void resume() {
         if (received) {
-            sink.take(Unpooled.EMPTY_BUFFER, true);
+            takeEnd(Unpooled.EMPTY_BUFFER);
         } else {
             reader.read(true);
         }
@@ -125,6 +175,7 @@
     public void detach(Sink from) {
         if (sink == from) {
             sink = null;
+            releaseEnd();
             if (!received) {
                 reader.read(false);
             }
@@ -142,6 +193,7 @@
     public void abort() {
         Sink from = sink;
         sink = null;
+        releaseEnd();
         if (from != null) {
             from.aborted();
         }
@@ -151,5 +203,6 @@
     public void release() {
         consumed = true;
         held.release();
+        releaseEnd();
     }
 }
--- a/src/main/java/onyxpaddle/socket/PollableChannel.java
+++ b/src/main/java/onyxpaddle/socket/PollableChannel.java
@@ -42,8 +42,10 @@
     /** One for each event loop, which is one thread. */
     private static final FastThreadLocal<ReadPacer> PACER = new FastThreadLocal<>();
 
-    /** A peer that had not closed so long ago counts as open; a twentieth of the 0.1 s in which an attempt may follow a close. */
+    /** A peer that had not closed so long ago is not polled again; a twentieth of the 0.1 s in which an attempt may follow a close. */
     static final long MAX_OPEN_AGE = 5_000_000L;
+    /** Where a poll can't tell, a peer that had not closed so long ago counts as open; half of that time. */
+    static final long MAX_HIDDEN_AGE = 50_000_000L;
 
     /** The result of a poll. */
     public enum PollResult {
@@ -69,14 +71,14 @@
     private boolean costly;
     private long prefetchedBound;
     private long deliveredBound;
-    /** A time at which the peer had certainly not closed. */
-    private long openAt;
+    private final PeerPresence presence;
 
     /** Creates a channel to be connected. */
     public PollableChannel(Clock clock) {
         this.clock = clock;
         deliveredBound = clock.now();
         arrival = new ArrivalBound(deliveredBound);
+        presence = new PeerPresence(deliveredBound);
         config().setRecvByteBufAllocator(readSize);
     }
 
@@ -86,6 +88,7 @@
         this.clock = clock;
         arrival = new ArrivalBound(bound);
         deliveredBound = bound;
+        presence = new PeerPresence(bound);
         config().setRecvByteBufAllocator(readSize);
     }
 
@@ -145,21 +148,25 @@
         return arrival.get(watched() ? clock.lastPoll() : Long.MIN_VALUE);
     }
 
-    private void recordRead(long startedAt, boolean emptied) {
+    private void recordRead(long startedAt, long bound, int count, int capacity) {
+        boolean emptied = count < capacity;
         arrival.read(startedAt, emptied, clock.turnStart());
+        if (count >= 0) {
+            presence.read(startedAt, bound, count, emptied);
+        }
     }
 
     /** Whether the peer has closed. Polls the socket, unless what was read of it last proves that it was open a moment ago. */
     public boolean isEnded() {
-        if (isActive() && clock.now() - openAt <= MAX_OPEN_AGE) {
+        if (isActive() && clock.now() - presence.presentAt() <= MAX_OPEN_AGE) {
             return false;
         }
         return poll() == PollResult.END;
     }
 
-    /** Whether the peer has sent more than was prefetched, so that a close may lie behind it. */
+    /** Whether the peer may have closed some time ago, behind bytes that a poll does not reach; {@link #isEnded} was false. */
     public boolean mayHideEnd() {
-        return prefetched != null && prefetched.readableBytes() >= maxPrefetch(MAX_PREFETCH);
+        return clock.now() - presence.presentAt() > MAX_HIDDEN_AGE;
     }
 
     /** Polls the socket. At the end of the connection the channel is closed, which the pipeline is told as usual. */
@@ -176,7 +183,6 @@
         if (!isActive()) {
             return PollResult.END;
         }
-        long startedAt = clock.now();
         boolean ended;
         try {
             ended = readAhead(limit);
@@ -189,7 +195,6 @@
             close();
             return PollResult.END;
         }
-        openAt = startedAt;
         return prefetched == null ? PollResult.NOTHING : PollResult.BYTES;
     }
 
@@ -206,7 +211,7 @@
                 long startedAt = clock.now();
                 long bound = nextBound();
                 int count = into.clear().writeBytes(javaChannel(), into.capacity());
-                recordRead(startedAt, count < into.capacity());
+                recordRead(startedAt, bound, count, into.capacity());
                 if (count <= 0) {
                     return count < 0;
                 }
@@ -267,10 +272,7 @@
         int capacity = to.writableBytes();
         deliveredBound = nextBound();
         int count = super.doReadBytes(to);
-        recordRead(startedAt, count < capacity);
-        if (count > 0) {
-            openAt = Math.max(openAt, deliveredBound);
-        }
+        recordRead(startedAt, deliveredBound, count, capacity);
         return count;
     }
 
--- a/src/test/java/onyxpaddle/node/UploadTest.java
+++ b/src/test/java/onyxpaddle/node/UploadTest.java
@@ -123,6 +123,27 @@
         assertEquals(0, budget.held());
     }
 
+    /** Guards against a request that a server has whole before it is known that its caller is there. */
+    @Test
+    void endIsPassedOnOnlyWhenItMay() throws IOException {
+        for (boolean ends : new boolean[] {true, false}) {
+            Upload upload = upload(new byte[] {1});
+            Attempt attempt = new Attempt();
+            upload.holdEnd();
+            attempt.start(upload);
+            upload.add(part(new byte[] {2}), false);
+            upload.add(part(new byte[] {3}), true);
+            assertArrayEquals(new byte[] {1, 2}, attempt.got.toByteArray());
+            if (ends) {
+                upload.passEnd();
+                assertArrayEquals(new byte[] {1, 2, 3}, attempt.got.toByteArray());
+            }
+            assertEquals(ends, attempt.whole);
+            upload.release();
+            given.forEach(part -> assertEquals(0, part.refCnt()));
+        }
+    }
+
     /** Guards against buffers that nest, and so end the stack, one level for each piece that waits for a server. */
     @Test
     void bytesThatWaitInTinyPiecesDoNotNest() throws IOException {
--- a/src/test/java/onyxpaddle/serve/StreamedBodyDepartureTest.java
+++ b/src/test/java/onyxpaddle/serve/StreamedBodyDepartureTest.java
@@ -6,8 +6,10 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import onyxpaddle.node.NodeEvent;
 import onyxpaddle.serve.Loopback.Client;
 import onyxpaddle.serve.Loopback.FakeDiscovery;
 import onyxpaddle.serve.Loopback.FakeServer;
@@ -26,7 +28,8 @@
 
     private static Node node(FakeDiscovery discovery, FakeServer named, String effect) throws Exception {
         Node node = Node.start(PlatformConfig.parse(Loopback.config(discovery, named)
-            .replace("\"effect\":\"non_idempotent\"", "\"effect\":\"" + effect + "\",\"memorySpanS\":5").getBytes(StandardCharsets.UTF_8), Map.of()));
+            .replace("\"cancel\":true", "\"cancel\":false").replace("\"effect\":\"non_idempotent\"",
+                "\"effect\":\"" + effect + "\",\"memorySpanS\":5").getBytes(StandardCharsets.UTF_8), Map.of()));
         try (Client client = new Client(node.address())) {
             client.awaitReady();
         }
@@ -41,8 +44,12 @@
             : Loopback.request("r1", "book", "Idempotency-Key: k", "Content-Length: " + bytes) + body;
     }
 
+    private static <T> T onLoop(Node node, Callable<T> task) {
+        return node.loop().submit(task).syncUninterruptibly().getNow();
+    }
+
     private static int unanswered(Node node) {
-        return node.loop().submit(() -> node.pools().get("").unanswered()).syncUninterruptibly().getNow();
+        return onLoop(node, () -> node.pools().get("").unanswered());
     }
 
     /** Guards against a close that lies behind the unread rest of a body which waits for a server. */
@@ -70,6 +77,31 @@
         }
     }
 
+    /** Guards against a request that a server begins for a client which left while the event loop was held up: the last byte stays away. */
+    @ParameterizedTest
+    @CsvSource({"3000000, false, CLOSE", "3000000, true, CLOSE", "3000000, false, RESET"})
+    void serverDoesNotHaveTheLastByteForAClientThatHasLeft(int bytes, boolean chunked, Departure departure) throws Exception {
+        try (FakeServer server = new FakeServer("s1"); FakeDiscovery discovery = new FakeDiscovery(Loopback.list(1, server))) {
+            Node node = node(discovery, server, "idempotency_key");
+            try (Client gone = new Client(node.address())) {
+                gone.awaitReady();
+                BlockedEventLoop blocked = new BlockedEventLoop(node.loop());
+                write(gone, request(bytes, chunked));
+                leave(gone, departure);
+                blocked.releaseAfter(LEAVES_AFTER_MS + GRACE_MS);
+                // That of the readiness check when the node started, and this one.
+                Loopback.await(() -> onLoop(node, () -> node.pools().get("").events().total(NodeEvent.CLIENT_LEFT)) == 2L);
+                Loopback.await(() -> onLoop(node, () -> node.pools().get("").idle()));
+                TimeUnit.MILLISECONDS.sleep(GRACE_MS);
+                for (String request = server.requests.poll(); request != null; request = server.requests.poll()) {
+                    assertTrue(request.length() < bytes && !request.endsWith("0\r\n\r\n"), "the server has the whole request");
+                }
+            } finally {
+                node.stop();
+            }
+        }
+    }
+
     /** Guards against a client that counts as gone because its body is long. */
     @ParameterizedTest
     @CsvSource({"2000000, false", "2000000, true", "5000000, false"})
