An Error ends the process wherever it is thrown, and the log shows both stack ends

Cause: Netty catches what listeners of promises, tasks of an event loop and the release of a message throw, and logs it; what a scheduled task throws it keeps in a future that nobody asks, and a periodic one then never runs again. Change: what Netty logs with an Error ends the process, by one handler on its loggers; NodeEventLoop reports failures of scheduled tasks. The line has the error, its first ten frames and its last ten. Control processes are not changed.

--- a/src/main/java/onyxpaddle/serve/DistributedNode.java
+++ b/src/main/java/onyxpaddle/serve/DistributedNode.java
@@ -23,6 +23,7 @@
 import onyxpaddle.node.Addresses;
 import onyxpaddle.node.Log;
 import onyxpaddle.node.SocketBuffers;
+import onyxpaddle.socket.NodeEventLoop;
 
 /**
  * A sidecar on whose file the entries of the control processes are overlaid. Calls to control processes and validation run on a thread
@@ -92,8 +93,7 @@
 
     private static DistributedConfiguration.Control control(List<HostPort> control) {
         List<InetSocketAddress> replicas = control.stream().distinct().map(at -> Addresses.of(at.host(), at.port())).toList();
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("configuration", true),
-            NioIoHandler.newFactory());
+        MultiThreadIoEventLoopGroup group = NodeEventLoop.group(new DefaultThreadFactory("configuration", true), NioIoHandler.newFactory());
         return new DistributedConfiguration.Control(group.next(), SocketBuffers.allocator(), replicas);
     }
 
--- a/src/main/java/onyxpaddle/serve/Lifecycle.java
+++ b/src/main/java/onyxpaddle/serve/Lifecycle.java
@@ -28,6 +28,7 @@
 import onyxpaddle.node.NodeEvents;
 import onyxpaddle.node.SocketBuffers;
 import onyxpaddle.node.RequestCounts;
+import onyxpaddle.socket.NodeEventLoop;
 
 /**
  * The life cycle of a node's process, independent of what it serves: the event loop, the admin server, the node's state, the
@@ -100,7 +101,7 @@
     final LoopClock clock = new LoopClock(events);
     final ByteBufAllocator allocator = SocketBuffers.allocator();
     final NodeState state = new NodeState();
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, clock.handlerFactory());
+    private final MultiThreadIoEventLoopGroup group = NodeEventLoop.group(clock.handlerFactory());
     private final CompletableFuture<Void> serving = new CompletableFuture<>();
     private final CountDownLatch ended = new CountDownLatch(1);
     private final Work work;
