An unsafe id that ran in one process of a node does not run in the one that replaces it

Change: over the connection of the hand-over, which stays open while both run, each process tells the other of an unsafe request before its first attempt begins, and at its end whether it may have run or never has; with the state go the ids of the last minute and of what runs now. A process that stands still is told all at once when it reads again, so that nothing piles up for it. An id that may have run there is answered as one that ran here. The hand-over's version is 4; one of version 3 gets, and gives, its state as before, without the ids. What never ran may come again at either. A pool that a reload makes anew in a sidecar is not told of.

--- a/src/main/java/onyxpaddle/handover/HandoverMessage.java
+++ b/src/main/java/onyxpaddle/handover/HandoverMessage.java
@@ -25,7 +25,10 @@
  */
 public final class HandoverMessage {
     static final int MAGIC = 0x4c55504e;
-    static final int VERSION = 3;
+    /** With messages on single requests behind the state, see {@link RunMessage}. */
+    static final int VERSION = 4;
+    /** Without them. */
+    static final int VERSION_WITHOUT_RUNS = 3;
     /** Size of the header in bytes: magic, version, length, checksum. */
     public static final int HEADER_SIZE = 16;
     /**
@@ -44,13 +47,13 @@
     }
 
     /** The request of the new process: magic, version and the node's name, as the state is valid for the same node only. */
-    public static byte[] request(String node) {
+    public static byte[] request(String node, int version) {
         byte[] name = node.getBytes(StandardCharsets.UTF_8);
-        return ByteBuffer.allocate(12 + name.length).putInt(MAGIC).putInt(VERSION).putInt(name.length).put(name).array();
+        return ByteBuffer.allocate(12 + name.length).putInt(MAGIC).putInt(version).putInt(name.length).put(name).array();
     }
 
     /** Serializes the state by pool. Servers beyond the maximum payload are omitted, as their state can be learnt again. */
-    public static byte[] write(Map<String, BalancerSnapshot> pools) throws IOException {
+    public static byte[] write(Map<String, BalancerSnapshot> pools, int version) throws IOException {
         int maxServers = MAX_SERVERS;
         byte[] payload = json(pools, maxServers);
         while (payload.length > MAX_PAYLOAD && maxServers > 0) {
@@ -60,7 +63,7 @@
         if (payload.length > MAX_PAYLOAD || pools.size() > MAX_POOLS) {
             throw new IOException("too many classes or pools to hand over: " + payload.length + " bytes, " + pools.size() + " pools");
         }
-        return ByteBuffer.allocate(HEADER_SIZE + payload.length).putInt(MAGIC).putInt(VERSION).putInt(payload.length)
+        return ByteBuffer.allocate(HEADER_SIZE + payload.length).putInt(MAGIC).putInt(version).putInt(payload.length)
             .putInt(checksum(payload)).put(payload).array();
     }
 
@@ -77,8 +80,8 @@
             throw new IOException("not a handover message");
         }
         int version = in.getInt();
-        if (version != VERSION) {
-            throw new IOException("handover message of version " + version + ", expected " + VERSION);
+        if (version != VERSION && version != VERSION_WITHOUT_RUNS) {
+            throw new IOException("handover message of version " + version + ", expected " + VERSION + " or " + VERSION_WITHOUT_RUNS);
         }
         int length = in.getInt();
         if (length < 2 || length > MAX_PAYLOAD) {
--- a/src/main/java/onyxpaddle/handover/HandoverSocket.java
+++ b/src/main/java/onyxpaddle/handover/HandoverSocket.java
@@ -3,10 +3,10 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -39,22 +39,25 @@
     private static final long STATE_TIMEOUT_MS = 500;
     private static final long REQUEST_TIMEOUT_MS = 1_000;
     private static final int MAX_SUCCESSORS = 4;
+    private static final int SMALL_BUFFER = 256;
 
     private final EventLoop loop;
     private final String node;
     private final UnixDomainSocketAddress address;
+    private final RunChannel runs;
     private final Set<Channel> successors = new HashSet<>();
     private Channel listener;
     private Channel predecessor;
 
-    private HandoverSocket(EventLoop loop, String node, UnixDomainSocketAddress address) {
+    private HandoverSocket(EventLoop loop, String node, UnixDomainSocketAddress address, RunRegister register) {
+        this.runs = new RunChannel(register);
         this.loop = loop;
         this.node = node;
         this.address = address;
     }
 
     /** The socket in a folder; null if there is no folder or the path is too long for a Unix domain socket (about 100 bytes). */
-    public static HandoverSocket in(String folder, String node, EventLoop loop) {
+    public static HandoverSocket in(String folder, String node, EventLoop loop, RunRegister register) {
         if (folder == null || folder.isEmpty()) {
             return null;
         }
@@ -64,7 +67,7 @@
             Log.line("handover: disabled, the path of the socket is too long: " + path);
             return null;
         }
-        return new HandoverSocket(loop, node, UnixDomainSocketAddress.of(path));
+        return new HandoverSocket(loop, node, UnixDomainSocketAddress.of(path), register);
     }
 
     // ---- new process ----
@@ -79,6 +82,12 @@
             return;
         }
         StateReceiver receiver = new StateReceiver(done);
+        request(receiver, HandoverMessage.VERSION);
+        loop.schedule(() -> receiver.timeOut(), STATE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void request(StateReceiver receiver, int version) {
+        receiver.version = version;
         ChannelFuture connect = new Bootstrap().group(loop).channel(NioDomainSocketChannel.class)
             .handler(new ChannelInitializer<Channel>() {
                 @Override
@@ -89,13 +98,17 @@
         connect.addListener(f -> {
             if (f.isSuccess()) {
                 predecessor = connect.channel();
-                predecessor.writeAndFlush(Unpooled.wrappedBuffer(HandoverMessage.request(node)));
+                predecessor.writeAndFlush(Unpooled.wrappedBuffer(HandoverMessage.request(node, version)));
             } else {
                 // Socket file left by a process that has ended.
                 receiver.finish(false, null);
             }
         });
-        loop.schedule(() -> receiver.timeOut(), STATE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Tells the other processes of this node about a request. */
+    public void tell(RunMessage message) {
+        runs.tell(message);
     }
 
     /** Receives the state of the running process. */
@@ -103,10 +116,15 @@
         void completed(boolean present, Map<String, BalancerSnapshot> pools);
     }
 
+    /** Receives the state, and then what the running process tells of requests. It serves one connection after another. */
+    @ChannelHandler.Sharable
     private final class StateReceiver extends ChannelInboundHandlerAdapter {
         private final StateCallback done;
-        private final ByteBuf received = Unpooled.buffer(1024, HandoverMessage.HEADER_SIZE + HandoverMessage.MAX_PAYLOAD);
+        private ByteBuf received = Unpooled.buffer(SMALL_BUFFER, HandoverMessage.HEADER_SIZE + HandoverMessage.MAX_PAYLOAD);
+        /** What was asked for. */
+        private int version;
         private boolean finished;
+        private boolean stateRead;
 
         StateReceiver(StateCallback done) {
             this.done = done;
@@ -115,7 +133,6 @@
         private void finish(boolean present, Map<String, BalancerSnapshot> pools) {
             if (!finished) {
                 finished = true;
-                received.release();
                 done.completed(present, pools);
             }
         }
@@ -131,32 +148,57 @@
         public void channelRead(ChannelHandlerContext context, Object message) {
             ByteBuf in = (ByteBuf) message;
             try {
-                if (finished) {
-                    return;
-                }
-                if (in.readableBytes() > received.maxWritableBytes()) {
+                if (in.readableBytes() > received.discardReadBytes().maxWritableBytes()) {
                     throw new IOException("handover message exceeds the maximum length");
                 }
                 received.writeBytes(in);
-                if (received.readableBytes() >= HandoverMessage.HEADER_SIZE) {
-                    byte[] all = ByteBufUtil.getBytes(received);
-                    int whole = HandoverMessage.HEADER_SIZE + HandoverMessage.length(Arrays.copyOf(all, HandoverMessage.HEADER_SIZE));
-                    if (all.length >= whole) {
-                        finish(true, HandoverMessage.read(all));
-                    }
+                if (stateRead || readState()) {
+                    runs.received(context.channel(), received);
                 }
             } catch (IOException e) {
                 Log.line("handover: state refused: " + e.getMessage());
                 finish(true, null);
+                // Nothing that follows can be read; the connection stays, as it says that this process is alive.
+                context.pipeline().remove(this);
             } finally {
                 in.release();
             }
         }
 
+        /** Whether the state has been read. */
+        private boolean readState() throws IOException {
+            if (received.readableBytes() < HandoverMessage.HEADER_SIZE) {
+                return false;
+            }
+            byte[] header = new byte[HandoverMessage.HEADER_SIZE];
+            received.getBytes(received.readerIndex(), header);
+            int whole = HandoverMessage.HEADER_SIZE + HandoverMessage.length(header);
+            if (received.readableBytes() < whole) {
+                return false;
+            }
+            byte[] state = new byte[whole];
+            received.readBytes(state);
+            received = Unpooled.buffer(SMALL_BUFFER, HandoverMessage.MAX_PAYLOAD).writeBytes(received);
+            stateRead = true;
+            finish(true, HandoverMessage.read(state));
+            return true;
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            runs.writabilityChanged(context.channel());
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
+            runs.remove(context.channel());
             predecessor = null;
-            finish(false, null);
+            if (!finished && version == HandoverMessage.VERSION && received.writerIndex() == 0) {
+                // One of an earlier version refuses what it does not know.
+                request(this, HandoverMessage.VERSION_WITHOUT_RUNS);
+            } else {
+                finish(false, null);
+            }
         }
 
         @Override
@@ -206,8 +248,8 @@
 
     private final class StateSender extends ChannelInboundHandlerAdapter {
         private final Supplier<Map<String, BalancerSnapshot>> memory;
-        private final byte[] expected = HandoverMessage.request(node);
-        private int matched;
+        private final ByteBuf received = Unpooled.buffer(SMALL_BUFFER);
+        private boolean answered;
 
         StateSender(Supplier<Map<String, BalancerSnapshot>> memory) {
             this.memory = memory;
@@ -220,7 +262,7 @@
                 return;
             }
             loop.schedule(() -> {
-                if (matched < expected.length) {
+                if (!answered) {
                     context.close();
                 }
             }, REQUEST_TIMEOUT_MS, TimeUnit.MILLISECONDS);
@@ -230,31 +272,61 @@
         public void channelRead(ChannelHandlerContext context, Object message) {
             ByteBuf in = (ByteBuf) message;
             try {
-                while (in.isReadable()) {
-                    if (matched == expected.length || in.readByte() != expected[matched++]) {
-                        Log.line("handover: request refused, it is for another node or of another version");
-                        context.close();
-                        return;
-                    }
+                received.discardReadBytes().writeBytes(in);
+                if (answered) {
+                    runs.received(context.channel(), received);
+                } else {
+                    answer(context.channel());
                 }
+            } catch (IOException e) {
+                Log.line("handover: closed: " + e.getMessage());
+                context.close();
             } finally {
                 in.release();
             }
-            if (matched == expected.length) {
-                // The successor is alive even if it gets no state.
-                successors.add(context.channel());
-                try {
-                    context.writeAndFlush(Unpooled.wrappedBuffer(HandoverMessage.write(memory.get())));
-                    Log.line("handover: told to a further process of this node");
-                } catch (IOException e) {
-                    Log.line("handover: no state sent: " + e.getMessage());
+        }
+
+        private void answer(Channel channel) throws IOException {
+            for (int version : new int[] {HandoverMessage.VERSION, HandoverMessage.VERSION_WITHOUT_RUNS}) {
+                byte[] expected = HandoverMessage.request(node, version);
+                byte[] begun = new byte[Math.min(received.readableBytes(), expected.length)];
+                received.getBytes(received.readerIndex(), begun);
+                if (Arrays.equals(begun, 0, begun.length, expected, 0, begun.length)) {
+                    if (begun.length == expected.length) {
+                        received.skipBytes(begun.length);
+                        send(channel, version);
+                    }
+                    return;
                 }
             }
+            throw new IOException("the request is for another node or of another version");
+        }
+
+        private void send(Channel channel, int version) {
+            answered = true;
+            // The successor is alive even if it gets no state.
+            successors.add(channel);
+            try {
+                channel.writeAndFlush(Unpooled.wrappedBuffer(HandoverMessage.write(memory.get(), version)));
+                Log.line("handover: told to a further process of this node");
+            } catch (IOException e) {
+                Log.line("handover: no state sent: " + e.getMessage());
+                return;
+            }
+            if (version == HandoverMessage.VERSION) {
+                runs.add(channel);
+            }
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            runs.writabilityChanged(context.channel());
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             successors.remove(context.channel());
+            runs.remove(context.channel());
         }
 
         @Override
--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -1,6 +1,7 @@
 package onyxpaddle.node;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -39,6 +40,8 @@
     private final Limits limits;
     private final Map<String, Exchange> exchanges = new HashMap<>();
     private final RecentRuns recentRuns = new RecentRuns();
+    /** Null if no other process of the node has to know. */
+    private RunListener runListener;
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     /** Null if the pool has no bound on concurrent requests. */
     private final InFlightLimit limit;
@@ -149,6 +152,48 @@
         balancer.restore(snapshot);
     }
 
+    /** Sets who is told of requests that must run once. */
+    public void setRunListener(RunListener listener) {
+        runListener = listener;
+    }
+
+    /** The ids of requests that must run once, and that may have run lately or may run now. */
+    public List<String> onceOnlyIds() {
+        List<String> ids = new ArrayList<>(recentRuns.ids());
+        exchanges.values().stream().filter(x -> x.announced || x.mayHaveRunOnce()).forEach(x -> ids.add(x.id));
+        return ids;
+    }
+
+    /** A request with this id may have run in another process of the node. */
+    public void mayHaveRunElsewhere(String id) {
+        recentRuns.add(id, clock.now());
+    }
+
+    /** No attempt of the request with this id has run in another process of the node, of which that was thought possible. */
+    public void neverRanElsewhere(String id) {
+        recentRuns.remove(id);
+    }
+
+    /** Tells other processes of a request that must run once, before the first attempt begins. */
+    private void announce(Exchange x) {
+        if (!x.announced && runListener != null && x.terms.requestClass().effect() == Effect.UNSAFE) {
+            x.announced = true;
+            runListener.mayHaveRun(x.id);
+        }
+    }
+
+    private void recordEnd(Exchange x) {
+        boolean mayHaveRun = x.mayHaveRunOnce();
+        if (mayHaveRun) {
+            recentRuns.add(x.id, clock.now());
+        }
+        if (x.announced && mayHaveRun) {
+            runListener.mayHaveRun(x.id);
+        } else if (x.announced) {
+            runListener.neverRan(x.id);
+        }
+    }
+
     /** Disables or enables a server for an operator; false if it is neither listed nor disabled. */
     public boolean takeOut(String server, boolean out) {
         if (!balancer.isListed(server) && !balancer.isTakenOut(server)) {
@@ -518,6 +563,7 @@
             if (attempt.number > 0) {
                 events().count(NodeEvent.retryAfter(x.attempts.get(attempt.number - 1).outcome), x.id);
             }
+            announce(x);
             upstream.send(attempt);
         }
     }
@@ -641,9 +687,7 @@
 
     private void removeIfDone(Exchange x) {
         if (x.finished && x.pendingAttempts == 0 && exchanges.remove(x.id, x)) {
-            if (x.mayHaveRunOnce()) {
-                recentRuns.add(x.id, clock.now());
-            }
+            recordEnd(x);
             x.releaseBody();
             release(x.failure);
         }
--- a/src/main/java/onyxpaddle/node/Exchange.java
+++ b/src/main/java/onyxpaddle/node/Exchange.java
@@ -32,6 +32,8 @@
     int pendingAttempts;
     /** The final answer has been given or has begun, or nobody waits for it. */
     boolean finished;
+    /** Other processes of the node have been told that it may run. */
+    boolean announced;
     /** The attempt that took its body was given up before the body's last byte had been read. */
     boolean bodyStalled;
     TimerQueue.Entry overdueTimer;
--- a/src/main/java/onyxpaddle/node/RecentRuns.java
+++ b/src/main/java/onyxpaddle/node/RecentRuns.java
@@ -3,6 +3,7 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * The ids of requests that must run once at most and that may have run lately. A client whose connection ended before it had its answer
@@ -26,6 +27,16 @@
         }
     }
 
+    /** It is known now that no request with this id has run. */
+    void remove(String id) {
+        endedAt.remove(id);
+    }
+
+    /** All ids that may have run lately, the oldest first. */
+    Set<String> ids() {
+        return endedAt.keySet();
+    }
+
     /** Whether a request with this id may have run lately. */
     boolean contains(String id, long now) {
         Long ended = endedAt.get(id);
--- a/src/main/java/onyxpaddle/serve/Lifecycle.java
+++ b/src/main/java/onyxpaddle/serve/Lifecycle.java
@@ -22,10 +22,13 @@
 import onyxpaddle.drain.NodeState;
 import onyxpaddle.front.LoopClock;
 import onyxpaddle.handover.HandoverSocket;
+import onyxpaddle.handover.RunMessage;
+import onyxpaddle.handover.RunRegister;
 import onyxpaddle.node.Dispatcher;
 import onyxpaddle.node.FatalErrors;
 import onyxpaddle.node.Log;
 import onyxpaddle.node.NodeEvents;
+import onyxpaddle.node.RunListener;
 import onyxpaddle.node.SocketBuffers;
 import onyxpaddle.node.RequestCounts;
 import onyxpaddle.socket.NodeEventLoop;
@@ -153,7 +156,7 @@
                 }
             });
         }
-        handover = HandoverSocket.in(options.folder(), options.name(), loop);
+        handover = HandoverSocket.in(options.folder(), options.name(), loop, new RunsOfPools());
         if (handover == null) {
             listen();
         } else {
@@ -199,6 +202,7 @@
                 return;
             }
             if (handover != null) {
+                work.pools().forEach((name, pool) -> pool.setRunListener(new RunTeller(name)));
                 handover.listen(() -> work.pools().entrySet().stream()
                     .collect(Collectors.toMap(Map.Entry::getKey, pool -> pool.getValue().snapshot())));
             }
@@ -206,6 +210,44 @@
         });
     }
 
+    /** Tells the other processes of this node of the requests of one pool. */
+    private final class RunTeller implements RunListener {
+        private final String pool;
+
+        RunTeller(String pool) {
+            this.pool = pool;
+        }
+
+        @Override
+        public void mayHaveRun(String id) {
+            handover.tell(new RunMessage(RunMessage.Kind.MAY_HAVE_RUN, pool, id));
+        }
+
+        @Override
+        public void neverRan(String id) {
+            handover.tell(new RunMessage(RunMessage.Kind.NEVER_RAN, pool, id));
+        }
+    }
+
+    /** What this process knows of requests that must run once, and learns of the other processes of this node. */
+    private final class RunsOfPools implements RunRegister {
+        @Override
+        public List<RunMessage> current() {
+            return work.pools().entrySet().stream().flatMap(pool -> pool.getValue().onceOnlyIds().stream()
+                .map(id -> new RunMessage(RunMessage.Kind.MAY_HAVE_RUN, pool.getKey(), id))).toList();
+        }
+
+        @Override
+        public void received(RunMessage message) {
+            Dispatcher pool = work.pools().get(message.pool());
+            if (pool != null && message.kind() == RunMessage.Kind.MAY_HAVE_RUN) {
+                pool.mayHaveRunElsewhere(message.id());
+            } else if (pool != null) {
+                pool.neverRanElsewhere(message.id());
+            }
+        }
+    }
+
     boolean listens() {
         return serving.isDone() && !serving.isCompletedExceptionally();
     }
--- a/src/test/java/onyxpaddle/handover/HandoverMessageTest.java
+++ b/src/test/java/onyxpaddle/handover/HandoverMessageTest.java
@@ -37,8 +37,8 @@
 
     @Test
     void readReturnsWhatWasWritten() throws IOException {
-        assertEquals(memory(20), HandoverMessage.read(HandoverMessage.write(memory(20))));
-        assertEquals(memory(0), HandoverMessage.read(HandoverMessage.write(memory(0))));
+        assertEquals(memory(20), HandoverMessage.read(HandoverMessage.write(memory(20), HandoverMessage.VERSION)));
+        assertEquals(memory(0), HandoverMessage.read(HandoverMessage.write(memory(0), HandoverMessage.VERSION)));
     }
 
     /** More than a thousand servers fit, each with a full sample window and a name of maximum length. */
@@ -53,7 +53,7 @@
                 1_700_000_000_000_000_000L, 1.0 / 9, 1_700_000_000_000_000_000L, 1.0 / 11));
         }
         BalancerSnapshot sent = new BalancerSnapshot(servers, true, List.of(), out, 42.5, true, 3.25, 1e-7, 3);
-        BalancerSnapshot read = HandoverMessage.read(HandoverMessage.write(Map.of("", sent))).get("");
+        BalancerSnapshot read = HandoverMessage.read(HandoverMessage.write(Map.of("", sent), HandoverMessage.VERSION)).get("");
         assertTrue(read.whole());
         assertEquals(1_100, read.servers().size());
         assertEquals(out, read.takenOut());
@@ -61,7 +61,7 @@
 
     @Test
     void serversBeyondTheMaximumPayloadAreOmitted() throws IOException {
-        byte[] message = HandoverMessage.write(memory(200_000));
+        byte[] message = HandoverMessage.write(memory(200_000), HandoverMessage.VERSION);
         assertTrue(message.length <= HandoverMessage.HEADER_SIZE + HandoverMessage.MAX_PAYLOAD);
         BalancerSnapshot read = HandoverMessage.read(message).get("app");
         assertTrue(read.servers().size() > 500);
@@ -75,12 +75,12 @@
         for (int i = 0; i < 65; i++) {
             pools.put("p" + i, known(0));
         }
-        assertThrows(IOException.class, () -> HandoverMessage.write(pools));
+        assertThrows(IOException.class, () -> HandoverMessage.write(pools, HandoverMessage.VERSION));
     }
 
     @Test
     void truncationAtAnyByteIsRefused() throws IOException {
-        byte[] whole = HandoverMessage.write(memory(3));
+        byte[] whole = HandoverMessage.write(memory(3), HandoverMessage.VERSION);
         for (int length = 0; length < whole.length; length++) {
             byte[] truncated = Arrays.copyOf(whole, length);
             assertThrows(IOException.class, () -> HandoverMessage.read(truncated));
@@ -89,7 +89,7 @@
 
     @Test
     void changeOfAnyByteIsRefused() throws IOException {
-        byte[] whole = HandoverMessage.write(memory(3));
+        byte[] whole = HandoverMessage.write(memory(3), HandoverMessage.VERSION);
         for (int at = 0; at < whole.length; at++) {
             byte[] changed = whole.clone();
             changed[at] ^= 0x10;
