A wait behind another request of a connection is no lack of processor time

Cause: the delay of a read counted to when the request was handled; one that its client sent behind another waits for that one's answer. Change: two figures: read is the time until a request was read, queue the time behind others on its connection. Evidence: EventLoopDelayTest, an idle node whose server answers after 0.3 s with a request behind: with the old count one long read more (red), now none, and one long wait in the queue.

--- a/src/main/java/onyxpaddle/http/ClientConnection.java
+++ b/src/main/java/onyxpaddle/http/ClientConnection.java
@@ -83,6 +83,8 @@
     private final RequestDecoder decoder;
     private final PipelinedRequests pipelined;
     private boolean processesPipelined;
+    /** How long the part that is being handled waited behind other requests. */
+    private long queuedNanos;
     private final HeadMemory headMemory;
     /** The head of the current request has been read, and the request has no answer. */
     private boolean headRead;
@@ -234,9 +236,10 @@
         if (state == State.CLOSING || !(message instanceof HttpObject part)) {
             ReferenceCountUtil.release(message);
         } else if (mustQueue()) {
-            pipelined.add(part, channel.arrivalBound());
+            pipelined.add(part, channel.arrivalBound(), front.now());
             updateReading();
         } else {
+            queuedNanos = 0;
             handle(part, channel.arrivalBound());
         }
     }
@@ -274,6 +277,7 @@
     private boolean processNext() {
         PipelinedRequests.Part next = pipelined.poll();
         if (next != null) {
+            queuedNanos = front.now() - next.queuedAt();
             handle(next.message(), next.arrivedAt());
         } else if (!headRead && pipelined.takeRefusal()) {
             refusePipelined(!pipelined.closes());
@@ -406,6 +410,7 @@
             case COMPLETE -> {
                 long lastByteBound = incoming.lastByteBound();
                 requestComplete();
+                exchange.queuedFor(queuedNanos);
                 routed.pool().arrived(exchange, lastByteBound);
             }
             case TOO_LARGE -> reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
--- a/src/main/java/onyxpaddle/http/PipelinedRequests.java
+++ b/src/main/java/onyxpaddle/http/PipelinedRequests.java
@@ -30,14 +30,21 @@
     private static final int BYTES_PER_LAST_PART = 64;
     private static final int MAX_BODY_BYTES = 2 * SocketBuffers.READ_SIZE;
 
-    /** A decoded part; {@code arrivedAt}: a time before which its last byte did not arrive. */
-    record Part(HttpObject message, long arrivedAt, long heldBytes) {
+    /**
+     * A decoded part.
+     *
+     * @param arrivedAt a time before which its last byte did not arrive
+     * @param queuedAt when it was read
+     */
+    record Part(HttpObject message, long arrivedAt, long queuedAt, long heldBytes) {
     }
 
     private final HeadBudget budget;
     private final ArrayDeque<Part> parts = new ArrayDeque<>();
     private int requests;
     private int bodyBytes;
+    /** When the latest part was read. */
+    private long readAt;
     /** The parts at the end that belong to a request which is not complete. */
     private int incompleteParts;
     private boolean discards;
@@ -68,8 +75,9 @@
         return refusals >= FLOOD_REQUESTS;
     }
 
-    /** Takes a part, and its ownership. */
-    void add(HttpObject message, long arrivedAt) {
+    /** Takes a part, which has been read at the time {@code now}, and its ownership. */
+    void add(HttpObject message, long arrivedAt, long now) {
+        readAt = now;
         if (!discards && !keep(message, arrivedAt)) {
             discards = true;
             discardIncomplete();
@@ -77,7 +85,7 @@
             return;
         }
         if (message.decoderResult().isFailure()) {
-            malformed = new Part(message, arrivedAt, 0);
+            malformed = new Part(message, arrivedAt, readAt, 0);
             discardsIncomplete = false;
             return;
         }
@@ -99,7 +107,7 @@
 
     private boolean keep(HttpObject message, long arrivedAt) {
         if (message.decoderResult().isFailure()) {
-            parts.add(new Part(message, arrivedAt, 0));
+            parts.add(new Part(message, arrivedAt, readAt, 0));
             return true;
         }
         if (message instanceof HttpRequest request) {
@@ -112,7 +120,7 @@
         boolean last = content instanceof LastHttpContent;
         content.release();
         if (last) {
-            parts.add(new Part(LastHttpContent.EMPTY_LAST_CONTENT, arrivedAt, 0));
+            parts.add(new Part(LastHttpContent.EMPTY_LAST_CONTENT, arrivedAt, readAt, 0));
             incompleteParts = 0;
         }
         return true;
@@ -124,7 +132,7 @@
             return false;
         }
         requests++;
-        parts.add(new Part(request, arrivedAt, cost));
+        parts.add(new Part(request, arrivedAt, readAt, cost));
         incompleteParts++;
         return true;
     }
@@ -144,11 +152,11 @@
         if (count > rest) {
             room.writeBytes(bytes, count - rest);
             parts.pollLast();
-            parts.add(new Part(last.message(), arrivedAt, last.heldBytes()));
+            parts.add(new Part(last.message(), arrivedAt, readAt, last.heldBytes()));
         }
         if (rest > 0) {
             ByteBuf buffer = Unpooled.buffer(capacity, capacity).writeBytes(bytes);
-            parts.add(new Part(new DefaultHttpContent(buffer), arrivedAt, BYTES_PER_BUFFER + capacity));
+            parts.add(new Part(new DefaultHttpContent(buffer), arrivedAt, readAt, BYTES_PER_BUFFER + capacity));
             incompleteParts++;
         }
         return true;
--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -234,7 +234,8 @@
         Terms terms = x.terms;
         long endsAt = deadline(x, arrivedAt, now);
         if (x.upload == null) {
-            events().record(NodeDelay.READ, now - arrivedAt, now);
+            events().record(NodeDelay.READ, Math.max(0, now - arrivedAt - x.queuedNanos()), now);
+            events().record(NodeDelay.QUEUE, x.queuedNanos(), now);
         }
         if (endsAt <= now) {
             refuseUnsent(x, NodeEvent.REFUSED_NO_TIME_LEFT, 0);
--- a/src/main/java/onyxpaddle/node/Exchange.java
+++ b/src/main/java/onyxpaddle/node/Exchange.java
@@ -28,6 +28,8 @@
     final int maxAttempts;
     /** The earliest time at which its last byte can have arrived. */
     long arrivedAt;
+    /** How long it waited, having been read, behind other requests of its connection. */
+    private long queuedNanos;
     long deadline;
     int pendingAttempts;
     /** The final answer has been given or has begun, or nobody waits for it. */
@@ -43,6 +45,15 @@
     Attempt streaming;
     AnswerSink.Source source;
 
+    /** Records for how many nanoseconds it waited behind other requests of its connection after it had been read. */
+    public void queuedFor(long nanos) {
+        queuedNanos = nanos;
+    }
+
+    long queuedNanos() {
+        return queuedNanos;
+    }
+
     /** How long the caller waits, in nanoseconds. */
     public long callerTimeout() {
         return terms.callerTimeout();
--- a/src/main/java/onyxpaddle/node/NodeEvents.java
+++ b/src/main/java/onyxpaddle/node/NodeEvents.java
@@ -55,7 +55,9 @@
         if (nanos >= LONG_DELAY) {
             longDelays[index]++;
             unloggedDelays[index] = Math.max(unloggedDelays[index], nanos);
-            logIfDue(now);
+            if (delay.own()) {
+                logIfDue(now);
+            }
         }
     }
 
@@ -81,6 +83,9 @@
         loggedAt = now;
         StringBuilder line = new StringBuilder("short of processor time: longest in ms");
         for (NodeDelay delay : NodeDelay.values()) {
+            if (delay == NodeDelay.QUEUE) {
+                line.append("; behind other requests");
+            }
             line.append(String.format(Locale.ROOT, " %s=%d", delay.label(), unloggedDelays[delay.ordinal()] / 1_000_000));
             unloggedDelays[delay.ordinal()] = 0;
         }
--- a/src/test/java/onyxpaddle/http/PipelinedRequestsTest.java
+++ b/src/test/java/onyxpaddle/http/PipelinedRequestsTest.java
@@ -71,11 +71,11 @@
         for (int i = 0; i < CONNECTIONS; i++) {
             PipelinedRequests pipelined = new PipelinedRequests(budget);
             for (int request = 0; request < requests; request++) {
-                pipelined.add(head(fields), 0);
+                pipelined.add(head(fields), 0, 0);
                 for (int piece = 0; piece < pieces; piece++) {
-                    pipelined.add(piece(pieceBytes), 0);
+                    pipelined.add(piece(pieceBytes), 0, 0);
                 }
-                pipelined.add(new DefaultLastHttpContent(), 0);
+                pipelined.add(new DefaultLastHttpContent(), 0, 0);
             }
             connections.add(pipelined);
         }
@@ -95,14 +95,14 @@
                 byte[] body = new byte[random.nextInt(6_000)];
                 random.nextBytes(body);
                 bodies.add(body);
-                pipelined.add(head(request), request);
+                pipelined.add(head(request), request, request);
                 int from = 0;
                 while (from < body.length) {
                     int count = Math.min(body.length - from, 1 + random.nextInt(random.nextBoolean() ? 3 : 3_000));
-                    pipelined.add(new DefaultHttpContent(Unpooled.copiedBuffer(body, from, count)), request);
+                    pipelined.add(new DefaultHttpContent(Unpooled.copiedBuffer(body, from, count)), request, request);
                     from += count;
                 }
-                pipelined.add(new DefaultLastHttpContent(), request);
+                pipelined.add(new DefaultLastHttpContent(), request, request);
             }
             for (byte[] body : bodies) {
                 assertArrayEquals(body, nextBody(pipelined), "seed " + seed);
--- a/src/test/java/onyxpaddle/serve/EventLoopDelayTest.java
+++ b/src/test/java/onyxpaddle/serve/EventLoopDelayTest.java
@@ -5,6 +5,8 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import onyxpaddle.node.NodeDelay;
 import onyxpaddle.serve.Loopback.Client;
 import onyxpaddle.serve.Loopback.FakeServer;
 import org.junit.jupiter.api.Test;
@@ -15,6 +17,7 @@
 class EventLoopDelayTest {
     private static final double DEADLINE_S = 1.5;
     private static final long BLOCKED_MS = 1_200;
+    private static final long BEHIND_MS = 300;
 
     @Test
     void requestThatWaitedForTheLoopIsAnsweredWithinItsDeadline() throws Exception {
@@ -65,6 +68,29 @@
         }
     }
 
+    /** Guards against a lack of processor time that is reported where a request only waits behind another one of its client. */
+    @Test
+    void waitBehindAnotherRequestIsNoDelayOfTheEventLoop() throws Exception {
+        try (FakeServer server = new FakeServer("s1"); Loopback rig = new Loopback(server); Client client = rig.client()) {
+            client.awaitReady();
+            long before = longDelays(rig.node, NodeDelay.READ);
+            client.send(Loopback.request("r1", "book", "Content-Length: 0") + Loopback.request("r2", "book", "Content-Length: 0"));
+            assertTrue(server.nextRequest().contains("r1"));
+            // The server's own delay.
+            TimeUnit.MILLISECONDS.sleep(BEHIND_MS);
+            server.answers.add(Loopback.ok("one"));
+            assertEquals("200 one", client.readAnswer());
+            server.answers.add(Loopback.ok("two"));
+            assertEquals("200 two", client.readAnswer());
+            assertEquals(before, longDelays(rig.node, NodeDelay.READ));
+            assertEquals(1, longDelays(rig.node, NodeDelay.QUEUE));
+        }
+    }
+
+    private static long longDelays(Node node, NodeDelay delay) throws Exception {
+        return node.loop().submit(() -> node.pools().get("").events().longDelays(delay)).get(Loopback.TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    }
+
     /** Allows the deadline and the platform's tolerance of 0.5 s. Counted from the read, the answer would come after 2.7 s. */
     private static void assertWithinDeadline(long start) {
         double took = (System.nanoTime() - start) / 1e9;
