A write that waits for its reader is counted by what it takes of the heap

What callers would see: memory that fills beside hundreds of clients that read slowly, while servers write their answers byte by byte; by measurement of the account, not seen on a process. Cause: UnsentBytes counted the payload of each write; a chunk of one byte takes some 1,150 bytes until the system has taken it (its framing, three entries in Netty's queue, promise and listeners). Change: each write counts 1,152 bytes beside its content, in both directions. Evidence: UnsentBytesTest measures the heap of 400 connections: 40,000 bytes were counted of 47.4 MB with pieces of one byte, 0.4 of 39.7 MB with ten; now all four sizes are within a tenth. StreamedBodiesTest, SidecarBodyStreamingTest, AcceptedRequestTest green.

--- a/src/main/java/onyxpaddle/http/UnsentBytes.java
+++ b/src/main/java/onyxpaddle/http/UnsentBytes.java
@@ -10,6 +10,8 @@
 final class UnsentBytes {
     /** The part of a pool's memory up to which streams fill it, so that bodies of other requests find room. */
     private static final double STREAMS_PART = 0.75;
+    /** Heap bytes of a write beside its content: of a chunk with its framing, and what waits for its end. */
+    private static final int BYTES_PER_WRITE = 1_152;
 
     private final SharedLimit.Share memory;
     private long held;
@@ -23,11 +25,12 @@
         if (bytes == 0 || write.isDone()) {
             return;
         }
-        held += bytes;
-        memory.forceTake(bytes);
+        long cost = bytes + BYTES_PER_WRITE;
+        held += cost;
+        memory.forceTake(cost);
         write.addListener(done -> {
-            held -= bytes;
-            memory.giveBack(bytes);
+            held -= cost;
+            memory.giveBack(cost);
         });
     }
 
