A client that stops halfway through a long body has its error within the 3 s it is owed

Cause: each byte that was received added to the time for the whole body, as for a client that writes at 64 kB/s; one that stops had all of it left. Change: a body of which nothing has come for 2.4 s is given up as well, but for pauses of the node's own and spans in which the process stood still.

--- a/src/main/java/onyxpaddle/http/ClientConnection.java
+++ b/src/main/java/onyxpaddle/http/ClientConnection.java
@@ -651,6 +651,9 @@
     public void compensateStall(long span, long now) {
         stateSince = Math.min(now, stateSince + span);
         lastWriteProgress = Math.min(now, lastWriteProgress + span);
+        if (incoming != null) {
+            incoming.compensateStall(span, now);
+        }
     }
 
     @Override
@@ -664,7 +667,7 @@
                 }
             }
             case RECEIVING -> {
-                if (incoming == null ? elapsed > REQUEST_TIMEOUT_NANOS : incoming.timedOut(elapsed, REQUEST_TIMEOUT_NANOS)) {
+                if (incoming == null ? elapsed > REQUEST_TIMEOUT_NANOS : incoming.timedOut(now, elapsed, REQUEST_TIMEOUT_NANOS)) {
                     reject(HttpResponseStatus.REQUEST_TIMEOUT);
                 } else if (cannotAnswerInTime()) {
                     refuse(NodeEvent.REFUSED_NODE_ENDS);
--- a/src/main/java/onyxpaddle/http/IncomingBody.java
+++ b/src/main/java/onyxpaddle/http/IncomingBody.java
@@ -42,6 +42,8 @@
     private final Runnable onStreamed;
     private final Body body;
     private long received;
+    /** When a part arrived last, or reading was resumed. */
+    private long progressAt;
     private Exchange exchange;
     /** The streamed part; null as long as the body is only buffered. */
     private Upload upload;
@@ -58,6 +60,7 @@
         this.clock = clock;
         this.caller = caller;
         this.onStreamed = onStreamed;
+        this.progressAt = clock.now();
         this.lastByteBound = new LastByteBound(request.length(), channel.arrivalBound());
         this.body = new Body(request.bytes(), Math.min(request.length(), request.maxBufferedBytes()), request.maxBodyBytes());
     }
@@ -82,14 +85,23 @@
         return upload != null && !done;
     }
 
-    /** Whether receiving takes too long; {@code elapsed}: since the request's first byte. Time in which reading was paused is excluded. */
-    boolean timedOut(long elapsed, long headTimeout) {
-        return pausedAt == 0 && elapsed - pausedNanos > headTimeout + received * NANOS_PER_BYTE;
+    /**
+     * Whether receiving takes too long, in all or since the last byte; {@code elapsed}: since the request's first byte. Time in which reading
+     * was paused is excluded.
+     */
+    boolean timedOut(long now, long elapsed, long headTimeout) {
+        return pausedAt == 0 && (elapsed - pausedNanos > headTimeout + received * NANOS_PER_BYTE || now - progressAt > headTimeout);
+    }
+
+    /** The process stood still for so long. */
+    void compensateStall(long span, long now) {
+        progressAt = Math.min(now, progressAt + span);
     }
 
     /** {@code arrivedAt}: a time before which the part did not arrive. */
     Progress add(ByteBuf bytes, boolean last, long arrivedAt) {
         received += bytes.readableBytes();
+        progressAt = clock.now();
         if (received > request.maxBufferedBytes()) {
             lastByteBound.setReceiveBuffer(channel.config().getReceiveBufferSize());
         }
@@ -151,6 +163,7 @@
         if (on && pausedAt > 0) {
             long now = clock.now();
             pausedNanos += now - pausedAt;
+            progressAt = now;
             pausedAt = 0;
             lastByteBound.resumed(now);
         } else if (!on && pausedAt == 0) {
--- a/src/test/java/onyxpaddle/serve/PartialRequestTest.java
+++ b/src/test/java/onyxpaddle/serve/PartialRequestTest.java
@@ -12,11 +12,15 @@
 import onyxpaddle.serve.Loopback.FakeDiscovery;
 import onyxpaddle.serve.Loopback.FakeServer;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Requests of which only a part has arrived when the node starts its final drain, cut at every byte: each is answered. */
 class PartialRequestTest {
     /** The longest deadline of any class, which bounds the final drain. */
     private static final double DEADLINE_S = 0.6;
+    /** Within this time of connecting a client is owed an error or a close. */
+    private static final double OWED_S = 3;
     private static final String BODY = "0123456789";
 
     private interface Scenario {
@@ -70,4 +74,22 @@
             assertEquals(0, server.requests.size());
         });
     }
+
+    /** Guards against a client that stops halfway through a long body and is told nothing for longer than it is owed. */
+    @ParameterizedTest
+    @CsvSource({"60000, false", "1000000, false", "1000000, true", "4000000, false"})
+    void clientThatStopsInABodyHasItsErrorInTime(int length, boolean chunked) throws Exception {
+        try (FakeServer server = new FakeServer("s1"); Loopback rig = new Loopback(server)) {
+            rig.client().awaitReady().close();
+            long start = System.nanoTime();
+            try (Client client = rig.client()) {
+                String head = Loopback.request("r1", "book", chunked ? "Transfer-Encoding: chunked" : "Content-Length: " + length);
+                client.send(head + (chunked ? Integer.toHexString(length) + "\r\n" : "") + "x".repeat(length / 2));
+                String answer = client.readAnswer();
+                assertTrue(answer == null || answer.startsWith("4") || answer.startsWith("5"), answer);
+                double took = (System.nanoTime() - start) / 1e9;
+                assertTrue(took < OWED_S, "after " + took + " s");
+            }
+        }
+    }
 }
