A limit of memory that is less than the process may need is logged with both figures

A value that is no number above 0 is refused by name. Change: where the settings leave less than the heap's bound and 56 MB beside it (96 MB as started by the deploy file), the node says so as it starts.

--- a/src/main/java/onyxpaddle/serve/Node.java
+++ b/src/main/java/onyxpaddle/serve/Node.java
@@ -15,6 +15,7 @@
 import onyxpaddle.http.PlatformRequestDialect;
 import onyxpaddle.membership.Discovery;
 import onyxpaddle.membership.ServerTable;
+import onyxpaddle.node.MemoryLimit;
 import onyxpaddle.node.ResourceBudget;
 import onyxpaddle.node.ResourceBudget.PoolShare;
 import onyxpaddle.node.Clock;
@@ -27,6 +28,7 @@
 /** A node on the platform: one listener and one pool, whose servers come from discovery. */
 public final class Node implements Lifecycle.Work {
     /** How long a node without an answer from discovery waits before it serves by the list it was started with. */
+    private static final long MIB = 1L << 20;
     private static final long LIST_TIMEOUT = 1_000_000_000L;
     /** Maximum duration of a graceful shutdown; every deadline has long passed by then. */
     private static final long MAX_SHUTDOWN_S = 10;
@@ -106,9 +108,18 @@
         lifecycle.start(new Lifecycle.Options(first.name(), first.admin(), folder, MAX_SHUTDOWN_S));
     }
 
+    private void logIfShortOfMemory() {
+        MemoryLimit memory = new MemoryLimit(config.memoryBytes(), Runtime.getRuntime().maxMemory());
+        if (memory.isShort()) {
+            Log.line("limits.memory_mb is " + config.memoryBytes() / MIB + ", and this process may need " + memory.wholeBytes() / MIB
+                + ": with many peers it may be killed");
+        }
+    }
+
     @Override
     public void build() {
         EventLoop loop = lifecycle.loop;
+        logIfShortOfMemory();
         ResourceBudget budget = new ResourceBudget(config.sockets(), Runtime.getRuntime().maxMemory());
         tally.know(PoolSettings.classNames(config.settings()));
         dispatcher = new Dispatcher(clock, loop, new RatioBalancer(config.settings(), config.seed()), config.settings().limits(),
--- a/src/main/java/onyxpaddle/serve/PlatformConfig.java
+++ b/src/main/java/onyxpaddle/serve/PlatformConfig.java
@@ -17,10 +17,12 @@
 
 /**
  * The configuration of a platform node: the environment and the file that {@code GW_CONFIG} names. {@code admin}: null for no admin
- * listener.
+ * listener; {@code memoryBytes}: 0 for no limit.
  */
 record PlatformConfig(String name, InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery, long seed, int sockets,
-        ServerList known, Settings settings, long keepalive) {
+        long memoryBytes, ServerList known, Settings settings, long keepalive) {
+    private static final double MAX_MEMORY_MB = 1e9;
+    private static final long BYTES_PER_MB = 1L << 20;
     private static final long DEFAULT_KEEPALIVE = 5_000_000_000L;
 
     /** A setting is missing or invalid; the message is one line and names the setting. */
@@ -91,7 +93,8 @@
             FlatSettings settings = new FlatSettings(pairs);
             long keepalive = settings.span("limits.keepaliveS");
             return new PlatformConfig(flat.getOrDefault("name", ""), address(flat, "listen"),
-                flat.containsKey("admin") ? address(flat, "admin") : null, address(flat, "discovery"), seed(flat), sockets(flat), known, settings.settings(),
+                flat.containsKey("admin") ? address(flat, "admin") : null, address(flat, "discovery"), seed(flat), sockets(flat),
+                memoryBytes(flat), known, settings.settings(),
                 keepalive > 0 ? keepalive : DEFAULT_KEEPALIVE);
         } catch (IllegalArgumentException e) {
             throw new InvalidConfigException("settings: " + e.getMessage());
@@ -115,6 +118,22 @@
         }
     }
 
+    private static long memoryBytes(Map<String, String> flat) throws InvalidConfigException {
+        String text = flat.get("limits.memory_mb");
+        if (text == null) {
+            return 0;
+        }
+        try {
+            double megabytes = Double.parseDouble(text);
+            if (megabytes > 0 && megabytes < MAX_MEMORY_MB) {
+                return (long) (megabytes * BYTES_PER_MB);
+            }
+        } catch (NumberFormatException e) {
+            // Reported below, like a number that is out of range.
+        }
+        throw new InvalidConfigException("limits.memory_mb: not a number above 0: " + text);
+    }
+
     private static int sockets(Map<String, String> flat) throws InvalidConfigException {
         String text = flat.getOrDefault("limits.sockets", "");
         try {
--- a/src/test/java/onyxpaddle/measure/CutConduct.java
+++ b/src/test/java/onyxpaddle/measure/CutConduct.java
@@ -49,17 +49,22 @@
         return chunk(1).repeat(count);
     }
 
-    /** A client may send several requests, each under an id of its own. */
-    @Override
-    public byte[] opening(String id) {
-        StringBuilder text = new StringBuilder(opening.length() + 2 * id.length());
+    /** A client may send several requests: each place for an id gets one of its own, of which the first is the client's. */
+    static String numbered(String requests, String id) {
+        StringBuilder text = new StringBuilder(requests.length() + 2 * id.length());
         int from = 0;
         int number = 0;
-        for (int at = opening.indexOf("%s"); at >= 0; at = opening.indexOf("%s", from)) {
-            text.append(opening, from, at).append(id).append('-').append(number++);
+        for (int at = requests.indexOf("%s"); at >= 0; at = requests.indexOf("%s", from)) {
+            text.append(requests, from, at).append(id).append(number == 0 ? "" : "-" + number);
+            number++;
             from = at + 2;
         }
-        return text.append(opening, from, opening.length()).toString().getBytes(StandardCharsets.US_ASCII);
+        return text.append(requests, from, requests.length()).toString();
+    }
+
+    @Override
+    public byte[] opening(String id) {
+        return numbered(opening, id).getBytes(StandardCharsets.US_ASCII);
     }
 
     @Override
--- a/src/test/java/onyxpaddle/measure/PeerConduct.java
+++ b/src/test/java/onyxpaddle/measure/PeerConduct.java
@@ -7,6 +7,11 @@
         AT_ONCE, SLOWLY, NEVER
     }
 
+    /** How it leaves. */
+    enum End {
+        STAYS, CLOSES, RESETS
+    }
+
     /** What it writes first; {@code id}: of its request. */
     byte[] opening(String id);
 
@@ -34,4 +39,14 @@
     default boolean repeats() {
         return false;
     }
+
+    /** How it leaves after {@link #leavesAfterMs}. */
+    default End end() {
+        return End.STAYS;
+    }
+
+    /** When it leaves after it has begun, in milliseconds. */
+    default int leavesAfterMs() {
+        return 0;
+    }
 }
--- a/src/test/java/onyxpaddle/measure/SlowClients.java
+++ b/src/test/java/onyxpaddle/measure/SlowClients.java
@@ -2,12 +2,16 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.channels.SocketChannel;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import onyxpaddle.measure.PeerConduct.End;
 import onyxpaddle.measure.PeerConduct.Reading;
 
 /** Many clients on one thread, whose conducts take turns. */
@@ -23,6 +27,7 @@
     private final Selector selector = Selector.open();
     private final ByteBuffer into = ByteBuffer.allocate(READ_BYTES);
     private final Thread thread = new Thread(this::run, "slow clients");
+    private final Map<String, Long> closedAt = new HashMap<>();
     private volatile boolean stopped;
     private long requests;
 
@@ -40,7 +45,9 @@
 
     private static final class Client {
         final PeerConduct conduct;
+        String id;
         ByteBuffer out;
+        long leavesAt;
         long nextWriteAt;
         long nextReadAt;
 
@@ -53,7 +60,10 @@
         SocketChannel channel = SocketChannel.open();
         channel.configureBlocking(false);
         Client client = new Client(conduct);
+        client.id = "slow-" + (requests + 1);
         client.out = opening(conduct);
+        client.leavesAt = conduct.end() == End.STAYS ? Long.MAX_VALUE
+            : System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(conduct.leavesAfterMs());
         channel.connect(node);
         channel.register(selector, SelectionKey.OP_CONNECT, client);
     }
@@ -83,6 +93,9 @@
             if (!channel.isConnected() && !channel.finishConnect()) {
                 return;
             }
+            if (now >= client.leavesAt) {
+                leave(channel, client);
+            }
             write(channel, client, now);
             read(channel, client, now);
             boolean writes = client.out.hasRemaining() || client.conduct.repeats();
@@ -95,6 +108,19 @@
         }
     }
 
+    private void leave(SocketChannel channel, Client client) throws IOException {
+        if (client.conduct.end() == End.RESETS) {
+            channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+        }
+        closedAt.put(client.id, System.nanoTime());
+        throw new IOException("the client leaves");
+    }
+
+    /** When clients left of their own accord, by the ids of their first requests. */
+    Map<String, Long> closedAt() {
+        return closedAt;
+    }
+
     private void write(SocketChannel channel, Client client, long now) throws IOException {
         PeerConduct conduct = client.conduct;
         if (!client.out.hasRemaining() && conduct.repeats()) {
