Dispatcher: requests that must run once are a class of their own

Change: OnceOnlyRequests holds the ids that may have run and tells of them; the dispatcher asks it in four places. Behaviour as before: HandoverSocketTest, ClientDisconnectTest, AttemptTest, PackageRulesTest green.

--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -1,7 +1,6 @@
 package onyxpaddle.node;
 
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -39,9 +38,7 @@
     private final RatioBalancer balancer;
     private final Limits limits;
     private final Map<String, Exchange> exchanges = new HashMap<>();
-    private final RecentRuns recentRuns = new RecentRuns();
-    /** Null if no other process of the node has to know. */
-    private RunListener runListener;
+    private final OnceOnlyRequests onceOnly;
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     /** Null if the pool has no bound on concurrent requests. */
     private final InFlightLimit limit;
@@ -71,6 +68,7 @@
         this.clock = clock;
         this.loop = loop;
         this.timers = new LoopTimers(clock, loop);
+        this.onceOnly = new OnceOnlyRequests(clock, exchanges.values());
         this.balancer = balancer;
         this.limits = limits;
         this.limit = limit;
@@ -152,46 +150,9 @@
         balancer.restore(snapshot);
     }
 
-    /** Sets who is told of requests that must run once. */
-    public void setRunListener(RunListener listener) {
-        runListener = listener;
-    }
-
-    /** The ids of requests that must run once, and that may have run lately or may run now. */
-    public List<String> onceOnlyIds() {
-        List<String> ids = new ArrayList<>(recentRuns.ids());
-        exchanges.values().stream().filter(x -> x.announced || x.mayHaveRunOnce()).forEach(x -> ids.add(x.id));
-        return ids;
-    }
-
-    /** A request with this id may have run in another process of the node. */
-    public void mayHaveRunElsewhere(String id) {
-        recentRuns.add(id, clock.now());
-    }
-
-    /** No attempt of the request with this id has run in another process of the node, of which that was thought possible. */
-    public void neverRanElsewhere(String id) {
-        recentRuns.remove(id);
-    }
-
-    /** Tells other processes of a request that must run once, before the first attempt begins. */
-    private void announce(Exchange x) {
-        if (!x.announced && runListener != null && x.terms.requestClass().effect() == Effect.UNSAFE) {
-            x.announced = true;
-            runListener.mayHaveRun(x.id);
-        }
-    }
-
-    private void recordEnd(Exchange x) {
-        boolean mayHaveRun = x.mayHaveRunOnce();
-        if (mayHaveRun) {
-            recentRuns.add(x.id, clock.now());
-        }
-        if (x.announced && mayHaveRun) {
-            runListener.mayHaveRun(x.id);
-        } else if (x.announced) {
-            runListener.neverRan(x.id);
-        }
+    /** The requests that must run once. */
+    public OnceOnlyRequests onceOnly() {
+        return onceOnly;
     }
 
     /** Disables or enables a server for an operator; false if it is neither listed nor disabled. */
@@ -241,7 +202,7 @@
             refuseUnsent(x, NodeEvent.REFUSED_NO_TIME_LEFT, 0);
             return;
         }
-        if (recentRuns.contains(x.id, now)) {
+        if (onceOnly.mayHaveRun(x.id, now)) {
             failUnsent(x);
             return;
         }
@@ -564,7 +525,7 @@
             if (attempt.number > 0) {
                 events().count(NodeEvent.retryAfter(x.attempts.get(attempt.number - 1).outcome), x.id);
             }
-            announce(x);
+            onceOnly.begins(x);
             upstream.send(attempt);
         }
     }
@@ -688,7 +649,7 @@
 
     private void removeIfDone(Exchange x) {
         if (x.finished && x.pendingAttempts == 0 && exchanges.remove(x.id, x)) {
-            recordEnd(x);
+            onceOnly.ended(x);
             x.releaseBody();
             release(x.failure);
         }
--- a/src/main/java/onyxpaddle/serve/Lifecycle.java
+++ b/src/main/java/onyxpaddle/serve/Lifecycle.java
@@ -202,7 +202,7 @@
                 return;
             }
             if (handover != null) {
-                work.pools().forEach((name, pool) -> pool.setRunListener(new RunTeller(name)));
+                work.pools().forEach((name, pool) -> pool.onceOnly().setListener(new RunTeller(name)));
                 handover.listen(() -> work.pools().entrySet().stream()
                     .collect(Collectors.toMap(Map.Entry::getKey, pool -> pool.getValue().snapshot())));
             }
@@ -233,7 +233,7 @@
     private final class RunsOfPools implements RunRegister {
         @Override
         public List<RunMessage> current() {
-            return work.pools().entrySet().stream().flatMap(pool -> pool.getValue().onceOnlyIds().stream()
+            return work.pools().entrySet().stream().flatMap(pool -> pool.getValue().onceOnly().ids().stream()
                 .map(id -> new RunMessage(RunMessage.Kind.MAY_HAVE_RUN, pool.getKey(), id))).toList();
         }
 
@@ -241,9 +241,9 @@
         public void received(RunMessage message) {
             Dispatcher pool = work.pools().get(message.pool());
             if (pool != null && message.kind() == RunMessage.Kind.MAY_HAVE_RUN) {
-                pool.mayHaveRunElsewhere(message.id());
+                pool.onceOnly().mayHaveRunElsewhere(message.id());
             } else if (pool != null) {
-                pool.neverRanElsewhere(message.id());
+                pool.onceOnly().neverRanElsewhere(message.id());
             }
         }
     }
