--- a/src/test/java/onyxpaddle/measure/DrawnPeers.java
+++ b/src/test/java/onyxpaddle/measure/DrawnPeers.java
@@ -7,13 +7,14 @@
 import onyxpaddle.measure.PlatformRig.Limits;
 
 /**
- * A crowd of clients drawn from a seed: what they write, into how many pieces they cut it, when they stop, how they read and leave, and what
- * some servers do meanwhile.
+ * A crowd of clients drawn from a seed: what they write, into how many pieces they cut it, when they stop, how they read and leave, what
+ * some servers do meanwhile, and what happens to the process.
  *
  * @param conducts of the clients, which take turns
  * @param reconnects clients whose connection ended connect again at once
  */
-record DrawnPeers(List<Drawn> conducts, int clients, boolean reconnects, Limits limits, ServerTrouble trouble) {
+record DrawnPeers(List<Drawn> conducts, int clients, boolean reconnects, Limits limits, ServerTrouble trouble,
+        ProcessTrouble process) {
     /** How a request is written. */
     enum Framing {
         CHUNKS, LENGTH, FIELDS, PIPELINED_CHUNKS, PIPELINED_REQUESTS, ANSWER_IN_CHUNKS
@@ -24,6 +25,15 @@
         NONE, TURNS_AWAY, READS_NOTHING, HANGS, ANSWERS_LATE
     }
 
+    /** What happens to the node's process. */
+    enum ProcessTrouble {
+        NONE,
+        /** It is stopped for a moment, again and again. */
+        STANDS_STILL,
+        /** Another process takes its place. */
+        REPLACED
+    }
+
     private static final int[] SIZES = {500, 60_000, 300_000, 1_048_000, 2_500_000};
     private static final int[] CUTS = {64 * 1024, 1_024, 10, 1};
     private static final int[] CLIENTS = {1, 4, 20, 60, 200, 540};
@@ -55,26 +65,30 @@
         long bytes = conducts.stream().mapToLong(c -> c.text().length()).max().orElseThrow();
         int clients = (int) Math.min(any(random, CLIENTS), Math.max(1, MAX_TOTAL / bytes));
         Limits limits = List.of(FULL, FULL, LEAST_MEMORY, FEW_DESCRIPTORS).get(random.nextInt(4));
-        return new DrawnPeers(conducts, clients, random.nextBoolean(), limits, any(random, ServerTrouble.class));
+        return new DrawnPeers(conducts, clients, random.nextBoolean(), limits, any(random, ServerTrouble.class),
+            random.nextBoolean() ? ProcessTrouble.NONE : any(random, ProcessTrouble.class));
     }
 
     /** Crowds that are smaller in one respect each, the smallest first. */
     List<DrawnPeers> smaller() {
         List<DrawnPeers> smaller = new ArrayList<>();
         if (trouble != ServerTrouble.NONE) {
-            smaller.add(new DrawnPeers(conducts, clients, reconnects, limits, ServerTrouble.NONE));
+            smaller.add(new DrawnPeers(conducts, clients, reconnects, limits, ServerTrouble.NONE, process));
+        }
+        if (process != ProcessTrouble.NONE) {
+            smaller.add(new DrawnPeers(conducts, clients, reconnects, limits, trouble, ProcessTrouble.NONE));
         }
         for (Drawn conduct : conducts.size() > 1 ? conducts : List.<Drawn>of()) {
-            smaller.add(new DrawnPeers(List.of(conduct), clients, reconnects, limits, trouble));
+            smaller.add(new DrawnPeers(List.of(conduct), clients, reconnects, limits, trouble, process));
         }
         if (clients > 1) {
-            smaller.add(new DrawnPeers(conducts, clients / 4 + 1, reconnects, limits, trouble));
+            smaller.add(new DrawnPeers(conducts, clients / 4 + 1, reconnects, limits, trouble, process));
         }
         if (!limits.equals(FULL)) {
-            smaller.add(new DrawnPeers(conducts, clients, reconnects, FULL, trouble));
+            smaller.add(new DrawnPeers(conducts, clients, reconnects, FULL, trouble, process));
         }
         if (reconnects) {
-            smaller.add(new DrawnPeers(conducts, clients, false, limits, trouble));
+            smaller.add(new DrawnPeers(conducts, clients, false, limits, trouble, process));
         }
         return smaller;
     }
--- a/src/test/java/onyxpaddle/measure/DrawnPeersIT.java
+++ b/src/test/java/onyxpaddle/measure/DrawnPeersIT.java
@@ -7,11 +7,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import onyxpaddle.drill.ServeProcess;
+import onyxpaddle.measure.DrawnPeers.ProcessTrouble;
 import onyxpaddle.measure.DrawnPeers.ServerTrouble;
 import onyxpaddle.standin.StandInServer;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -28,6 +31,12 @@
     private static final int LOOK_UPS_PER_SECOND = 40;
     private static final int LOOK_UPS_AFTERWARDS = 40;
     private static final long SETTLE_MS = 1_000;
+    private static final int STOPS = 4;
+    private static final int STOP_MS = 140;
+    private static final int STOP_INTERVAL_MS = 700;
+    private static final int PROCESS_TIMEOUT_S = 20;
+    /** Ended by SIGTERM. */
+    private static final int EXIT_PLANNED = 143;
     private static final int LATE_MS = 900;
     /** So few connections are no reason to refuse or to delay one. */
     private static final int MAX_CLIENTS_WITHOUT_REFUSALS = 60;
@@ -96,21 +105,23 @@
             // One that reads nothing for a while reads late what was written in time.
             int unwatched = peers.trouble() == ServerTrouble.READS_NOTHING ? TROUBLED_SERVERS : 0;
             rig.servers.subList(unwatched, SERVERS).forEach(server -> server.watcher(arrivals));
-            ServeProcess node = rig.start(false);
+            List<ServeProcess> nodes = new CopyOnWriteArrayList<>(List.of(rig.start(true)));
             LookUps lookUps = new LookUps(rig.listen);
             lookUps.run("warm-", LOOK_UPS_AFTERWARDS, LOOK_UPS_PER_SECOND);
             rig.servers.subList(0, TROUBLED_SERVERS).forEach(server -> trouble(server, peers.trouble()));
             SlowClients clients = new SlowClients(rig.listen, peers.conducts(), peers.clients(), peers.reconnects());
+            CompletableFuture<Void> happens = CompletableFuture.runAsync(() -> trouble(rig, nodes, peers.process()));
             LookUps.Outcome during;
             try {
                 during = lookUps.run("beside-", TROUBLE_S * LOOK_UPS_PER_SECOND, LOOK_UPS_PER_SECOND);
+                happens.get(PROCESS_TIMEOUT_S, TimeUnit.SECONDS);
             } finally {
                 clients.close();
             }
             rig.servers.forEach(server -> trouble(server, ServerTrouble.NONE));
             TimeUnit.MILLISECONDS.sleep(SETTLE_MS);
             LookUps.Outcome after = lookUps.run("after-", LOOK_UPS_AFTERWARDS, LOOK_UPS_PER_SECOND);
-            judge(node, peers, during, after, faults);
+            judge(nodes, peers, during, after, faults);
             judgeDepartures(clients.closedAt(), arrivals.latest, faults);
         }
         return faults;
@@ -122,8 +133,34 @@
         server.frozen(trouble == ServerTrouble.READS_NOTHING);
     }
 
-    private static void judge(ServeProcess node, DrawnPeers peers, LookUps.Outcome during, LookUps.Outcome after, List<String> faults)
+    private static void trouble(PlatformRig rig, List<ServeProcess> nodes, ProcessTrouble trouble) {
+        try {
+            if (trouble == ProcessTrouble.STANDS_STILL) {
+                for (int i = 0; i < STOPS; i++) {
+                    nodes.get(0).signal("STOP");
+                    TimeUnit.MILLISECONDS.sleep(STOP_MS);
+                    nodes.get(0).signal("CONT");
+                    TimeUnit.MILLISECONDS.sleep(STOP_INTERVAL_MS);
+                }
+            } else if (trouble == ProcessTrouble.REPLACED) {
+                TimeUnit.MILLISECONDS.sleep(STOP_INTERVAL_MS);
+                nodes.add(rig.start(true));
+                nodes.get(0).process().destroy();
+                nodes.get(0).process().waitFor(PROCESS_TIMEOUT_S, TimeUnit.SECONDS);
+            }
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static void judge(List<ServeProcess> nodes, DrawnPeers peers, LookUps.Outcome during, LookUps.Outcome after, List<String> faults)
             throws Exception {
+        for (ServeProcess replaced : nodes.subList(0, nodes.size() - 1)) {
+            if (replaced.process().isAlive() || replaced.process().exitValue() != EXIT_PLANNED) {
+                faults.add("the replaced process did not end as planned: " + replaced.log());
+            }
+        }
+        ServeProcess node = nodes.get(nodes.size() - 1);
         if (node.process().waitFor(1, TimeUnit.MILLISECONDS)) {
             faults.add("the process ended with " + node.process().exitValue() + ": " + node.log());
             return;
@@ -135,7 +172,8 @@
         if (during.lost() > 0) {
             faults.add("lost beside the trouble: " + during);
         }
-        if (during.late() > 0 && peers.clients() <= MAX_CLIENTS_WITHOUT_REFUSALS && peers.trouble() == ServerTrouble.NONE) {
+        if (during.late() > 0 && peers.clients() <= MAX_CLIENTS_WITHOUT_REFUSALS && peers.trouble() == ServerTrouble.NONE
+                && peers.process() == ProcessTrouble.NONE) {
             faults.add("answered after their aim: " + during);
         }
         if (after.served() < LOOK_UPS_AFTERWARDS) {
