Connections queued at a closing listener are not reset where an accept fails for a moment

The log of the leaving process: "accepting queued connections of a closing listener failed: java.io.IOException: Too many open files". Cause: a listener that leaves accepts all that is queued at once; the first accept that failed closed it, and with it what was still queued. Change: it is tried again every 5 ms for up to 0.5 s, in which answered connections give their descriptors back. Evidence: SharedListenerTest, accepts that fail 0, 1 and 10 times with five connections queued: none of five accepted with one failure and more before, all now.

--- a/src/main/java/onyxpaddle/front/SharedListener.java
+++ b/src/main/java/onyxpaddle/front/SharedListener.java
@@ -23,16 +23,20 @@
  * queued for it, rather than moving them to the other process's queue; so every close of a listener should go through
  * {@link #leave}. Connections that arrive between the last accept and the close, some microseconds, are still reset.
  */
-public final class SharedListener extends NioServerSocketChannel {
+public class SharedListener extends NioServerSocketChannel {
     /** Both processes must set this before they bind. The first can't know whether there will be a second, so it always does. */
     public static final ChannelOption<Boolean> REUSE_PORT = NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT);
     /** By then the selector has released the channel; before that the JDK defers a close to its next select. */
     private static final long DEREGISTER_DELAY_MS = 2;
+    /** How often a failed accept is tried again, and for how long, before a listener closes. */
+    private static final long DRAIN_RETRY_MS = 5;
+    private static final long MAX_DRAIN_NANOS = 500_000_000L;
 
     private final Clock clock;
     private final NodeEvents events;
     private final ArrivalBound arrival;
     private boolean leaving;
+    private long leavingSince;
 
     /** {@code events}: where the time for which connections wait to be accepted is counted. */
     SharedListener(Clock clock, NodeEvents events) {
@@ -58,6 +62,7 @@
             return;
         }
         leaving = true;
+        leavingSince = clock.now();
         deregister().addListener(f -> eventLoop().schedule(this::drainAndClose, DEREGISTER_DELAY_MS, TimeUnit.MILLISECONDS));
     }
 
@@ -76,7 +81,7 @@
     private PollableChannel acceptNext(long lastPoll) throws IOException {
         long now = clock.now();
         long bound = arrival.get(lastPoll);
-        SocketChannel next = SocketUtils.accept(javaChannel());
+        SocketChannel next = accept();
         arrival.read(now, next == null, clock.turnStart());
         if (next == null) {
             return null;
@@ -85,6 +90,11 @@
         return new PollableChannel(this, next, clock, bound);
     }
 
+    /** Accepts a connection from the system; null if none is queued. */
+    SocketChannel accept() throws IOException {
+        return SocketUtils.accept(javaChannel());
+    }
+
     private void drainAndClose() {
         try {
             // Polls no longer report the queue.
@@ -92,11 +102,16 @@
                 pipeline().fireChannelRead(pending);
             }
             javaChannel().close();
-            pipeline().fireChannelReadComplete();
         } catch (IOException e) {
+            // Such as a lack of descriptors, which answered connections give back: a close now would reset what is queued.
+            if (clock.now() - leavingSince < MAX_DRAIN_NANOS) {
+                pipeline().fireChannelReadComplete();
+                eventLoop().schedule(this::drainAndClose, DRAIN_RETRY_MS, TimeUnit.MILLISECONDS);
+                return;
+            }
             Log.failure("accepting queued connections of a closing listener failed", e);
-        } finally {
-            close();
         }
+        pipeline().fireChannelReadComplete();
+        close();
     }
 }
