--- /dev/null
+++ b/review/case-2.sh
@@ -0,0 +1,30 @@
+#!/bin/bash
+# Plays one case of the second review: case-2.sh FOLDER CLASS. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+set -u
+cd "$(dirname "$0")/.."
+root=$(pwd)
+folder=$root/review/$1
+class=$2
+if [ ! -f target/weldlink.jar ] || [ ! -f "target/review-2/probe/$class.class" ]; then
+    echo "not built: run the build of deploy/balancer.toml, then review/build-2.sh" | tee "$folder/record.txt"
+    exit 2
+fi
+tmp=$(mktemp -d /tmp/review.XXXXXX) || exit 2
+clean() {
+    # Ends by id whatever the test started and could not end itself.
+    if [ -f "$tmp/pids" ]; then
+        while read -r pid; do
+            if [ -r "/proc/$pid/cmdline" ] && tr '\0' ' ' < "/proc/$pid/cmdline" | grep -q weldlink.jar; then
+                kill -KILL "$pid" 2>/dev/null
+            fi
+        done < "$tmp/pids"
+    fi
+    rm -rf "$tmp"
+}
+trap clean EXIT
+timeout -k 3 112 java -Xmx512m -Droot="$root" -Dtmp="$tmp" -Drecord="$folder/record.txt" -cp target/review-2 "probe.$class"
+code=$?
+case $code in
+    0|1) exit $code ;;
+    *) exit 2 ;;
+esac
--- a/review/src-2/probe/ConfirmedChange.java
+++ b/review/src-2/probe/ConfirmedChange.java
@@ -70,8 +70,8 @@
             return held ? null : "r2 does not hold the change that it confirmed";
         }
         Kit.Proc r3 = Control.start(kit, "r3", a3, kit.tmp.resolve("r3"), "--publisher --epoch 2 --take-over-from " + Kit.text(a2));
-        boolean up = Kit.await(25_000, () -> !r3.process.isAlive() || Control.status(a3) != null) && r3.process.isAlive();
-        kit.note(up ? "r3: " + Control.status(a3) : "r3 did not take over: " + r3.log().strip());
+        boolean up = Kit.await(13_000, () -> !r3.process.isAlive() || Control.status(a3) != null) && r3.process.isAlive();
+        kit.note(up ? "r3: " + Control.status(a3) : "r3 has not taken over in 13 s: " + r3.log().strip());
         boolean taken = up && has(a3);
         kit.note("r2's log: " + r2.log().strip());
         return held || taken ? null : "version " + Control.version(answer) + " was confirmed by one replica, and after the loss of the publisher alone "
--- a/review/src-2/probe/Kit.java
+++ b/review/src-2/probe/Kit.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -160,6 +161,8 @@
         Proc proc = new Proc(name, builder.start(), log);
         synchronized (processes) {
             processes.add(proc);
+            // For the script, should this process be killed.
+            Files.writeString(tmp.resolve("pids"), proc.process.pid() + "\n", StandardOpenOption.CREATE, StandardOpenOption.APPEND);
         }
         note("start " + name + " (" + proc.process.pid() + "): " + command.replaceAll("^exec java .* -jar", "exec java ... -jar"));
         return proc;
--- a/review/src-2/probe/LostReply.java
+++ b/review/src-2/probe/LostReply.java
@@ -166,7 +166,8 @@
     }
 
     private static boolean open(InetSocketAddress at) {
-        try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
+        try {
+            new Socket(at.getAddress(), at.getPort()).close();
             return true;
         } catch (IOException e) {
             return false;
--- a/review/src-2/probe/NewReplica.java
+++ b/review/src-2/probe/NewReplica.java
@@ -6,8 +6,8 @@
 /** A replica whose machine was replaced never gets the state again. */
 final class NewReplica {
     private static final int SECTIONS = 900;
-    private static final int CALLS = 6;
-    private static final int WAIT_MS = 60_000;
+    private static final int CALLS = 7;
+    private static final int WAIT_MS = 45_000;
 
     public static void main(String[] args) {
         Kit.play(NewReplica::run);
