--- a/review/src-2/probe/Kit.java
+++ b/review/src-2/probe/Kit.java
@@ -109,6 +109,13 @@
         }
     }
 
+    /** An address of 127.0.0.1 that nothing else uses, for ports that are given without an address. */
+    static InetSocketAddress freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByAddress(new byte[] {127, 0, 0, 1}))) {
+            return (InetSocketAddress) socket.getLocalSocketAddress();
+        }
+    }
+
     static String text(InetSocketAddress at) {
         return at.getAddress().getHostAddress() + ":" + at.getPort();
     }
