--- a/review/src-2/probe/LostReply.java
+++ b/review/src-2/probe/LostReply.java
@@ -103,7 +103,7 @@
     private static String run(Kit kit) throws Exception {
         Application application = new Application(kit);
         InetSocketAddress inbound = Kit.free();
-        InetSocketAddress calls = Kit.free();
+        InetSocketAddress calls = Kit.freePort();
         StringBuilder servers = new StringBuilder();
         for (String name : List.of("one", "two", "three")) {
             servers.append("      - {id: ").append(name).append(", rpc: \"").append(Kit.text(server(name, application))).append("\"}\n");
@@ -136,7 +136,7 @@
         }
         Path node = kit.tmp.resolve("nodes/clinic.node.yaml");
         kit.start("node", kit.runLine() + " --config " + node, Map.of());
-        InetSocketAddress at = new InetSocketAddress("127.0.0.1", calls.getPort());
+        InetSocketAddress at = calls;
         if (!Kit.await(20_000, () -> open(at))) {
             throw new Kit.CouldNotRun("the node does not listen");
         }
