Answers without a length end only where their server ends them

Cause: a server falls silent in the middle of an answer that ends with its connection. The node closes a stalled connection itself, the decoder takes every end of the channel for the end of such an answer, and ServerConnection told only read errors apart.

The new test, on the code before: both rows of a silent server red, as no error reached the client; rows of a reset and of a node that stops were green.

Change: PollableChannel says whether a read of the socket has found the end of the stream, which only the peer can cause. What the decoder emits on a closed connection otherwise is dropped, so that the answer breaks off with a reset of the client's connection. This replaces the flag for read errors, and holds for every close by the node.

--- a/src/main/java/onyxpaddle/http/ServerConnection.java
+++ b/src/main/java/onyxpaddle/http/ServerConnection.java
@@ -85,8 +85,6 @@
     private HttpMethod method;
     private long startedAt;
     private boolean reused;
-    /** The connection failed: what the decoder still emits is not the proper end of an answer. */
-    private boolean connectionReset;
     /** Receives the answer being streamed; null for none. */
     private AnswerSink sink;
     /** When a part of the answer last arrived. */
@@ -202,7 +200,7 @@
             if (message instanceof HttpContent part) {
                 throttle.read(part.content().readableBytes());
             }
-            if (connectionReset) {
+            if (isBroken()) {
                 return;
             }
             boolean unsolicited = !exchangeOpen || attempt == null && !headReceived;
@@ -221,6 +219,14 @@
         }
     }
 
+    /**
+     * Whether the connection has ended otherwise than by its server, in order. The decoder takes each end of the connection for the end of
+     * an answer without a length, but after a reset, or a close by this side, that answer is not whole.
+     */
+    private boolean isBroken() {
+        return !channel.isOpen() && !channel.isEndOfStream();
+    }
+
     private void head(HttpResponse response) {
         int status = response.status().code();
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
@@ -484,7 +490,6 @@
         if (!(cause instanceof java.io.IOException)) {
             Log.failure("connection to server " + server, cause);
         }
-        connectionReset = true;
         channel.close();
     }
 }
--- a/src/main/java/onyxpaddle/socket/PollableChannel.java
+++ b/src/main/java/onyxpaddle/socket/PollableChannel.java
@@ -71,6 +71,7 @@
     private boolean costly;
     private long prefetchedBound;
     private long deliveredBound;
+    private boolean endOfStream;
     private final PeerPresence presence;
 
     /** Creates a channel to be connected. */
@@ -272,10 +273,19 @@
         int capacity = to.writableBytes();
         deliveredBound = nextBound();
         int count = super.doReadBytes(to);
+        endOfStream = count < 0;
         recordRead(startedAt, deliveredBound, count, capacity);
         return count;
     }
 
+    /**
+     * Whether the peer has ended the stream in order and the pipeline has received all of it. Not so if the connection was reset, or if
+     * this side closed it.
+     */
+    public boolean isEndOfStream() {
+        return endOfStream;
+    }
+
     /** The size of the buffer of prefetched bytes; 0 for none. */
     int prefetchCapacity() {
         return prefetched == null ? 0 : prefetched.capacity();
--- a/src/test/java/onyxpaddle/serve/StreamedBodiesTest.java
+++ b/src/test/java/onyxpaddle/serve/StreamedBodiesTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
@@ -171,6 +172,49 @@
         }
     }
 
+    /** How an answer without a length breaks off: its server falls silent or resets its connection, or the node stops. */
+    enum Break {
+        SILENCE, RESET, STOP
+    }
+
+    /** Guards against a part of an answer without a length that the client takes for the whole, as it was not its server that ended it. */
+    @ParameterizedTest
+    @CsvSource({"200000, SILENCE", "30000, SILENCE", "200000, RESET", "30000, RESET", "200000, STOP", "30000, STOP"})
+    void answerWithoutLengthThatItsServerDoesNotEndIsVisiblyBroken(int length, Break how) throws Exception {
+        byte[] body = noise(length);
+        BlockingQueue<Integer> headRead = new LinkedBlockingQueue<>();
+        try (Scripted server = new Scripted("s1", (head, in, out, socket) -> {
+            out.write(ascii("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"));
+            writeInPieces(body, out);
+            headRead.poll(Loopback.TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            if (how != Break.RESET) {
+                in.read();
+            }
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }); Loopback rig = new Loopback(server); Client client = rig.client()) {
+            client.awaitReady().send(Loopback.request("r1", "book", "X-Expires-In: 0.4", "Content-Length: 0"));
+            InputStream in = client.socket.getInputStream();
+            String head = Loopback.head(in);
+            assertTrue(head.startsWith("HTTP/1.1 200"), head);
+            headRead.add(1);
+            if (how == Break.STOP) {
+                rig.node.stop();
+            }
+            assertThrows(IOException.class, () -> chunks(in), "the client cannot tell that its answer is not whole");
+            assertEquals(1, server.requests.size());
+        }
+    }
+
+    /** Takes longer than the quarter of its client's time after which an answer is passed on. */
+    private static void writeInPieces(byte[] body, OutputStream out) throws Exception {
+        int pieces = 10;
+        for (int i = 0; i < pieces; i++) {
+            out.write(body, body.length / pieces * i, body.length / pieces);
+            TimeUnit.MILLISECONDS.sleep(25);
+        }
+    }
+
     @Test
     void chunkedAnswersAndAnswersDelimitedByClosePass() throws Exception {
         byte[] body = noise(300_000);
