Tests: how a client ends its connection stands in one place

Need: the same enum and the same method stood in two test classes, and a third needs them.

Change: Departure, with the method that leaves a socket. No check is changed.

--- a/src/test/java/onyxpaddle/serve/ClientDisconnectTest.java
+++ b/src/test/java/onyxpaddle/serve/ClientDisconnectTest.java
@@ -134,10 +134,6 @@
         }
     }
 
-    enum Departure {
-        CLOSE, HALF_CLOSE, RESET
-    }
-
     /** Guards against an effect that is repeated when a client comes again with its request after its connection has ended. */
     @ParameterizedTest
     @EnumSource(Departure.class)
@@ -145,7 +141,7 @@
         try (Client gone = new Client(node.address()); Client again = new Client(node.address())) {
             gone.send(Loopback.request("r1", "book", "Content-Length: 0"));
             assertServerReceived("r1", 1);
-            leave(gone, departure);
+            departure.leave(gone.socket);
             String answer = again.send(Loopback.request("r1", "book", "Content-Length: 0")).readAnswer();
             assertTrue(answer.startsWith("502") || answer.startsWith("400"), answer);
             answerDisconnected(1);
@@ -165,17 +161,6 @@
         }
     }
 
-    private static void leave(Client client, Departure departure) throws IOException {
-        if (departure == Departure.HALF_CLOSE) {
-            client.socket.shutdownOutput();
-            return;
-        }
-        if (departure == Departure.RESET) {
-            client.socket.setSoLinger(true, 0);
-        }
-        client.socket.close();
-    }
-
     /** Guards against a close that lies behind unread bytes of a next request while further servers are tried. */
     @ParameterizedTest
     @CsvSource({"70000, CLOSE", "300000, CLOSE", "300000, HALF_CLOSE", "300000, RESET", "2000000, CLOSE", "5000000, CLOSE",
@@ -192,7 +177,7 @@
             });
             assertTrue(server.nextRequest().contains("r1"));
             written.get(Loopback.TIMEOUT_MS, TimeUnit.MILLISECONDS);
-            leave(gone, departure);
+            departure.leave(gone.socket);
             // An attempt may follow a close by 0.1 s.
             TimeUnit.MILLISECONDS.sleep(GRACE_MS);
             server.answers.add("HTTP/1.1 503 Busy\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n");
--- a/src/test/java/onyxpaddle/serve/StreamedBodyDepartureTest.java
+++ b/src/test/java/onyxpaddle/serve/StreamedBodyDepartureTest.java
@@ -22,10 +22,6 @@
     /** An attempt may follow a close by 0.1 s. */
     private static final int GRACE_MS = 100;
 
-    enum Departure {
-        CLOSE, HALF_CLOSE, RESET
-    }
-
     private static Node node(FakeDiscovery discovery, FakeServer named, String effect) throws Exception {
         Node node = Node.start(PlatformConfig.parse(Loopback.config(discovery, named)
             .replace("\"cancel\":true", "\"cancel\":false").replace("\"effect\":\"non_idempotent\"",
@@ -65,7 +61,7 @@
                 CompletableFuture<Void> written = CompletableFuture.runAsync(() -> write(gone, request(bytes, chunked)));
                 Loopback.await(() -> unanswered(node) == 1);
                 TimeUnit.MILLISECONDS.sleep(LEAVES_AFTER_MS);
-                leave(gone, departure);
+                departure.leave(gone.socket);
                 TimeUnit.MILLISECONDS.sleep(GRACE_MS);
                 try (Socket late = full.acceptDelayed()) {
                     assertEquals(-1, late.getInputStream().read());
@@ -87,7 +83,7 @@
                 gone.awaitReady();
                 BlockedEventLoop blocked = new BlockedEventLoop(node.loop());
                 write(gone, request(bytes, chunked));
-                leave(gone, departure);
+                departure.leave(gone.socket);
                 blocked.releaseAfter(LEAVES_AFTER_MS + GRACE_MS);
                 // That of the readiness check when the node started, and this one.
                 Loopback.await(() -> onLoop(node, () -> node.pools().get("").events().total(NodeEvent.CLIENT_LEFT)) == 2L);
@@ -152,15 +148,4 @@
             // The connection has ended.
         }
     }
-
-    private static void leave(Client client, Departure departure) throws Exception {
-        if (departure == Departure.HALF_CLOSE) {
-            client.socket.shutdownOutput();
-            return;
-        }
-        if (departure == Departure.RESET) {
-            client.socket.setSoLinger(true, 0);
-        }
-        client.socket.close();
-    }
 }
