MessagePack-RPC calls begin only for a caller that is known to be there

The connection stopped reading at the limit of open calls, so the close lay behind what was not read; and neither the call nor the connection to the server asked whether one may lie there.

If more waits, the oldest calls are refused at once. OpenCall says when a close may be hidden; calls are not handed to their pool meanwhile, and RpcConnection asks before each write. A connection decodes 64 calls and then lets others have their turn.

A call's processor time was not measured.

--- a/src/main/java/onyxpaddle/config/NodeSchema.java
+++ b/src/main/java/onyxpaddle/config/NodeSchema.java
@@ -105,7 +105,7 @@
         required("address", plain(Kind.ADDRESS), "where callers connect"),
         optional("protocol", word("http", "messagepack-rpc"), "http", "the protocol of callers"),
         optional("open-calls", bounded(Kind.COUNT, 1, 10_000), "256",
-            "for `messagepack-rpc`: the maximum number of open calls on a connection; at the limit, it is not read"),
+            "for `messagepack-rpc`: the maximum number of open calls on a connection; further ones wait"),
         optional("side", word("inbound", "outbound"), "inbound",
             "`outbound`: for calls of the application itself; it serves until the inbound listeners have drained"),
         optional("idle", bounded(Kind.SPAN, 100 * MS, 3600 * S), "60 s",
--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -536,7 +536,7 @@
      * the server is listed.
      */
     public void whenCurrent(Attempt attempt, Runnable task) {
-        boolean unknown = mayHaveLeft(attempt);
+        boolean unknown = awaitsCaller(attempt);
         if (unknown && !attempt.exchange.receivesBody()) {
             loop.schedule(() -> whenCurrent(attempt, task), CALLER_CHECK_MS, TimeUnit.MILLISECONDS);
             return;
@@ -574,7 +574,8 @@
         }
     }
 
-    private static boolean mayHaveLeft(Attempt attempt) {
+    /** Whether the attempt must not begin yet, as its caller may have left: its close may lie behind input that is not read. */
+    public boolean awaitsCaller(Attempt attempt) {
         Exchange x = attempt.exchange;
         return !attempt.ended && !x.finished && !x.caller.left() && x.caller.mayHaveLeft();
     }
--- a/src/main/java/onyxpaddle/rpc/CallerConnection.java
+++ b/src/main/java/onyxpaddle/rpc/CallerConnection.java
@@ -5,10 +5,11 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import java.util.ArrayDeque;
+import io.netty.channel.SingleThreadEventLoop;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import onyxpaddle.front.FrontConnection;
 import onyxpaddle.node.Answer;
 import onyxpaddle.node.Body;
@@ -23,11 +24,13 @@
 import onyxpaddle.rpc.RpcCallRouter.RoutedCall;
 import onyxpaddle.rpc.RpcDropCounter.Dropped;
 import onyxpaddle.socket.PollableChannel;
+import onyxpaddle.socket.ReadPause;
 
 /**
  * The connection of one caller, with many calls in progress whose answers are sent in the order in which they become
- * available. Reading pauses while the limit of open calls is reached or the caller does not read its answers. Input
- * that is not MessagePack-RPC ends the connection once the calls accepted before have been answered.
+ * available. While the limit of open calls is reached, or it is not known that the caller is still there, further calls wait
+ * undecoded, and reading goes on, as only that shows that the caller closes. If more wait than may, the oldest are refused; if
+ * the caller does not read its answers either, reading pauses. Input that is not MessagePack-RPC ends the connection once the calls accepted before have been answered.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter implements FrameSink, FrontConnection {
     private static final long NANOS_PER_SECOND = 1_000_000_000L;
@@ -36,6 +39,10 @@
     private static final long FRAME_TIMEOUT_PER_BYTE = NANOS_PER_SECOND / 64_000;
     private static final long UNSENT_TIMEOUT = 5 * NANOS_PER_SECOND;
     private static final long LINGER = NANOS_PER_SECOND;
+    /** Interval in which the connection is asked again whether its caller is still there. */
+    private static final long CALLER_CHECK_MS = 5;
+    /** Calls of one connection that are decoded before other connections have their turn. */
+    private static final int CALLS_PER_TURN = 64;
     private static final int MAX_DISCARDED_BYTES = 256 * 1024;
     /**
      * Parameters of up to this multiple of the size limit are read to their end, so that the call can be answered
@@ -48,10 +55,17 @@
     private final FrameDecoder decoder;
     private final Map<Long, OpenCall> openCalls = new HashMap<>();
     private int openNotifications;
-    private final ArrayDeque<Input> pendingInput = new ArrayDeque<>();
+    private final PendingInput pendingInput;
     /** A time before which the input that is being decoded did not arrive. */
     private long inputArrivedAt;
     private boolean reading;
+    private boolean readQueued;
+    private boolean callerCheckScheduled;
+    private int callsThisTurn;
+    /** Replies have been written and not flushed. */
+    private boolean unflushed;
+    /** Calls refused since the last end of a read, as more waited than may. */
+    private int excessCalls;
     /** No further calls are read. Input is discarded, and the connection closes once the open calls have been answered. */
     private boolean closing;
     private boolean outputShutdown;
@@ -66,10 +80,6 @@
     /** The call whose parameters are being read; null while parameters are to be ignored. */
     private OpenCall receiving;
 
-    /** Input that is not decoded yet; {@code arrivedAt}: a time before which it did not arrive. */
-    private record Input(ByteBuf bytes, long arrivedAt) {
-    }
-
     /** A call whose head has been read; receives the answer of the exchange. */
     private final class OpenCall implements Caller {
         private final long msgid;
@@ -89,6 +99,11 @@
             return channel.isEnded();
         }
 
+        @Override
+        public boolean mayHaveLeft() {
+            return channel.mayHideEnd();
+        }
+
         @Override
         public void served(Answer answer) {
             if (msgid == NOTIFICATION) {
@@ -126,12 +141,13 @@
     CallerConnection(RpcFront front, PollableChannel channel) {
         this.front = front;
         this.channel = channel;
+        pendingInput = new PendingInput(front.pendingInput());
         decoder = new FrameDecoder(FrameLimits.forPayload(OVERSIZE_FACTOR * front.router.maxPayload()), this);
         idleSince = front.clock().now();
     }
 
     boolean idle() {
-        return openCalls.isEmpty() && openNotifications == 0 && unsentAnswers == 0;
+        return !waits() && pendingInput.isEmpty();
     }
 
     @Override
@@ -148,7 +164,7 @@
 
     @Override
     public boolean safeToClose() {
-        return !waits() && (closing || !decoder.midFrame() && channel.poll() != PollableChannel.PollResult.BYTES);
+        return idle() && (closing || !decoder.midFrame() && channel.poll() != PollableChannel.PollResult.BYTES);
     }
 
     @Override
@@ -175,29 +191,55 @@
             }
             return;
         }
-        pendingInput.add(new Input(in, channel.arrivalBound()));
+        pendingInput.add(in, channel.arrivalBound());
         read();
     }
 
-    /** Whether reading further calls must wait for answers to be given or sent. */
-    private boolean backpressured() {
-        return openCalls.size() + openNotifications >= front.router.maxOpenCalls || !channel.isWritable();
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        // Refusals have no other bound on their rate, and must not keep other connections waiting.
+        channel.decoded(excessCalls);
+        excessCalls = 0;
+    }
+
+    private boolean hasMaxOpenCalls() {
+        return openCalls.size() + openNotifications >= front.router.maxOpenCalls;
+    }
+
+    /** Whether a further call may be decoded: to be handed to its pool, or only to be refused. */
+    private boolean decodesCalls() {
+        boolean admits = !hasMaxOpenCalls() && !channel.mayHideEnd();
+        return channel.isWritable() && (admits || front.refusesNewCalls() || pendingInput.overflows());
     }
 
+    /** Whether other connections have their turn before further calls are decoded. */
+    private boolean tookTurn() {
+        return callsThisTurn >= CALLS_PER_TURN && !pendingInput.overflows();
+    }
+
+    /** Whether the call that is being read can't wait, as more waits than may, nor be handed to its pool. */
+    private boolean isExcess() {
+        return hasMaxOpenCalls() || channel.mayHideEnd() && pendingInput.overflows();
+    }
+
+    private boolean hasInput() {
+        return !closing && !pendingInput.isEmpty() && (decoder.midFrame() || decodesCalls());
+    }
+
+    /** Decodes what waits, up to the connection's part of a turn of the event loop. */
     private void read() {
-        if (reading) {
+        if (reading || channel.isEnded()) {
             return;
         }
         reading = true;
+        callsThisTurn = 0;
         try {
-            while (!closing && !pendingInput.isEmpty() && (decoder.midFrame() || !backpressured())) {
-                ByteBuf in = pendingInput.peek().bytes();
-                inputArrivedAt = pendingInput.peek().arrivedAt();
-                decoder.feed(in);
-                if (!in.isReadable()) {
-                    pendingInput.poll().bytes().release();
-                }
+            while (hasInput() && !tookTurn()) {
+                inputArrivedAt = pendingInput.arrivedAt();
+                decoder.feed(pendingInput.next());
+                pendingInput.dropDecoded();
             }
+            pendingInput.compact();
             frameSince = !decoder.midFrame() ? -1 : frameSince < 0 ? front.clock().now() : frameSince;
         } catch (FormatException e) {
             front.dropCounter.add(Dropped.MALFORMED, front.clock().now(), "caller " + channel.remoteAddress() + ": " + e.getMessage());
@@ -205,15 +247,48 @@
         } finally {
             reading = false;
         }
-        // A closing connection discards its input. Otherwise reading stops while input is pending, so that TCP flow
+        if (unflushed) {
+            unflushed = false;
+            channel.flush();
+        }
+        // A closing connection discards its input. Otherwise reading stops while too much is pending, so that TCP flow
         // control reaches the caller.
-        channel.config().setAutoRead(closing || pendingInput.isEmpty());
+        channel.reading().set(ReadPause.BACK_PRESSURE, closing || !pendingInput.overflows());
+        if (hasInput()) {
+            readInNextTurn();
+        } else if (!pendingInput.isEmpty() && channel.mayHideEnd()) {
+            readAfterCallerCheck();
+        }
+    }
+
+    private void readInNextTurn() {
+        if (!readQueued) {
+            readQueued = true;
+            loop().executeAfterEventLoopIteration(() -> loop().execute(() -> {
+                readQueued = false;
+                read();
+            }));
+        }
+    }
+
+    private void readAfterCallerCheck() {
+        if (!callerCheckScheduled) {
+            callerCheckScheduled = true;
+            loop().schedule(() -> {
+                callerCheckScheduled = false;
+                read();
+            }, CALLER_CHECK_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private SingleThreadEventLoop loop() {
+        return (SingleThreadEventLoop) channel.eventLoop();
     }
 
     /** Processes pending input once there is room. */
     private void resumeReading() {
         if (!reading && !pendingInput.isEmpty() && !closing) {
-            channel.eventLoop().execute(this::read);
+            readInNextTurn();
         }
     }
 
@@ -229,6 +304,7 @@
     @Override
     public void call(long msgid, String method, int params, Envelope envelope) throws FormatException {
         receiving = null;
+        callsThisTurn++;
         if (msgid != NOTIFICATION && openCalls.containsKey(msgid)) {
             // The caller could not tell which of the two calls an answer belongs to.
             throw new FormatException("msgid " + msgid + " is already in use");
@@ -242,6 +318,11 @@
             routed.target().pool().countResult(routed.terms(), RequestCounts.RequestResult.BUSY);
             front.events().count(front.refusesNewCalls() ? NodeEvent.REFUSED_NODE_ENDS : NodeEvent.REFUSED_CONNECTION_LIMIT);
             refuse(msgid, method, NodeError.of(Code.REFUSED));
+        } else if (isExcess()) {
+            excessCalls++;
+            routed.target().pool().countResult(routed.terms(), RequestCounts.RequestResult.BUSY);
+            front.events().count(NodeEvent.REFUSED_PIPELINED);
+            refuse(msgid, method, NodeError.of(Code.REFUSED));
         } else {
             receiving = new OpenCall(msgid, routed);
             ByteBuf head = Unpooled.buffer(5);
@@ -298,7 +379,7 @@
             }
         }
         idleSince = front.clock().now();
-        return !closing && !backpressured();
+        return !closing && decodesCalls() && !tookTurn();
     }
 
     /** Answers a call that was not accepted. */
@@ -340,11 +421,12 @@
             unsentSince = front.clock().now();
         }
         unsentBytes += bytes;
-        ChannelFuture written = channel.writeAndFlush(Unpooled.wrappedBuffer(head, body)).addListener(f -> {
+        ChannelFuture written = channel.write(Unpooled.wrappedBuffer(head, body)).addListener(f -> {
             unsentAnswers--;
             unsentBytes -= bytes;
             unsentSince = front.clock().now();
         });
+        flush();
         if (unsentBytes > front.maxUnsentBytes()) {
             disconnectSlowReader();
         } else if (closing) {
@@ -353,6 +435,15 @@
         return written;
     }
 
+    /** Flushes at once, or, as refusals are many at a time, when no more input is decoded. */
+    private void flush() {
+        if (reading) {
+            unflushed = true;
+        } else {
+            channel.flush();
+        }
+    }
+
     private void disconnectSlowReader() {
         front.dropCounter.add(Dropped.SLOW_READER, front.clock().now(),
             "caller " + channel.remoteAddress() + ": " + unsentBytes + " bytes unsent");
@@ -369,9 +460,8 @@
             receiving.exchange.body.release();
             receiving = null;
         }
-        pendingInput.forEach(input -> input.bytes().release());
         pendingInput.clear();
-        channel.config().setAutoRead(true);
+        channel.reading().resumeAll();
         shutdownOutputWhenDone();
     }
 
@@ -393,6 +483,9 @@
 
     @Override
     public void sweep(long now) {
+        if (front.refusesNewCalls()) {
+            resumeReading();
+        }
         if (unsentAnswers > 0 && now - unsentSince > UNSENT_TIMEOUT) {
             disconnectSlowReader();
         } else if (closing) {
@@ -412,7 +505,6 @@
         front.events().count(closing ? NodeEvent.CLIENT_LAST_ANSWER : closeReason);
         closing = true;
         front.closed(this);
-        pendingInput.forEach(input -> input.bytes().release());
         pendingInput.clear();
         if (receiving != null) {
             receiving.exchange.body.release();
--- a/src/main/java/onyxpaddle/rpc/RpcConnection.java
+++ b/src/main/java/onyxpaddle/rpc/RpcConnection.java
@@ -180,6 +180,10 @@
         boolean any = false;
         while (connected && !closed && !queue.isEmpty() && channel.isWritable()) {
             Call call = queue.poll();
+            if (upstream.dispatcher.awaitsCaller(call.attempt)) {
+                returnToUpstream(call);
+                continue;
+            }
             if (!upstream.dispatcher.mayBegin(call.attempt)) {
                 calls.discard(call.id);
                 continue;
@@ -193,6 +197,13 @@
         }
     }
 
+    /** Whether the caller is still there is not known: the call gives up its place, and is sent anew once that is known. */
+    private void returnToUpstream(Call call) {
+        calls.discard(call.id);
+        call.attempt.carrier = null;
+        upstream.sendOnceCallerIsKnown(call.attempt);
+    }
+
     private ByteBuf encode(Call call) {
         Exchange exchange = call.attempt.exchange;
         RpcCallHead head = upstream.bridge.head(exchange);
--- a/src/main/java/onyxpaddle/rpc/RpcFront.java
+++ b/src/main/java/onyxpaddle/rpc/RpcFront.java
@@ -4,6 +4,7 @@
 import onyxpaddle.front.ListeningFront;
 import onyxpaddle.node.Clock;
 import onyxpaddle.node.NodeEvents;
+import onyxpaddle.node.SharedLimit;
 import onyxpaddle.socket.PollableChannel;
 
 /**
@@ -21,11 +22,13 @@
 
     final RpcDropCounter dropCounter;
     RpcCallRouter router;
+    private final SharedLimit.Share pendingInput;
     private long retiredAt;
 
     public RpcFront(SharedResources around, RpcDropCounter dropCounter) {
         super(around, SWEEP_INTERVAL_MS, new WriteBufferWaterMark(32 * 1024, 64 * 1024));
         this.dropCounter = dropCounter;
+        this.pendingInput = around.budget().heads();
     }
 
     /** Sets the router for subsequent calls. Calls that are in progress are not affected. */
@@ -61,8 +64,19 @@
         return state.ending();
     }
 
+    @Override
+    public void close() {
+        super.close();
+        pendingInput.leave();
+    }
+
     // ---- for connections ----
 
+    /** The memory for what callers have sent that is not decoded yet; shared with the heads of HTTP requests. */
+    SharedLimit.Share pendingInput() {
+        return pendingInput;
+    }
+
     NodeEvents events() {
         return events;
     }
--- a/src/main/java/onyxpaddle/rpc/RpcUpstream.java
+++ b/src/main/java/onyxpaddle/rpc/RpcUpstream.java
@@ -181,6 +181,15 @@
         }
     }
 
+    /** Sends a call that was not begun, when it is known that its caller is still there. */
+    void sendOnceCallerIsKnown(Attempt attempt) {
+        dispatcher.whenCurrent(attempt, () -> {
+            if (dispatcher.mayBegin(attempt)) {
+                send(attempt);
+            }
+        });
+    }
+
     private RpcConnection dial(Peer peer) {
         ChannelFuture dial = bootstrap.connect(peer.address);
         dial.channel().closeFuture().addListener(f -> budget.servers().giveBack(1));
