Keyed requests are repeated only where every server may be told their key

Cause: the front chose the class that may be repeated by what the caller gave; whether a server is told the key was decided by its connection, by a setting. Nothing held the two together. The record of the case has "keys that servers were told: []", one call by the caller, and a second run 1 to 3 ms after the reset, so neither the servers' memory nor the caller is the cause.

Change: MixedProtocolUpstream, which knows the protocol of each server, answers whether each listed server that may get a request is told its key; fronts take the class without a key otherwise, so that it runs once at most. As a list may change in between, a request that relies on its key is not begun at a server that would not be told it (attempt_key_withheld). The log and `explain` say where keys have no effect.

--- a/src/main/java/onyxpaddle/http/PlainRequestDialect.java
+++ b/src/main/java/onyxpaddle/http/PlainRequestDialect.java
@@ -140,19 +140,21 @@
         }
         Target target = pools.get(route.pool());
         Classes variants = classes.get(route.requestClass());
+        String forwardedUri = uri == path ? route.rewrittenPath(path) : route.rewrittenPath(path) + uri.substring(path.length());
+        HttpRequestHead head = new HttpRequestHead(method, forwardedUri, headers, target.maxBodyBytes(),
+            caller.getAddress().getHostAddress(), route.procedure());
         String key = PlatformRequestDialect.single(headers, "Idempotency-Key");
-        RequestClass requestClass = key == null || key.isEmpty() ? variants.unkeyed() : variants.keyed();
+        boolean keyed = key != null && !key.isEmpty() && target.pool().tellsKeys(head);
+        RequestClass requestClass = keyed ? variants.keyed() : variants.unkeyed();
         long length = PlatformRequestDialect.length(request);
         if (length > target.maxBodyBytes()) {
             throw new RequestRejectedException(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
         }
         long callerTimeout = PlatformRequestDialect.callerTimeout(PlatformRequestDialect.single(headers, PlatformRequestDialect.EXPIRES_IN),
             requestClass.deadline());
-        String forwardedUri = uri == path ? route.rewrittenPath(path) : route.rewrittenPath(path) + uri.substring(path.length());
         Terms terms = new Terms(ids.get(), requestClass, callerTimeout, tenant, 0, "1".equals(headers.get("X-Second-Try")));
         boolean mapped = route.procedure() != null;
-        return new RoutedRequest(target.pool(), target.bytes(), terms, new HttpRequestHead(method, forwardedUri, headers,
-            target.maxBodyBytes(), caller.getAddress().getHostAddress(), route.procedure()), length, target.maxBodyBytes(),
+        return new RoutedRequest(target.pool(), target.bytes(), terms, head, length, target.maxBodyBytes(),
             mapped ? target.maxBodyBytes() : target.maxBufferedBytes(), mapped, mapped ? mappedBodyCheck : body -> true);
     }
 
--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -80,6 +80,14 @@
         onSubscribe = subscribe;
     }
 
+    /**
+     * Whether servers are told the idempotency key of a request with this head. If not, the request must be handed over with a class whose
+     * requests run once at most, whatever its caller gave.
+     */
+    public boolean tellsKeys(Metadata head) {
+        return upstream.tellsKeys(head);
+    }
+
     /** Sets a gate that may refuse a request before the balancer decides. */
     public void setSiteGate(SiteGate gate) {
         siteGate = gate;
--- a/src/main/java/onyxpaddle/node/Exchange.java
+++ b/src/main/java/onyxpaddle/node/Exchange.java
@@ -102,15 +102,19 @@
         }
     }
 
+    /** Whether it may be repeated only because its servers recognize its key. */
+    public boolean reliesOnKey() {
+        return terms.requestClass().effect() == Effect.KEYED;
+    }
+
     /** Whether the servers may have forgotten the key of this request, of which an earlier attempt may have run. */
     boolean keyExpired(Attempt next, long now) {
-        RequestClass requestClass = terms.requestClass();
-        if (requestClass.effect() != Effect.KEYED) {
+        if (!reliesOnKey()) {
             return false;
         }
         for (Attempt earlier : attempts) {
             if (earlier != next && !earlier.neverRan) {
-                return now >= earlier.sentAt + requestClass.keyRetention();
+                return now >= earlier.sentAt + terms.requestClass().keyRetention();
             }
         }
         return false;
--- a/src/main/java/onyxpaddle/node/NodeEvent.java
+++ b/src/main/java/onyxpaddle/node/NodeEvent.java
@@ -50,6 +50,8 @@
     /** Its request's id came before and may have run. */
     ATTEMPT_REPEATED_ID(Kind.NOT_BEGUN),
     ATTEMPT_KEY_EXPIRED(Kind.NOT_BEGUN),
+    /** Its server would not have been told the key on which its request relies. */
+    ATTEMPT_KEY_WITHHELD(Kind.NOT_BEGUN),
     /** Another attempt has taken its request's streamed body. */
     ATTEMPT_BODY_CONSUMED(Kind.NOT_BEGUN),
     /** No time or no attempt was left. */
--- a/src/main/java/onyxpaddle/rpc/RpcCallRouter.java
+++ b/src/main/java/onyxpaddle/rpc/RpcCallRouter.java
@@ -120,11 +120,13 @@
         Target target = pools.get(procedure.pool());
         Envelope metadata = envelope == null ? Envelope.NONE : envelope;
         ClassVariants variants = classes.get(procedure.requestClass());
-        RequestClass requestClass = notification ? variants.notification() : variants.select(metadata.key() != null, metadata.worth());
+        RpcCallHead head = new RpcCallHead(method, params, notification, metadata, procedure.mapped(method), caller);
+        boolean keyed = metadata.key() != null && target.pool().tellsKeys(head);
+        RequestClass requestClass = notification ? variants.notification() : variants.select(keyed, metadata.worth());
         long callerTimeout = Double.isNaN(metadata.expires()) ? requestClass.deadline()
             : (long) Math.min(requestClass.deadline(), metadata.expires() * NANOS_PER_MILLI);
         Terms terms = new Terms(requestIds.get(), requestClass, callerTimeout,
             metadata.tenant() == null ? tenant : metadata.tenant(), 0, metadata.retry());
-        return new RoutedCall(target, terms, new RpcCallHead(method, params, notification, metadata, procedure.mapped(method), caller));
+        return new RoutedCall(target, terms, head);
     }
 }
--- a/src/main/java/onyxpaddle/rpc/RpcUpstream.java
+++ b/src/main/java/onyxpaddle/rpc/RpcUpstream.java
@@ -11,6 +11,7 @@
 import io.netty.channel.WriteBufferWaterMark;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -143,6 +144,11 @@
         return peers.containsKey(server);
     }
 
+    /** The servers that can be called by MessagePack-RPC. */
+    public Set<String> reachedServers() {
+        return Collections.unmodifiableSet(peers.keySet());
+    }
+
     /** Closes all connections. No attempt may be in flight, and none may follow. */
     public void close() {
         sweepTask.cancel(false);
--- a/src/main/java/onyxpaddle/serve/MixedProtocolUpstream.java
+++ b/src/main/java/onyxpaddle/serve/MixedProtocolUpstream.java
@@ -1,11 +1,14 @@
 package onyxpaddle.serve;
 
+import java.util.Set;
 import java.util.function.Supplier;
 import onyxpaddle.BalancerApi.Outcome;
 import onyxpaddle.http.HttpUpstream;
 import onyxpaddle.node.Attempt;
 import onyxpaddle.node.Dispatcher;
 import onyxpaddle.node.Log;
+import onyxpaddle.node.Metadata;
+import onyxpaddle.node.NodeEvent;
 import onyxpaddle.node.ServerList;
 import onyxpaddle.node.Upstream;
 import onyxpaddle.rpc.RpcCallHead;
@@ -21,12 +24,21 @@
     private final Supplier<RpcUpstream> rpcFactory;
     /** Null until a listed server has an RPC address. */
     private RpcUpstream rpc;
+    /** Whether MessagePack-RPC servers are told keys. */
+    private final boolean sendsEnvelope;
+    /** Whether a listed server is reached by MessagePack-RPC, and whether one is reached by nothing else. */
+    private boolean hasRpcServer;
+    private boolean hasRpcOnlyServer;
     private boolean mismatchLogged;
 
-    /** {@code rpc}: creates the MessagePack-RPC upstream, on demand, as most pools do not need it. */
-    MixedProtocolUpstream(Dispatcher dispatcher, HttpUpstream http, Supplier<RpcUpstream> rpc) {
+    /**
+     * {@code sendsEnvelope}: whether MessagePack-RPC servers receive keys in an envelope; {@code rpc}: creates the MessagePack-RPC upstream,
+     * on demand, as most pools do not need it.
+     */
+    MixedProtocolUpstream(Dispatcher dispatcher, HttpUpstream http, boolean sendsEnvelope, Supplier<RpcUpstream> rpc) {
         this.dispatcher = dispatcher;
         this.http = http;
+        this.sendsEnvelope = sendsEnvelope;
         this.rpcFactory = rpc;
     }
 
@@ -37,9 +49,28 @@
         }
         if (rpc != null) {
             rpc.apply(roster);
+            Set<String> reached = rpc.reachedServers();
+            hasRpcServer = !reached.isEmpty();
+            hasRpcOnlyServer = reached.stream().anyMatch(server -> !http.reaches(server));
         }
     }
 
+    /** Whether all keys reach all listed servers, whichever protocols callers and servers speak. */
+    boolean tellsAllKeys() {
+        return sendsEnvelope || !hasRpcServer;
+    }
+
+    @Override
+    public boolean tellsKeys(Metadata head) {
+        if (sendsEnvelope) {
+            return true;
+        }
+        if (head instanceof RpcCallHead) {
+            return !hasRpcServer;
+        }
+        return head.mapped() == null || !hasRpcOnlyServer;
+    }
+
     @Override
     public void send(Attempt attempt) {
         if (rpc == null && attempt.exchange.head.mapped() == null && !(attempt.exchange.head instanceof RpcCallHead)) {
@@ -51,7 +82,7 @@
         boolean rpcReaches = rpc != null && rpc.reaches(attempt.server);
         boolean httpReaches = http.reaches(attempt.server);
         if (rpcReaches && (byRpc || mapped && !httpReaches)) {
-            rpc.send(attempt);
+            sendByRpc(attempt);
         } else if (httpReaches && (!byRpc || mapped)) {
             http.send(attempt);
         } else {
@@ -64,6 +95,16 @@
         }
     }
 
+    private void sendByRpc(Attempt attempt) {
+        if (!sendsEnvelope && attempt.exchange.reliesOnKey()) {
+            // The list has changed since the request was routed.
+            dispatcher.events().count(NodeEvent.ATTEMPT_KEY_WITHHELD, attempt.exchange.id);
+            dispatcher.ended(attempt, Outcome.NOT_SENT, null);
+        } else {
+            rpc.send(attempt);
+        }
+    }
+
     @Override
     public boolean passOn(Attempt attempt) {
         return http.passOn(attempt);
--- a/src/main/java/onyxpaddle/serve/RunningPool.java
+++ b/src/main/java/onyxpaddle/serve/RunningPool.java
@@ -14,6 +14,7 @@
 import onyxpaddle.bridge.HttpOverRpc;
 import onyxpaddle.bridge.RpcOverHttp;
 import onyxpaddle.config.Faults;
+import onyxpaddle.config.NodeConfig.Effect;
 import onyxpaddle.config.NodeConfig.Pool;
 import onyxpaddle.config.NodeConfig.RequestClass;
 import onyxpaddle.config.NodeConfig.Server;
@@ -65,6 +66,7 @@
     private Future<?> filePoll;
     private boolean stopped;
     private boolean hasServers;
+    private boolean keysWithheld;
 
     RunningPool(Pool pool, NodeConfig node, long seed, Context context) {
         this.config = pool;
@@ -80,7 +82,7 @@
         servesRpc = node.hasProcedures(pool.name());
         upstream = new MixedProtocolUpstream(dispatcher, new HttpUpstream(context.loop(), context.allocator(), context.clock(),
             share, dispatcher, new PlainUpstreamDialect(context.node()), pool.idle(), pool.connectTimeout(), MAX_IDLE_CONNECTIONS,
-            servesRpc ? new RpcOverHttp(share.bytes(), pool.body()) : HttpBridge.NONE), () -> rpc(pool));
+            servesRpc ? new RpcOverHttp(share.bytes(), pool.body()) : HttpBridge.NONE), pool.rpc().envelope(), () -> rpc(pool));
         dispatcher.connect(upstream, () -> { });
     }
 
@@ -146,9 +148,19 @@
     private void apply(ServerList roster) {
         hasServers |= !roster.hosts().isEmpty();
         upstream.apply(roster);
+        logWithheldKeys();
         dispatcher.membership(roster.whole() ? ListKind.ALL : ListKind.CHANGES, roster.entries());
     }
 
+    private void logWithheldKeys() {
+        boolean withheld = !upstream.tellsAllKeys() && classes.stream().anyMatch(c -> c.effect() == Effect.KEYED);
+        if (withheld && !keysWithheld) {
+            Log.line("pool " + config.name() + ": servers are not told keys by MessagePack-RPC (`rpc.envelope`), so requests of keyed classes"
+                + " that may reach them so count as unsafe");
+        }
+        keysWithheld = withheld;
+    }
+
     /** Whether this pool can be reused under a new configuration, which differs in its servers at most. */
     boolean canServe(Pool next, NodeConfig node) {
         return config.equalsExceptServers(next) && servesRpc == node.hasProcedures(next.name())
--- a/src/main/java/onyxpaddle/sidecar/Explanation.java
+++ b/src/main/java/onyxpaddle/sidecar/Explanation.java
@@ -77,8 +77,8 @@
         lines.put("mapped", found.path() == null ? "to no path: MessagePack-RPC servers only"
             : "to POST " + found.mapped(name) + " for HTTP-only servers");
         lines.put("class", c.name());
-        lines.put("effect", c.effect().name().toLowerCase(Locale.ROOT)
-            + (c.effect() == Effect.KEYED ? ", unsafe without a key in its envelope" : ""));
+        lines.put("effect", c.effect().name().toLowerCase(Locale.ROOT) + (c.effect() != Effect.KEYED ? ""
+            : ", unsafe without a key in its envelope" + withheldKeys(pool)));
         lines.put("deadline", Units.formatSpan(c.deadline()) + ", or `expires` of its envelope if that is sooner");
         lines.put("aim", Units.formatSpan(c.aim()));
         lines.put("attempts", "at most " + pool.attempts() + (c.retry() ? "" : ", a further one only if no earlier one was executed"));
@@ -109,7 +109,8 @@
         lines.put("goes on as", route.rewrittenPath(path) + (url.getRawQuery() == null ? "" : "?" + url.getRawQuery()));
         lines.put("class", c.name());
         lines.put("effect", unkeyed ? "unsafe, as it is keyed and has no Idempotency-Key"
-            : c.effect().name().toLowerCase(Locale.ROOT));
+            : c.effect().name().toLowerCase(Locale.ROOT)
+                + (c.effect() == Effect.KEYED && route.procedure() != null ? withheldKeys(pool) : ""));
         lines.put("deadline", Units.formatSpan(c.deadline()) + (headers.containsKey("x-expires-in")
             ? ", or X-Expires-In if that is sooner" : ""));
         lines.put("aim", Units.formatSpan(c.aim()));
@@ -120,6 +121,14 @@
         lines.put("largest body", Units.formatSize(pool.body()));
     }
 
+    /** When keys have no effect in this pool; empty if they always have one. */
+    private static String withheldKeys(Pool pool) {
+        boolean fixed = pool.file() == null && pool.discovery() == null;
+        boolean reachedByRpc = !fixed || pool.servers().stream().anyMatch(server -> server.rpc() != null);
+        return pool.rpc().envelope() || !reachedByRpc ? ""
+            : ", unsafe while a server may get it by MessagePack-RPC, which tells it no key (`rpc.envelope: false`)";
+    }
+
     private static String servers(Pool pool) {
         return pool.file() != null ? "the servers in " + pool.file()
             : pool.discovery() != null ? "the servers from discovery at " + pool.discovery()
--- /dev/null
+++ b/src/test/java/onyxpaddle/serve/KeyedCallsTest.java
@@ -0,0 +1,208 @@
+package onyxpaddle.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import onyxpaddle.standin.RpcCaller;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+
+/** Keyed bookings whose replies are lost, by callers and servers of both protocols. */
+@Timeout(60)
+class KeyedCallsTest {
+    private static final int BOOKINGS = 12;
+    private static final int LOST_EVERY = 3;
+    /** The number of a booking that loses no reply, and is sent again until a list is in force. */
+    private static final int PROBE = 100;
+
+    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+    /** Which protocols three servers speak. */
+    private enum Servers {
+        RPC("r", "r", "r"), HTTP("h", "h", "h"), BOTH("hr", "hr", "hr"), SOME_OF_EACH("h", "r", "r");
+
+        private final List<String> protocols;
+
+        Servers(String... protocols) {
+            this.protocols = List.of(protocols);
+        }
+
+        /** Starts the servers; returns them as a list of a configuration. */
+        String start(KeyedBookings application) throws Exception {
+            StringBuilder list = new StringBuilder();
+            for (int i = 0; i < protocols.size(); i++) {
+                list.append(i == 0 ? "" : ", ").append("{id: s").append(i)
+                    .append(protocols.get(i).contains("h") ? ", address: \"" + application.http() + "\"" : "")
+                    .append(protocols.get(i).contains("r") ? ", rpc: \"" + application.rpc() + "\"" : "").append('}');
+            }
+            return "[" + list + "]";
+        }
+    }
+
+    private enum Callers { RPC, HTTP }
+
+    private static String config(String servers, boolean envelope) {
+        return """
+            version: 1
+            name: rig
+            listeners:
+              in: {address: "127.0.0.1:0", protocol: messagepack-rpc}
+              web: {address: "127.0.0.1:0"}
+            classes:
+              book: {effect: keyed, deadline: 5 s, memory: 10 s}
+            pools:
+              boxes:
+                %s
+                %s
+            routes:
+              - {name: web-book, listener: web, path: /visits, pool: boxes, class: book, procedure: book}
+            procedures:
+              - {name: book, listener: in, procedure: book, pool: boxes, class: book, path: /visits}
+            """.formatted(servers, envelope ? "rpc: {envelope: true}" : "attempts: 3");
+    }
+
+    /** Sends a booking; returns the error code or status if it was not served, else null. */
+    private String book(RpcRig rig, RpcCaller caller, Callers callers, int number) throws Exception {
+        String booking = "visit-" + number;
+        String key = "key-" + number;
+        if (callers == Callers.RPC) {
+            RpcCaller.Reply reply = caller.callAndWait("book", RpcCaller.envelope("key", key), RpcRig.text(booking));
+            return reply.ok() ? null : reply.nodeErrorCode();
+        }
+        try (MessageBufferPacker params = MessagePack.newDefaultBufferPacker()) {
+            params.packArrayHeader(1).packString(booking);
+            int status = client.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + rig.node.address("web").getPort() + "/visits"))
+                .timeout(SidecarRig.TIMEOUT).header("Idempotency-Key", key).POST(BodyPublishers.ofByteArray(params.toByteArray())).build(),
+                BodyHandlers.discarding()).statusCode();
+            return status == 200 ? null : String.valueOf(status);
+        }
+    }
+
+    private String bookUnchecked(RpcRig rig, RpcCaller caller, Callers callers, int number) {
+        try {
+            return book(rig, caller, callers, number);
+        } catch (Exception e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** Sends all bookings, one after another; returns those that were not served, with their errors. */
+    private Map<Integer, String> bookAll(RpcRig rig, Callers callers) throws Exception {
+        Map<Integer, String> unserved = new TreeMap<>();
+        try (RpcCaller caller = rig.caller()) {
+            for (int i = 1; i <= BOOKINGS; i++) {
+                String error = book(rig, caller, callers, i);
+                if (error != null) {
+                    unserved.put(i, error);
+                }
+            }
+        }
+        return unserved;
+    }
+
+    private static void assertEachRanOnce(KeyedBookings application) {
+        Map<String, Integer> once = new TreeMap<>();
+        for (int i = 1; i <= BOOKINGS; i++) {
+            once.put("visit-" + i, 1);
+        }
+        assertEquals(once, application.runs());
+    }
+
+    /** Guards against a second run of a call whose key its servers were not told: it is answered as failed. */
+    @ParameterizedTest
+    @CsvSource({"RPC, RPC", "RPC, BOTH", "RPC, SOME_OF_EACH", "HTTP, RPC", "HTTP, SOME_OF_EACH"})
+    void keyedCallDoesNotRunTwiceWhereServersAreNotToldItsKey(Callers callers, Servers servers) throws Exception {
+        try (KeyedBookings application = new KeyedBookings(LOST_EVERY);
+                RpcRig rig = new RpcRig(config("servers: " + servers.start(application), false))) {
+            Map<Integer, String> unserved = bookAll(rig, callers);
+            assertEachRanOnce(application);
+            Map<Integer, String> lost = new TreeMap<>();
+            for (int i = LOST_EVERY; i <= BOOKINGS; i += LOST_EVERY) {
+                lost.put(i, callers == Callers.RPC ? "failed" : "502");
+            }
+            assertEquals(lost, unserved);
+        }
+    }
+
+    /** Guards against the loss of repeats that do no harm, as each server that may get the call is told its key. */
+    @ParameterizedTest
+    @CsvSource({"RPC, RPC, true", "RPC, BOTH, true", "RPC, SOME_OF_EACH, true", "RPC, HTTP, false", "HTTP, RPC, true",
+        "HTTP, SOME_OF_EACH, true", "HTTP, BOTH, false", "HTTP, HTTP, false"})
+    void keyedCallIsRepeatedWhereServersAreToldItsKey(Callers callers, Servers servers, boolean envelope) throws Exception {
+        try (KeyedBookings application = new KeyedBookings(LOST_EVERY);
+                RpcRig rig = new RpcRig(config("servers: " + servers.start(application), envelope))) {
+            assertEquals(Map.of(), bookAll(rig, callers));
+            assertEachRanOnce(application);
+            assertEquals(BOOKINGS + BOOKINGS / LOST_EVERY, application.toldKeys().size());
+        }
+    }
+
+    /** Replaces the list file, and returns once a server that is told no keys has run a booking. */
+    private void replaceList(Path file, Servers servers, KeyedBookings application, Runnable probe) throws Exception {
+        Path next = Files.writeString(file.resolveSibling("next.yaml"), "servers: " + servers.start(application) + "\n");
+        Files.move(next, file, StandardCopyOption.ATOMIC_MOVE);
+        RpcRig.await(() -> {
+            int toldBefore = application.toldKeys().size();
+            probe.run();
+            return application.toldKeys().size() == toldBefore;
+        });
+    }
+
+    /** Guards against a second run by servers that a list file has brought, and that are not told keys. */
+    @ParameterizedTest
+    @EnumSource(Callers.class)
+    void keyedCallDoesNotRunTwiceOnceAListFileBringsServersThatAreNotToldKeys(Callers callers, @TempDir Path folder) throws Exception {
+        Path file = folder.resolve("servers.yaml");
+        try (KeyedBookings application = new KeyedBookings(LOST_EVERY)) {
+            Files.writeString(file, "servers: " + Servers.HTTP.start(application) + "\n");
+            try (RpcRig rig = new RpcRig(config("file: \"" + file + "\"", false)); RpcCaller caller = rig.caller()) {
+                RpcRig.await(() -> book(rig, caller, callers, PROBE) == null);
+                replaceList(file, Servers.RPC, application, () -> assertNull(bookUnchecked(rig, caller, callers, PROBE)));
+                Map<Integer, String> unserved = bookAll(rig, callers);
+                application.runs().forEach((booking, runs) -> assertTrue(runs == 1 || booking.endsWith("-" + PROBE), booking + ": " + runs));
+                assertEquals(BOOKINGS / LOST_EVERY, unserved.size());
+            }
+        }
+    }
+
+    /** Guards against a call without its key, as the list changes while a request arrives: it is refused, and has not run. */
+    @Test
+    void keyedRequestThatWasRoutedBeforeTheListChangedIsNotSentWithoutItsKey(@TempDir Path folder) throws Exception {
+        Path file = folder.resolve("servers.yaml");
+        try (KeyedBookings application = new KeyedBookings(LOST_EVERY)) {
+            Files.writeString(file, "servers: " + Servers.HTTP.start(application) + "\n");
+            try (RpcRig rig = new RpcRig(config("file: \"" + file + "\"", false)); RpcCaller caller = rig.caller();
+                    Socket late = new Socket("127.0.0.1", rig.node.address("web").getPort())) {
+                RpcRig.await(() -> book(rig, caller, Callers.RPC, PROBE) == null);
+                byte[] params = {(byte) 0x91, (byte) 0xa6, 'l', 'a', 't', 'e', '-', '1'};
+                late.getOutputStream().write(("POST /visits HTTP/1.1\r\nHost: web\r\nIdempotency-Key: late\r\nContent-Length: "
+                    + params.length + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+                replaceList(file, Servers.RPC, application, () -> assertNull(bookUnchecked(rig, caller, Callers.RPC, PROBE)));
+                late.getOutputStream().write(params);
+                late.setSoTimeout((int) SidecarRig.TIMEOUT.toMillis());
+                assertEquals("HTTP/1.1 503 ", new String(late.getInputStream().readNBytes(13), StandardCharsets.US_ASCII));
+                assertNull(application.runs().get("late-1"));
+            }
+        }
+    }
+}
--- a/src/test/java/onyxpaddle/sidecar/ValidFilesTest.java
+++ b/src/test/java/onyxpaddle/sidecar/ValidFilesTest.java
@@ -83,6 +83,24 @@
         assertTrue(Explanation.of(config, "GET", URI.create("http://h:7300/x"), Map.of()).get("answer").startsWith("none"));
     }
 
+    /** Guards against an explanation that says "keyed" of a call that counts as unsafe, as its servers are not told its key. */
+    @Test
+    void explainsThatACallWithoutAnEnvelopeToItsServersIsUnsafe() throws Exception {
+        Path file = folder.resolve("records.yaml");
+        String described = Files.readString(Path.of("deploy/examples/records.yaml"));
+        assertEquals("keyed, unsafe without a key in its envelope", effectOfABooking(Files.writeString(file, described)));
+        assertEquals("keyed, unsafe without a key in its envelope, unsafe while a server may get it by MessagePack-RPC, which tells it no key"
+            + " (`rpc.envelope: false`)", effectOfABooking(Files.writeString(file, described.replace("  rpc: {envelope: true} ", "  "))));
+    }
+
+    private String effectOfABooking(Path description) throws Exception {
+        Path nodes = Files.createTempDirectory(folder, "nodes");
+        assertEquals(0, run("write", description.toString(), "--out", nodes.toString()), err::toString);
+        Path file = nodes.resolve("partner-records.node.yaml");
+        NodeConfig config = CheckedFiles.of(List.of(file), InvalidFilesTest.MACHINE).configs.get(file);
+        return Explanation.of(config, "CALL", URI.create("rpc://h:7300/visit.book"), Map.of()).get("effect");
+    }
+
     @Test
     void writeIsDeterministicAndKeepsFilesEditedByHand() throws Exception {
         Path file = description(validDescriptions().findFirst().orElseThrow());
