A key that a request's Connection header names still goes on to servers

Callers would see: a keyed HTTP request whose Connection header names Idempotency-Key runs twice after a lost reply. Found while looking for the cause of the keyed call that ran twice on related paths.

Cause: the fronts take the key for given, HopByHopHeaders drops each field that Connection names.

Change: these two fields are end-to-end whatever Connection names.

--- a/src/main/java/onyxpaddle/http/HopByHopHeaders.java
+++ b/src/main/java/onyxpaddle/http/HopByHopHeaders.java
@@ -11,6 +11,9 @@
     private static final Set<String> FIELDS = Set.of("connection", "keep-alive", "proxy-connection",
         "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade");
 
+    /** Meant for the server, whatever Connection names: without its id a request is unknown, and without its key its repeats are. */
+    private static final Set<String> END_TO_END = Set.of("x-trace-id", "idempotency-key");
+
     private HopByHopHeaders() {
     }
 
@@ -19,7 +22,8 @@
         String connection = from.get(HttpHeaderNames.CONNECTION, "").toLowerCase(Locale.ROOT);
         for (Map.Entry<String, String> header : from) {
             String name = header.getKey().toLowerCase(Locale.ROOT);
-            if (!FIELDS.contains(name) && !without.contains(name) && (connection.isEmpty() || !lists(connection, name))) {
+            boolean nominated = !connection.isEmpty() && lists(connection, name) && !END_TO_END.contains(name);
+            if (!FIELDS.contains(name) && !without.contains(name) && !nominated) {
                 to.add(header.getKey(), header.getValue());
             }
         }
--- a/src/test/java/onyxpaddle/serve/KeyedCallsTest.java
+++ b/src/test/java/onyxpaddle/serve/KeyedCallsTest.java
@@ -157,6 +157,32 @@
         }
     }
 
+    /** Sends a booking by HTTP with these header lines, of which one may have letters other than ASCII; returns the status. */
+    private static String bookByHttp(RpcRig rig, int number, String... headerLines) throws Exception {
+        try (Socket socket = new Socket("127.0.0.1", rig.node.address("web").getPort());
+                MessageBufferPacker params = MessagePack.newDefaultBufferPacker()) {
+            params.packArrayHeader(1).packString("visit-" + number);
+            byte[] body = params.toByteArray();
+            socket.setSoTimeout((int) SidecarRig.TIMEOUT.toMillis());
+            socket.getOutputStream().write(("POST /visits HTTP/1.1\r\nHost: web\r\nContent-Length: " + body.length + "\r\n"
+                + String.join("\r\n", headerLines) + "\r\n\r\n").getBytes(StandardCharsets.UTF_8));
+            socket.getOutputStream().write(body);
+            return new String(socket.getInputStream().readNBytes("HTTP/1.1 200".length()), StandardCharsets.US_ASCII).substring(9);
+        }
+    }
+
+    /** Guards against a key that the node takes from a request, but not on to the server, as the client names it in Connection. */
+    @Test
+    void keyThatConnectionNamesIsToldToServers() throws Exception {
+        try (KeyedBookings application = new KeyedBookings(LOST_EVERY);
+                RpcRig rig = new RpcRig(config("servers: " + Servers.HTTP.start(application), false))) {
+            for (int i = 1; i <= BOOKINGS; i++) {
+                assertEquals("200", bookByHttp(rig, i, "Idempotency-Key: key-" + i, "Connection: keep-alive, Idempotency-Key"));
+            }
+            assertEachRanOnce(application);
+        }
+    }
+
     /** Replaces the list file, and returns once a server that is told no keys has run a booking. */
     private void replaceList(Path file, Servers servers, KeyedBookings application, Runnable probe) throws Exception {
         Path next = Files.writeString(file.resolveSibling("next.yaml"), "servers: " + servers.start(application) + "\n");
