An idempotency key has the same bytes at servers of both protocols

Cause: RpcOverHttp percent-encoded a MessagePack-RPC caller's key, HttpOverRpc took a header's bytes for letters. So one key had two forms, and two keys could get one.

Change: KeyForms, one place for both ways: the same bytes, UTF-8 as text. The header's name stands in one place.

--- a/src/main/java/onyxpaddle/bridge/HttpOverRpc.java
+++ b/src/main/java/onyxpaddle/bridge/HttpOverRpc.java
@@ -43,7 +43,8 @@
             return (RpcCallHead) exchange.head;
         }
         int params = exchange.body.size() == 0 ? 0 : MsgPackValues.arrayLength(exchange.body.whole());
-        return RpcCallHead.of(request.mapped(), params, request.headers().get("Idempotency-Key"),
+        String key = request.key();
+        return RpcCallHead.of(request.mapped(), params, key == null ? null : KeyForms.text(key),
             "1".equals(request.headers().get("X-Second-Try")), request.caller());
     }
 
--- a/src/main/java/onyxpaddle/bridge/RpcOverHttp.java
+++ b/src/main/java/onyxpaddle/bridge/RpcOverHttp.java
@@ -43,8 +43,9 @@
         HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
         headers.set(HttpHeaderNames.CONTENT_TYPE, MSGPACK);
         headers.set(HttpHeaderNames.ACCEPT, MSGPACK);
-        if (call.key() != null) {
-            headers.set("Idempotency-Key", encodeKey(call.key()));
+        String key = call.key() == null ? null : KeyForms.headerValue(call.key());
+        if (key != null) {
+            headers.set(HttpRequestHead.IDEMPOTENCY_KEY, key);
         }
         if (call.retry()) {
             headers.set("X-Second-Try", "1");
@@ -52,19 +53,6 @@
         return new HttpRequestHead(HttpMethod.POST, call.mapped(), headers, maxAnswerBytes, call.caller());
     }
 
-    /** Percent-encodes what a header cannot contain (RFC 3986, 2.1), and {@code %}, so that distinct keys stay distinct. */
-    private static String encodeKey(String key) {
-        StringBuilder text = new StringBuilder();
-        for (byte b : key.getBytes(java.nio.charset.StandardCharsets.UTF_8)) {
-            if (b > ' ' && b < 0x7f && b != '%') {
-                text.append((char) b);
-            } else {
-                text.append(String.format("%%%02X", b & 0xff));
-            }
-        }
-        return text.toString();
-    }
-
     @Override
     public Answer answer(Exchange exchange, Answer answer) {
         if (!(exchange.head instanceof RpcCallHead)) {
--- a/src/main/java/onyxpaddle/http/HttpRequestHead.java
+++ b/src/main/java/onyxpaddle/http/HttpRequestHead.java
@@ -13,6 +13,14 @@
  */
 public record HttpRequestHead(HttpMethod method, String uri, HttpHeaders headers, long maxAnswerBytes, String caller, String mapped)
         implements Metadata {
+    /** The header by which servers recognize repeats of a request. */
+    public static final String IDEMPOTENCY_KEY = "Idempotency-Key";
+
+    /** The idempotency key; null if the request has none. */
+    public String key() {
+        return headers.get(IDEMPOTENCY_KEY);
+    }
+
     /** The head of a request that goes to HTTP servers only. */
     public HttpRequestHead(HttpMethod method, String uri, HttpHeaders headers, long maxAnswerBytes, String caller) {
         this(method, uri, headers, maxAnswerBytes, caller, null);
--- a/src/main/java/onyxpaddle/http/HttpUpstream.java
+++ b/src/main/java/onyxpaddle/http/HttpUpstream.java
@@ -10,6 +10,7 @@
 import io.netty.channel.WriteBufferWaterMark;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -154,6 +155,11 @@
         return peers.containsKey(server);
     }
 
+    /** The servers that can be called by HTTP. */
+    public Set<String> reachedServers() {
+        return Collections.unmodifiableSet(peers.keySet());
+    }
+
     private static void closeIdle(Peer peer) {
         for (ServerConnection c = peer.idle.poll(); c != null; c = peer.idle.poll()) {
             c.close(NodeEvent.SERVER_LEAVING);
--- a/src/main/java/onyxpaddle/http/PlainRequestDialect.java
+++ b/src/main/java/onyxpaddle/http/PlainRequestDialect.java
@@ -143,7 +143,7 @@
         String forwardedUri = uri == path ? route.rewrittenPath(path) : route.rewrittenPath(path) + uri.substring(path.length());
         HttpRequestHead head = new HttpRequestHead(method, forwardedUri, headers, target.maxBodyBytes(),
             caller.getAddress().getHostAddress(), route.procedure());
-        String key = PlatformRequestDialect.single(headers, "Idempotency-Key");
+        String key = PlatformRequestDialect.single(headers, HttpRequestHead.IDEMPOTENCY_KEY);
         boolean keyed = key != null && !key.isEmpty() && target.pool().tellsKeys(head);
         RequestClass requestClass = keyed ? variants.keyed() : variants.unkeyed();
         long length = PlatformRequestDialect.length(request);
--- a/src/main/java/onyxpaddle/http/PlatformRequestDialect.java
+++ b/src/main/java/onyxpaddle/http/PlatformRequestDialect.java
@@ -29,7 +29,6 @@
 public final class PlatformRequestDialect implements RequestDialect {
     static final String ID_HEADER = "X-Trace-Id";
     private static final String REQUEST_CLASS = "X-Qos";
-    private static final String KEY = "Idempotency-Key";
     static final String EXPIRES_IN = "X-Expires-In";
     private static final double NANOS_PER_SECOND = 1e9;
     private static final Pattern ID = Pattern.compile("[!-~]{1,64}");
@@ -107,7 +106,7 @@
             throw new RequestRejectedException(HttpResponseStatus.NOT_FOUND);
         }
         Effect effect = requestClass.effect();
-        String key = single(headers, KEY);
+        String key = single(headers, HttpRequestHead.IDEMPOTENCY_KEY);
         require(method.equals(effect == Effect.SAFE ? HttpMethod.GET : HttpMethod.POST));
         require(effect == Effect.KEYED ? key != null && !key.isEmpty() : key == null);
 
--- a/src/main/java/onyxpaddle/serve/MixedProtocolUpstream.java
+++ b/src/main/java/onyxpaddle/serve/MixedProtocolUpstream.java
@@ -3,6 +3,8 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import onyxpaddle.BalancerApi.Outcome;
+import onyxpaddle.bridge.KeyForms;
+import onyxpaddle.http.HttpRequestHead;
 import onyxpaddle.http.HttpUpstream;
 import onyxpaddle.node.Attempt;
 import onyxpaddle.node.Dispatcher;
@@ -26,9 +28,10 @@
     private RpcUpstream rpc;
     /** Whether MessagePack-RPC servers are told keys. */
     private final boolean sendsEnvelope;
-    /** Whether a listed server is reached by MessagePack-RPC, and whether one is reached by nothing else. */
+    /** Whether a listed server is reached by MessagePack-RPC, and whether one is reached by only one of the protocols. */
     private boolean hasRpcServer;
     private boolean hasRpcOnlyServer;
+    private boolean hasHttpOnlyServer = true;
     private boolean mismatchLogged;
 
     /**
@@ -52,6 +55,7 @@
             Set<String> reached = rpc.reachedServers();
             hasRpcServer = !reached.isEmpty();
             hasRpcOnlyServer = reached.stream().anyMatch(server -> !http.reaches(server));
+            hasHttpOnlyServer = http.reachedServers().stream().anyMatch(server -> !rpc.reaches(server));
         }
     }
 
@@ -62,13 +66,18 @@
 
     @Override
     public boolean tellsKeys(Metadata head) {
-        if (sendsEnvelope) {
-            return true;
-        }
         if (head instanceof RpcCallHead) {
-            return !hasRpcServer;
+            return (!hasRpcServer || tellsKeyByRpc(head)) && (!hasHttpOnlyServer || tellsKeyByHttp(head));
         }
-        return head.mapped() == null || !hasRpcOnlyServer;
+        return head.mapped() == null || !hasRpcOnlyServer || tellsKeyByRpc(head);
+    }
+
+    private static boolean tellsKeyByHttp(Metadata head) {
+        return !(head instanceof RpcCallHead call) || call.key() != null && KeyForms.headerValue(call.key()) != null;
+    }
+
+    private boolean tellsKeyByRpc(Metadata head) {
+        return sendsEnvelope && (!(head instanceof HttpRequestHead request) || request.key() != null && KeyForms.text(request.key()) != null);
     }
 
     @Override
@@ -82,9 +91,9 @@
         boolean rpcReaches = rpc != null && rpc.reaches(attempt.server);
         boolean httpReaches = http.reaches(attempt.server);
         if (rpcReaches && (byRpc || mapped && !httpReaches)) {
-            sendByRpc(attempt);
+            sendIfKeyIsTold(attempt, tellsKeyByRpc(attempt.exchange.head), rpc);
         } else if (httpReaches && (!byRpc || mapped)) {
-            http.send(attempt);
+            sendIfKeyIsTold(attempt, tellsKeyByHttp(attempt.exchange.head), http);
         } else {
             if (!mismatchLogged && (rpcReaches || httpReaches)) {
                 mismatchLogged = true;
@@ -95,13 +104,13 @@
         }
     }
 
-    private void sendByRpc(Attempt attempt) {
-        if (!sendsEnvelope && attempt.exchange.reliesOnKey()) {
-            // The list has changed since the request was routed.
+    /** A request that relies on its key is not sent without it: the list may have changed since it was routed. */
+    private void sendIfKeyIsTold(Attempt attempt, boolean told, Upstream protocol) {
+        if (told || !attempt.exchange.reliesOnKey()) {
+            protocol.send(attempt);
+        } else {
             dispatcher.events().count(NodeEvent.ATTEMPT_KEY_WITHHELD, attempt.exchange.id);
             dispatcher.ended(attempt, Outcome.NOT_SENT, null);
-        } else {
-            rpc.send(attempt);
         }
     }
 
--- a/src/test/java/onyxpaddle/serve/KeyedCallsTest.java
+++ b/src/test/java/onyxpaddle/serve/KeyedCallsTest.java
@@ -5,11 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.Socket;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpRequest.BodyPublishers;
-import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.Charset;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -17,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.regex.Pattern;
 import onyxpaddle.standin.RpcCaller;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -35,8 +32,6 @@
     /** The number of a booking that loses no reply, and is sent again until a list is in force. */
     private static final int PROBE = 100;
 
-    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
-
     /** Which protocols three servers speak. */
     private enum Servers {
         RPC("r", "r", "r"), HTTP("h", "h", "h"), BOTH("hr", "hr", "hr"), SOME_OF_EACH("h", "r", "r");
@@ -83,18 +78,29 @@
 
     /** Sends a booking; returns the error code or status if it was not served, else null. */
     private String book(RpcRig rig, RpcCaller caller, Callers callers, int number) throws Exception {
-        String booking = "visit-" + number;
-        String key = "key-" + number;
+        return book(rig, caller, callers, number, "key-" + number);
+    }
+
+    private String book(RpcRig rig, RpcCaller caller, Callers callers, int number, String key) throws Exception {
         if (callers == Callers.RPC) {
-            RpcCaller.Reply reply = caller.callAndWait("book", RpcCaller.envelope("key", key), RpcRig.text(booking));
+            RpcCaller.Reply reply = caller.callAndWait("book", RpcCaller.envelope("key", key), RpcRig.text("visit-" + number));
             return reply.ok() ? null : reply.nodeErrorCode();
         }
-        try (MessageBufferPacker params = MessagePack.newDefaultBufferPacker()) {
-            params.packArrayHeader(1).packString(booking);
-            int status = client.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + rig.node.address("web").getPort() + "/visits"))
-                .timeout(SidecarRig.TIMEOUT).header("Idempotency-Key", key).POST(BodyPublishers.ofByteArray(params.toByteArray())).build(),
-                BodyHandlers.discarding()).statusCode();
-            return status == 200 ? null : String.valueOf(status);
+        String status = bookByHttp(rig, number, StandardCharsets.UTF_8, "Idempotency-Key: " + key);
+        return status.equals("200") ? null : status;
+    }
+
+    /** Sends a booking by HTTP with these header lines, encoded so; returns the status. */
+    private static String bookByHttp(RpcRig rig, int number, Charset encoding, String... headerLines) throws Exception {
+        try (Socket socket = new Socket("127.0.0.1", rig.node.address("web").getPort());
+                MessageBufferPacker params = MessagePack.newDefaultBufferPacker()) {
+            params.packArrayHeader(1).packString("visit-" + number);
+            byte[] body = params.toByteArray();
+            socket.setSoTimeout((int) SidecarRig.TIMEOUT.toMillis());
+            socket.getOutputStream().write(("POST /visits HTTP/1.1\r\nHost: web\r\nContent-Length: " + body.length + "\r\n"
+                + String.join("\r\n", headerLines) + "\r\n\r\n").getBytes(encoding));
+            socket.getOutputStream().write(body);
+            return new String(socket.getInputStream().readNBytes("HTTP/1.1 200".length()), StandardCharsets.US_ASCII).substring(9);
         }
     }
 
@@ -108,10 +114,14 @@
 
     /** Sends all bookings, one after another; returns those that were not served, with their errors. */
     private Map<Integer, String> bookAll(RpcRig rig, Callers callers) throws Exception {
+        return bookAll(rig, callers, "key-");
+    }
+
+    private Map<Integer, String> bookAll(RpcRig rig, Callers callers, String keyPrefix) throws Exception {
         Map<Integer, String> unserved = new TreeMap<>();
         try (RpcCaller caller = rig.caller()) {
             for (int i = 1; i <= BOOKINGS; i++) {
-                String error = book(rig, caller, callers, i);
+                String error = book(rig, caller, callers, i, keyPrefix + i);
                 if (error != null) {
                     unserved.put(i, error);
                 }
@@ -157,32 +167,56 @@
         }
     }
 
-    /** Sends a booking by HTTP with these header lines, of which one may have letters other than ASCII; returns the status. */
-    private static String bookByHttp(RpcRig rig, int number, String... headerLines) throws Exception {
-        try (Socket socket = new Socket("127.0.0.1", rig.node.address("web").getPort());
-                MessageBufferPacker params = MessagePack.newDefaultBufferPacker()) {
-            params.packArrayHeader(1).packString("visit-" + number);
-            byte[] body = params.toByteArray();
-            socket.setSoTimeout((int) SidecarRig.TIMEOUT.toMillis());
-            socket.getOutputStream().write(("POST /visits HTTP/1.1\r\nHost: web\r\nContent-Length: " + body.length + "\r\n"
-                + String.join("\r\n", headerLines) + "\r\n\r\n").getBytes(StandardCharsets.UTF_8));
-            socket.getOutputStream().write(body);
-            return new String(socket.getInputStream().readNBytes("HTTP/1.1 200".length()), StandardCharsets.US_ASCII).substring(9);
-        }
-    }
-
     /** Guards against a key that the node takes from a request, but not on to the server, as the client names it in Connection. */
     @Test
     void keyThatConnectionNamesIsToldToServers() throws Exception {
         try (KeyedBookings application = new KeyedBookings(LOST_EVERY);
                 RpcRig rig = new RpcRig(config("servers: " + Servers.HTTP.start(application), false))) {
             for (int i = 1; i <= BOOKINGS; i++) {
-                assertEquals("200", bookByHttp(rig, i, "Idempotency-Key: key-" + i, "Connection: keep-alive, Idempotency-Key"));
+                assertEquals("200", bookByHttp(rig, i, StandardCharsets.UTF_8, "Idempotency-Key: key-" + i,
+                    "Connection: keep-alive, Idempotency-Key"));
             }
             assertEachRanOnce(application);
         }
     }
 
+    /** Guards against a key that servers of the two protocols are told in two forms, so that a repeat at the other kind is not recognized. */
+    @ParameterizedTest
+    @CsvSource({"RPC, cl\u00e9-", "HTTP, cl\u00e9-", "RPC, 100%25 \u0416-", "HTTP, 100%25 \u0416-"})
+    void keyIsToldInOneFormToServersOfBothProtocols(Callers callers, String keyPrefix) throws Exception {
+        try (KeyedBookings application = new KeyedBookings(LOST_EVERY);
+                RpcRig rig = new RpcRig(config("servers: " + Servers.SOME_OF_EACH.start(application), true))) {
+            assertEquals(Map.of(), bookAll(rig, callers, keyPrefix));
+            assertEachRanOnce(application);
+            for (String key : application.toldKeys()) {
+                assertTrue(key.matches(Pattern.quote(keyPrefix) + "[0-9]+"), key);
+            }
+        }
+    }
+
+    /** Guards against a second run of a call whose key the other protocol can't carry: blanks at its edge, other letters, too long. */
+    @ParameterizedTest
+    @CsvSource({"RPC, HTTP, false, ' key-'", "RPC, SOME_OF_EACH, true, 'a\u0001-'", "HTTP, RPC, true, LATIN_1", "HTTP, RPC, true, TOO_LONG"})
+    void keyedCallDoesNotRunTwiceWhereItsKeyCannotBeTold(Callers callers, Servers servers, boolean envelope, String keyPrefix)
+            throws Exception {
+        try (KeyedBookings application = new KeyedBookings(LOST_EVERY);
+                RpcRig rig = new RpcRig(config("servers: " + servers.start(application), envelope))) {
+            int unserved = 0;
+            if (keyPrefix.equals("LATIN_1")) {
+                for (int i = 1; i <= BOOKINGS; i++) {
+                    unserved += bookByHttp(rig, i, StandardCharsets.ISO_8859_1, "Idempotency-Key: cl\u00e9-" + i).equals("200") ? 0 : 1;
+                }
+            } else {
+                unserved = bookAll(rig, callers, keyPrefix.equals("TOO_LONG") ? "k".repeat(256) : keyPrefix).size();
+            }
+            assertEachRanOnce(application);
+            assertEquals(BOOKINGS / LOST_EVERY, unserved);
+            if (servers != Servers.SOME_OF_EACH) {
+                assertEquals(List.of(), application.toldKeys());
+            }
+        }
+    }
+
     /** Replaces the list file, and returns once a server that is told no keys has run a booking. */
     private void replaceList(Path file, Servers servers, KeyedBookings application, Runnable probe) throws Exception {
         Path next = Files.writeString(file.resolveSibling("next.yaml"), "servers: " + servers.start(application) + "\n");
