A refusal says "never run" only of what never ran

Callers saw: once the repeats were used up that a node allows itself (the seventh lost reply of 24 bookings), a booking that had run was answered `refused` or 503 with "refused, and never run". A node before this one would take that for a proof, and forget since when servers remember the key.

Cause: the balancer refuses what does no harm to send again, and fronts knew of one reason only. Nor did anybody ask whether servers still are told the key, and remember it when the caller comes again.

Change: Refusal, made from the attempts as the answer is given: never ran, safe, recognized by its key, or not certain to be. By MessagePack-RPC only the first is `refused`, the next two are `failed` with retry_after; a sidecar's HTTP answer stays 503 for these with other words, and is 502 for the last.

--- a/src/main/java/onyxpaddle/http/ClientConnection.java
+++ b/src/main/java/onyxpaddle/http/ClientConnection.java
@@ -36,8 +36,9 @@
 import onyxpaddle.node.Log;
 import onyxpaddle.node.Metadata;
 import onyxpaddle.node.NodeEvent;
-import onyxpaddle.node.SocketBuffers;
+import onyxpaddle.node.Refusal;
 import onyxpaddle.node.RequestCounts;
+import onyxpaddle.node.SocketBuffers;
 import onyxpaddle.socket.PollableChannel;
 import onyxpaddle.socket.ReadPause;
 
@@ -531,11 +532,13 @@
     }
 
     @Override
-    public void refused(long retryAfter, Answer own) {
+    public void refused(Refusal refusal, long retryAfter, Answer own) {
         if (own != null) {
             served(own);
         } else {
-            answer(HttpResponseStatus.SERVICE_UNAVAILABLE, retryAfter);
+            HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
+            HttpResponseStatus status = front.dialect.refusalStatus(refusal);
+            sendLocalAnswer(status, headers, front.dialect.refusalAnswer(refusal, retryAfter, headers));
         }
     }
 
@@ -548,9 +551,13 @@
         }
     }
 
+    /** Answers a request of which no attempt has been made, or which has failed. */
     private void answer(HttpResponseStatus status, long retryAfter) {
         HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
-        String text = front.dialect.localAnswer(status, retryAfter, headers);
+        sendLocalAnswer(status, headers, front.dialect.localAnswer(status, retryAfter, headers));
+    }
+
+    private void sendLocalAnswer(HttpResponseStatus status, HttpHeaders headers, String text) {
         ByteBuf body = text.isEmpty() || headOnly ? Unpooled.EMPTY_BUFFER
             : Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
         sendAnswer(new DefaultFullHttpResponse(version, status, body, headers, EmptyHttpHeaders.INSTANCE), headOnly);
--- a/src/main/java/onyxpaddle/http/PlainRequestDialect.java
+++ b/src/main/java/onyxpaddle/http/PlainRequestDialect.java
@@ -17,6 +17,7 @@
 import onyxpaddle.node.Body;
 import onyxpaddle.node.Dispatcher;
 import onyxpaddle.node.Exchange.Terms;
+import onyxpaddle.node.Refusal;
 import onyxpaddle.node.SharedLimit;
 import onyxpaddle.route.Route;
 import onyxpaddle.route.RouteTable;
@@ -114,6 +115,23 @@
         } + "\n";
     }
 
+    /** A request that may have run, and that nobody can promise to recognize, has failed. */
+    @Override
+    public HttpResponseStatus refusalStatus(Refusal refusal) {
+        return refusal.repeatable() ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.BAD_GATEWAY;
+    }
+
+    @Override
+    public String refusalAnswer(Refusal refusal, long retryAfter, HttpHeaders headers) {
+        String answer = localAnswer(refusalStatus(refusal), refusal.repeatable() ? retryAfter : 0, headers);
+        return switch (refusal) {
+            case NEVER_RAN, KEY_MAY_BE_UNKNOWN -> answer;
+            case REPEATABLE -> "lupinmount: no server gave an answer, and one may have acted on the request: trying again is harmless\n";
+            case REPEATABLE_WITH_KEY -> "lupinmount: no server gave an answer, and one may have acted on the request: trying again with the"
+                + " same Idempotency-Key is harmless\n";
+        };
+    }
+
     @Override
     public RoutedRequest read(HttpRequest request, InetSocketAddress caller) throws RequestRejectedException {
         HttpMethod method = request.method();
--- a/src/main/java/onyxpaddle/http/RequestDialect.java
+++ b/src/main/java/onyxpaddle/http/RequestDialect.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
+import onyxpaddle.node.Refusal;
 
 /** How a listener interprets requests: routing, time limits, and the answers that the node gives itself. */
 public interface RequestDialect {
@@ -27,4 +28,14 @@
      * nanoseconds, 0 for none.
      */
     String localAnswer(HttpResponseStatus status, long retryAfter, HttpHeaders headers);
+
+    /** The status of a refusal by the pool to which the request was handed. */
+    default HttpResponseStatus refusalStatus(Refusal refusal) {
+        return HttpResponseStatus.SERVICE_UNAVAILABLE;
+    }
+
+    /** The body of such a refusal; headers and {@code retryAfter} as in {@link #localAnswer}. */
+    default String refusalAnswer(Refusal refusal, long retryAfter, HttpHeaders headers) {
+        return localAnswer(HttpResponseStatus.SERVICE_UNAVAILABLE, retryAfter, headers);
+    }
 }
--- a/src/main/java/onyxpaddle/node/Caller.java
+++ b/src/main/java/onyxpaddle/node/Caller.java
@@ -36,12 +36,13 @@
     }
 
     /**
-     * The request is refused; a retry does no harm.
+     * The request is refused.
      *
+     * @param refusal whether it may have run, and what a retry needs to do no harm
      * @param retryAfter when to retry, in nanoseconds from now; 0 for no advice
      * @param own a server's own answer on its failure, as in {@link #failed}
      */
-    void refused(long retryAfter, Answer own);
+    void refused(Refusal refusal, long retryAfter, Answer own);
 
     /**
      * The request failed; whether it took effect is unknown.
--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -236,7 +236,7 @@
         x.releaseBody();
         countResult(x.terms, RequestCounts.RequestResult.BUSY);
         events().count(reason, x.id);
-        x.caller.refused(retryAfter, null);
+        x.caller.refused(Refusal.NEVER_RAN, retryAfter, null);
     }
 
     /** Its id came before and may have run: neither a further run nor a refusal, which would promise that there was none. */
@@ -490,7 +490,8 @@
             if (x != null && !passOn(x) && finish(x)) {
                 count(x, RequestCounts.RequestResult.BUSY);
                 events().count(x.bodyStalled ? NodeEvent.REFUSED_BODY_STALLED : NodeEvent.REFUSED_BALANCER, x.id);
-                x.caller.refused(refuse.retryAfter(), x.failure);
+                Refusal refusal = x.refusal(clock.now(), refuse.retryAfter(), upstream.tellsKeys(x.head));
+                x.caller.refused(refusal, refuse.retryAfter(), x.failure);
                 removeIfDone(x);
             }
         } else if (action instanceof Fail fail) {
--- a/src/main/java/onyxpaddle/node/Exchange.java
+++ b/src/main/java/onyxpaddle/node/Exchange.java
@@ -109,15 +109,31 @@
 
     /** Whether the servers may have forgotten the key of this request, of which an earlier attempt may have run. */
     boolean keyExpired(Attempt next, long now) {
+        Attempt earlier = reliesOnKey() ? firstPossibleRun(next) : null;
+        return earlier != null && now >= earlier.sentAt + terms.requestClass().keyRetention();
+    }
+
+    /** What is known of it if it is refused now; {@code keysTold}: whether servers that may get it again are told its key. */
+    Refusal refusal(long now, long retryAfter, boolean keysTold) {
+        Attempt possibleRun = firstPossibleRun(null);
+        if (possibleRun == null) {
+            return Refusal.NEVER_RAN;
+        }
         if (!reliesOnKey()) {
-            return false;
+            return Refusal.REPEATABLE;
         }
-        for (Attempt earlier : attempts) {
-            if (earlier != next && !earlier.neverRan) {
-                return now >= earlier.sentAt + terms.requestClass().keyRetention();
+        boolean remembered = now + retryAfter < possibleRun.sentAt + terms.requestClass().keyRetention();
+        return keysTold && remembered ? Refusal.REPEATABLE_WITH_KEY : Refusal.KEY_MAY_BE_UNKNOWN;
+    }
+
+    /** The first attempt, other than {@code except}, that ran or may have run; null if there is none. */
+    private Attempt firstPossibleRun(Attempt except) {
+        for (Attempt attempt : attempts) {
+            if (attempt != except && !attempt.neverRan) {
+                return attempt;
             }
         }
-        return false;
+        return null;
     }
 
     /** Whether it must run once at most, and an attempt may have run it. */
--- a/src/main/java/onyxpaddle/rpc/CallerConnection.java
+++ b/src/main/java/onyxpaddle/rpc/CallerConnection.java
@@ -18,6 +18,7 @@
 import onyxpaddle.node.Exchange;
 import onyxpaddle.node.Log;
 import onyxpaddle.node.NodeEvent;
+import onyxpaddle.node.Refusal;
 import onyxpaddle.node.RequestCounts;
 import onyxpaddle.node.SharedLimit;
 import onyxpaddle.rpc.NodeError.Code;
@@ -115,9 +116,9 @@
         }
 
         @Override
-        public void refused(long retryAfter, Answer serverAnswer) {
+        public void refused(Refusal refusal, long retryAfter, Answer serverAnswer) {
             long millis = retryAfter == 0 ? 0 : Math.max(1, retryAfter / 1_000_000L);
-            finishWithError(new NodeError(Code.REFUSED, Code.REFUSED.defaultMessage, millis), serverAnswer);
+            finishWithError(NodeError.of(refusal, millis), serverAnswer);
         }
 
         @Override
--- a/src/main/java/onyxpaddle/rpc/NodeError.java
+++ b/src/main/java/onyxpaddle/rpc/NodeError.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import java.util.Locale;
+import onyxpaddle.node.Refusal;
 
 /**
  * An error that a node generates itself, as opposed to one of an application: a map with the single key {@code
@@ -49,6 +50,18 @@
         }
     }
 
+    /** The error for a call that the pool refuses. Only one that never ran is {@link Code#REFUSED}, which other nodes rely on. */
+    static NodeError of(Refusal refusal, long retryAfterMillis) {
+        return switch (refusal) {
+            case NEVER_RAN -> new NodeError(Code.REFUSED, Code.REFUSED.defaultMessage, retryAfterMillis);
+            case REPEATABLE -> new NodeError(Code.FAILED,
+                "no server gave an answer, and one may have acted on the call: trying again is harmless", retryAfterMillis);
+            case REPEATABLE_WITH_KEY -> new NodeError(Code.FAILED,
+                "no server gave an answer, and one may have acted on the call: trying again with the same key is harmless", retryAfterMillis);
+            case KEY_MAY_BE_UNKNOWN -> of(Code.FAILED);
+        };
+    }
+
     static NodeError of(Code code) {
         return new NodeError(code, code.defaultMessage, 0);
     }
--- a/src/test/java/onyxpaddle/node/LateLoopTest.java
+++ b/src/test/java/onyxpaddle/node/LateLoopTest.java
@@ -61,7 +61,7 @@
                 }
 
                 @Override
-                public void refused(long retryAfter, Answer own) {
+                public void refused(Refusal refusal, long retryAfter, Answer own) {
                     answers.add(id + " refused");
                 }
 
--- a/src/test/java/onyxpaddle/node/UploadDeadlineTest.java
+++ b/src/test/java/onyxpaddle/node/UploadDeadlineTest.java
@@ -102,7 +102,7 @@
             }
 
             @Override
-            public void refused(long retryAfter, Answer own) {
+            public void refused(Refusal refusal, long retryAfter, Answer own) {
                 answered("refused");
             }
 
--- a/src/test/java/onyxpaddle/serve/KeyedCallsTest.java
+++ b/src/test/java/onyxpaddle/serve/KeyedCallsTest.java
@@ -92,6 +92,11 @@
 
     /** Sends a booking by HTTP with these header lines, encoded so; returns the status. */
     private static String bookByHttp(RpcRig rig, int number, Charset encoding, String... headerLines) throws Exception {
+        return answerByHttp(rig, number, encoding, headerLines).substring("HTTP/1.1 ".length(), "HTTP/1.1 200".length());
+    }
+
+    /** Returns the whole answer if the node closes the connection behind it, else its beginning. */
+    private static String answerByHttp(RpcRig rig, int number, Charset encoding, String... headerLines) throws Exception {
         try (Socket socket = new Socket("127.0.0.1", rig.node.address("web").getPort());
                 MessageBufferPacker params = MessagePack.newDefaultBufferPacker()) {
             params.packArrayHeader(1).packString("visit-" + number);
@@ -100,7 +105,9 @@
             socket.getOutputStream().write(("POST /visits HTTP/1.1\r\nHost: web\r\nContent-Length: " + body.length + "\r\n"
                 + String.join("\r\n", headerLines) + "\r\n\r\n").getBytes(encoding));
             socket.getOutputStream().write(body);
-            return new String(socket.getInputStream().readNBytes("HTTP/1.1 200".length()), StandardCharsets.US_ASCII).substring(9);
+            byte[] answer = List.of(headerLines).contains("Connection: close") ? socket.getInputStream().readAllBytes()
+                : socket.getInputStream().readNBytes("HTTP/1.1 200".length());
+            return new String(answer, StandardCharsets.US_ASCII);
         }
     }
 
@@ -217,6 +224,29 @@
         }
     }
 
+    /** Guards against an answer that says "never run" of a booking that ran, once the repeats are used up that the node allows itself. */
+    @ParameterizedTest
+    @CsvSource({"RPC, RPC, true", "RPC, HTTP, false", "HTTP, HTTP, false", "HTTP, RPC, true"})
+    void answerToACallThatRanDoesNotSayThatItNeverRan(Callers callers, Servers servers, boolean envelope) throws Exception {
+        try (KeyedBookings application = new KeyedBookings(LOST_EVERY);
+                RpcRig rig = new RpcRig(config("servers: " + servers.start(application), envelope)); RpcCaller caller = rig.caller()) {
+            int unserved = 0;
+            for (int i = 1; i <= 3 * BOOKINGS; i++) {
+                String answer = callers == Callers.RPC
+                    ? caller.callAndWait("book", RpcCaller.envelope("key", "key-" + i), RpcRig.text("visit-" + i)).error().toJson()
+                    : answerByHttp(rig, i, StandardCharsets.UTF_8, "Idempotency-Key: key-" + i, "Connection: close");
+                if (!answer.startsWith("HTTP/1.1 200") && !answer.startsWith("null")) {
+                    unserved++;
+                    assertEquals(1, application.runs().get("visit-" + i));
+                    assertTrue(answer.startsWith("HTTP/1.1 503") || answer.contains("\"code\":\"failed\""), answer);
+                    assertTrue(answer.contains("one may have acted on the") && answer.contains("trying again with the same")
+                        && !answer.contains("never run"), answer);
+                }
+            }
+            assertTrue(unserved > 0, "the repeats that the node allows itself were not used up");
+        }
+    }
+
     /** Replaces the list file, and returns once a server that is told no keys has run a booking. */
     private void replaceList(Path file, Servers servers, KeyedBookings application, Runnable probe) throws Exception {
         Path next = Files.writeString(file.resolveSibling("next.yaml"), "servers: " + servers.start(application) + "\n");
