--- a/src/main/java/onyxpaddle/http/HttpUpstream.java
+++ b/src/main/java/onyxpaddle/http/HttpUpstream.java
@@ -221,7 +221,7 @@
         attempt.carrier = dial;
         dial.addListener(f -> {
             if (f.isSuccess()) {
-                dispatcher.whenCurrent(attempt, () -> connected(peer, instance, attempt, (PollableChannel) dial.channel()));
+                dispatcher.admission().whenCurrent(attempt, () -> connected(peer, instance, attempt, (PollableChannel) dial.channel()));
             } else {
                 dial.channel().close();
                 dispatcher.ended(attempt, Outcome.CONNECT_FAILED, null);
@@ -238,7 +238,7 @@
             }
             channel.close();
             dispatcher.ended(attempt, Outcome.CONNECT_FAILED, null);
-        } else if (!dispatcher.mayBegin(attempt)) {
+        } else if (!dispatcher.admission().mayBegin(attempt)) {
             channel.close();
         } else {
             ServerConnection c = new ServerConnection(this, attempt.server, instance, channel);
--- a/src/main/java/onyxpaddle/rpc/CallerConnection.java
+++ b/src/main/java/onyxpaddle/rpc/CallerConnection.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import onyxpaddle.front.FrontConnection;
 import onyxpaddle.node.Answer;
+import onyxpaddle.node.AttemptAdmission;
 import onyxpaddle.node.Body;
 import onyxpaddle.node.Caller;
 import onyxpaddle.node.Dispatcher;
@@ -40,8 +41,6 @@
     private static final long FRAME_TIMEOUT_PER_BYTE = NANOS_PER_SECOND / 64_000;
     private static final long UNSENT_TIMEOUT = 5 * NANOS_PER_SECOND;
     private static final long LINGER = NANOS_PER_SECOND;
-    /** Interval in which the connection is asked again whether its caller is still there. */
-    private static final long CALLER_CHECK_MS = 5;
     /** Calls of one connection that are decoded before other connections have their turn. */
     private static final int CALLS_PER_TURN = 64;
     private static final int MAX_DISCARDED_BYTES = 256 * 1024;
@@ -278,7 +277,7 @@
             loop().schedule(() -> {
                 callerCheckScheduled = false;
                 read();
-            }, CALLER_CHECK_MS, TimeUnit.MILLISECONDS);
+            }, AttemptAdmission.CALLER_CHECK_MS, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/src/main/java/onyxpaddle/rpc/RpcConnection.java
+++ b/src/main/java/onyxpaddle/rpc/RpcConnection.java
@@ -173,18 +173,18 @@
     }
 
     private void write() {
-        upstream.dispatcher.whenCurrent(this::writeQueued);
+        upstream.dispatcher.admission().whenCurrent(this::writeQueued);
     }
 
     private void writeQueued() {
         boolean any = false;
         while (connected && !closed && !queue.isEmpty() && channel.isWritable()) {
             Call call = queue.poll();
-            if (upstream.dispatcher.awaitsCaller(call.attempt)) {
+            if (upstream.dispatcher.admission().awaitsCaller(call.attempt)) {
                 returnToUpstream(call);
                 continue;
             }
-            if (!upstream.dispatcher.mayBegin(call.attempt)) {
+            if (!upstream.dispatcher.admission().mayBegin(call.attempt)) {
                 calls.discard(call.id);
                 continue;
             }
--- a/src/main/java/onyxpaddle/rpc/RpcUpstream.java
+++ b/src/main/java/onyxpaddle/rpc/RpcUpstream.java
@@ -189,8 +189,8 @@
 
     /** Sends a call that was not begun, when it is known that its caller is still there. */
     void sendOnceCallerIsKnown(Attempt attempt) {
-        dispatcher.whenCurrent(attempt, () -> {
-            if (dispatcher.mayBegin(attempt)) {
+        dispatcher.admission().whenCurrent(attempt, () -> {
+            if (dispatcher.admission().mayBegin(attempt)) {
                 send(attempt);
             }
         });
