Tests: a refusal asks whether servers are told the key by now

Need: with the dispatcher's question taken out, the tests of refusals stayed green; five mutations of these fixes were played, and this was the one that no test saw.

--- a/src/test/java/onyxpaddle/node/RefusalTest.java
+++ b/src/test/java/onyxpaddle/node/RefusalTest.java
@@ -2,11 +2,25 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.lang.reflect.Proxy;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ScheduledExecutorService;
 import onyxpaddle.BalancerApi.Effect;
 import onyxpaddle.BalancerApi.KeyGroup;
+import onyxpaddle.BalancerApi.ListKind;
+import onyxpaddle.BalancerApi.Outcome;
 import onyxpaddle.BalancerApi.RequestClass;
+import onyxpaddle.BalancerApi.ServerEntry;
+import onyxpaddle.BalancerApi.ServerState;
+import onyxpaddle.BalancerApi.Settings;
+import onyxpaddle.FlatSettings;
+import onyxpaddle.RatioBalancer;
 import onyxpaddle.node.Exchange.Terms;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** What a refused request's caller is promised. */
 class RefusalTest {
@@ -58,4 +72,59 @@
     void keyIsNotPromisedWhileAServerMayNotBeToldIt() {
         assertEquals(Refusal.KEY_MAY_BE_UNKNOWN, refusal(exchange(Effect.KEYED, false), 0, false));
     }
+
+    /** Guards against a dispatcher that does not ask, as it refuses a request, whether servers are told its key by now. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void dispatcherAsksWhetherServersAreToldTheKeyAsItRefuses(boolean keysTold) {
+        Settings settings = new FlatSettings(Map.of("limits.maxAttempts", "1", "classes.count", "1", "classes.0.name", "book",
+            "classes.0.effect", "idempotency_key", "classes.0.memorySpanS", "10", "classes.0.deadlineS", "1")).settings();
+        Clock clock = new Clock() {
+            @Override
+            public long now() {
+                return SENT_AT;
+            }
+        };
+        ScheduledExecutorService loop = (ScheduledExecutorService) Proxy.newProxyInstance(RefusalTest.class.getClassLoader(),
+            new Class<?>[] {ScheduledExecutorService.class}, (proxy, method, arguments) -> null);
+        Dispatcher dispatcher = new Dispatcher(clock, loop, new RatioBalancer(settings, 1), settings.limits(),
+            new RequestCounts(List.of("book")));
+        List<Attempt> sent = new ArrayList<>();
+        dispatcher.connect(new Upstream() {
+            @Override
+            public boolean tellsKeys(Metadata head) {
+                return sent.isEmpty() || keysTold;
+            }
+
+            @Override
+            public void send(Attempt attempt) {
+                sent.add(attempt);
+            }
+
+            @Override
+            public void giveUp(Attempt attempt) {
+            }
+        }, () -> { });
+        dispatcher.membership(ListKind.ALL, List.of(new ServerEntry("s", "", 0, ServerState.READY, 1, 0)));
+        List<Refusal> refusals = new ArrayList<>();
+        Caller caller = new Caller() {
+            @Override
+            public void served(Answer answer) {
+            }
+
+            @Override
+            public void refused(Refusal refusal, long retryAfter, Answer own) {
+                refusals.add(refusal);
+            }
+
+            @Override
+            public void failed(boolean late, Answer own) {
+            }
+        };
+        dispatcher.arrived(new Exchange(new Terms("x", settings.classes().get(0), 1_000 * MS, null, 0, false), null,
+            new Body(new SharedLimit(1 << 20).join(), 0, 1), caller), SENT_AT);
+        sent.get(0).markWritten();
+        dispatcher.ended(sent.get(0), Outcome.RESET, null);
+        assertEquals(List.of(keysTold ? Refusal.REPEATABLE_WITH_KEY : Refusal.KEY_MAY_BE_UNKNOWN), refusals);
+    }
 }
