An unsafe request that may have run is never answered as harmless to send again

Need: Exchange.refusal took every request without a key for safe. The balancer refuses no unsafe request that may have run, so no caller has seen it; but the promise should not rest on another module alone.

Change: only safe requests are REPEATABLE; what is left is MAY_RUN_TWICE, a better name for what its callers have to know.

--- a/src/main/java/onyxpaddle/http/PlainRequestDialect.java
+++ b/src/main/java/onyxpaddle/http/PlainRequestDialect.java
@@ -125,7 +125,7 @@
     public String refusalAnswer(Refusal refusal, long retryAfter, HttpHeaders headers) {
         String answer = localAnswer(refusalStatus(refusal), refusal.repeatable() ? retryAfter : 0, headers);
         return switch (refusal) {
-            case NEVER_RAN, KEY_MAY_BE_UNKNOWN -> answer;
+            case NEVER_RAN, MAY_RUN_TWICE -> answer;
             case REPEATABLE -> "lupinmount: no server gave an answer, and one may have acted on the request: trying again is harmless\n";
             case REPEATABLE_WITH_KEY -> "lupinmount: no server gave an answer, and one may have acted on the request: trying again with the"
                 + " same Idempotency-Key is harmless\n";
--- a/src/main/java/onyxpaddle/node/Exchange.java
+++ b/src/main/java/onyxpaddle/node/Exchange.java
@@ -119,11 +119,11 @@
         if (possibleRun == null) {
             return Refusal.NEVER_RAN;
         }
-        if (!reliesOnKey()) {
+        if (repeatable) {
             return Refusal.REPEATABLE;
         }
-        boolean remembered = now + retryAfter < possibleRun.sentAt + terms.requestClass().keyRetention();
-        return keysTold && remembered ? Refusal.REPEATABLE_WITH_KEY : Refusal.KEY_MAY_BE_UNKNOWN;
+        boolean remembered = reliesOnKey() && now + retryAfter < possibleRun.sentAt + terms.requestClass().keyRetention();
+        return keysTold && remembered ? Refusal.REPEATABLE_WITH_KEY : Refusal.MAY_RUN_TWICE;
     }
 
     /** The first attempt, other than {@code except}, that ran or may have run; null if there is none. */
--- a/src/main/java/onyxpaddle/node/Refusal.java
+++ b/src/main/java/onyxpaddle/node/Refusal.java
@@ -8,11 +8,11 @@
     REPEATABLE,
     /** It may have run, and servers recognize its key at least until its caller can come again. */
     REPEATABLE_WITH_KEY,
-    /** It may have run, and when its caller comes again a server may not recognize its key. */
-    KEY_MAY_BE_UNKNOWN;
+    /** It may have run, and when its caller comes again a server may not recognize it. */
+    MAY_RUN_TWICE;
 
     /** Whether the advice to try again holds. */
     public boolean repeatable() {
-        return this != KEY_MAY_BE_UNKNOWN;
+        return this != MAY_RUN_TWICE;
     }
 }
--- a/src/main/java/onyxpaddle/rpc/NodeError.java
+++ b/src/main/java/onyxpaddle/rpc/NodeError.java
@@ -58,7 +58,7 @@
                 "no server gave an answer, and one may have acted on the call: trying again is harmless", retryAfterMillis);
             case REPEATABLE_WITH_KEY -> new NodeError(Code.FAILED,
                 "no server gave an answer, and one may have acted on the call: trying again with the same key is harmless", retryAfterMillis);
-            case KEY_MAY_BE_UNKNOWN -> of(Code.FAILED);
+            case MAY_RUN_TWICE -> of(Code.FAILED);
         };
     }
 
--- a/src/test/java/onyxpaddle/node/RefusalTest.java
+++ b/src/test/java/onyxpaddle/node/RefusalTest.java
@@ -59,18 +59,24 @@
         assertEquals(Refusal.REPEATABLE, refusal(exchange(Effect.SAFE, false, true), 0, false));
     }
 
+    /** Guards against a promise that depends on the balancer alone: it refuses no unsafe request that may have run. */
+    @Test
+    void unsafeRequestThatMayHaveRunIsNeverPromisedToBeHarmless() {
+        assertEquals(Refusal.MAY_RUN_TWICE, refusal(exchange(Effect.UNSAFE, true, false), 0, true));
+    }
+
     /** Guards against the promise that a key is recognized, when the servers have forgotten it as its caller comes again. */
     @Test
     void keyIsPromisedOnlyForAsLongAsServersRememberItWhenTheCallerComesAgain() {
         Exchange exchange = exchange(Effect.KEYED, true, false);
         assertEquals(Refusal.REPEATABLE_WITH_KEY, refusal(exchange, KEY_MEMORY - RETRY_AFTER - 1, true));
-        assertEquals(Refusal.KEY_MAY_BE_UNKNOWN, refusal(exchange, KEY_MEMORY - RETRY_AFTER, true));
+        assertEquals(Refusal.MAY_RUN_TWICE, refusal(exchange, KEY_MEMORY - RETRY_AFTER, true));
     }
 
     /** Guards against the promise that a key is recognized, when a server has been listed meanwhile that is not told it. */
     @Test
     void keyIsNotPromisedWhileAServerMayNotBeToldIt() {
-        assertEquals(Refusal.KEY_MAY_BE_UNKNOWN, refusal(exchange(Effect.KEYED, false), 0, false));
+        assertEquals(Refusal.MAY_RUN_TWICE, refusal(exchange(Effect.KEYED, false), 0, false));
     }
 
     /** Guards against a dispatcher that does not ask, as it refuses a request, whether servers are told its key by now. */
@@ -125,6 +131,6 @@
             new Body(new SharedLimit(1 << 20).join(), 0, 1), caller), SENT_AT);
         sent.get(0).markWritten();
         dispatcher.ended(sent.get(0), Outcome.RESET, null);
-        assertEquals(List.of(keysTold ? Refusal.REPEATABLE_WITH_KEY : Refusal.KEY_MAY_BE_UNKNOWN), refusals);
+        assertEquals(List.of(keysTold ? Refusal.REPEATABLE_WITH_KEY : Refusal.MAY_RUN_TWICE), refusals);
     }
 }
