--- a/src/main/java/onyxpaddle/serve/RunningPool.java
+++ b/src/main/java/onyxpaddle/serve/RunningPool.java
@@ -155,8 +155,8 @@
     private void logWithheldKeys() {
         boolean withheld = !upstream.tellsAllKeys() && classes.stream().anyMatch(c -> c.effect() == Effect.KEYED);
         if (withheld && !keysWithheld) {
-            Log.line("pool " + config.name() + ": servers are not told keys by MessagePack-RPC (`rpc.envelope`), so requests of keyed classes"
-                + " that may reach them so count as unsafe");
+            Log.line("pool " + config.name() + ": servers are not told keys by MessagePack-RPC (`rpc.envelope: false`); keyed requests that may"
+                + " go to them that way count as unsafe");
         }
         keysWithheld = withheld;
     }
