SiteAdmissionTest: the server of a scripted answer has one for each attempt

Cause, in the test: its server had one answer for each request. Where an attempt times out, as the machine is slow for a moment, the node tries again, which it may, and the answer went to the attempt that had been given up.

Change: an answer for each of the three attempts that a request may have, and none left over for the next request. As strict: all ten requests have to be served.

--- a/src/test/java/onyxpaddle/serve/SiteAdmissionTest.java
+++ b/src/test/java/onyxpaddle/serve/SiteAdmissionTest.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import onyxpaddle.BalancerApi.Settings;
@@ -33,6 +34,8 @@
           read: {work: 1 s, worth: 1, per-second: {a: 0.5, b: 0.4}}
         """;
 
+    private static final int MAX_ATTEMPTS = 3;
+
     @TempDir
     Path folder;
 
@@ -107,8 +110,10 @@
         Files.writeString(folder.resolve("sites.yaml"), SITES.replace("capacity: 1", "capacity: 2"));
         try (FakeServer server = new FakeServer("s0"); Loopback rig = new Loopback(file.toString(), server); Client client = rig.client()) {
             for (int i = 0; i < 10; i++) {
-                server.answers.add(Loopback.ok("yes"));
+                // On a busy machine an attempt may time out, and each further one takes an answer.
+                server.answers.addAll(Collections.nCopies(MAX_ATTEMPTS, Loopback.ok("yes")));
                 assertEquals("200 yes", client.send(Loopback.request("r" + i, "read")).readAnswer());
+                server.answers.clear();
             }
         }
     }
