Whether a key can be told is asked only for requests that rely on it

Found in a last reading: a bridged attempt reckoned its key's form also where the request does not rely on its key. The question now comes second; the tests of both protocols share one section of listeners.

No behaviour changes.

--- a/src/main/java/onyxpaddle/serve/MixedProtocolUpstream.java
+++ b/src/main/java/onyxpaddle/serve/MixedProtocolUpstream.java
@@ -90,30 +90,28 @@
         boolean mapped = attempt.exchange.head.mapped() != null;
         boolean rpcReaches = rpc != null && rpc.reaches(attempt.server);
         boolean httpReaches = http.reaches(attempt.server);
-        if (rpcReaches && (byRpc || mapped && !httpReaches)) {
-            sendIfKeyIsTold(attempt, tellsKeyByRpc(attempt.exchange.head), rpc);
-        } else if (httpReaches && (!byRpc || mapped)) {
-            sendIfKeyIsTold(attempt, tellsKeyByHttp(attempt.exchange.head), http);
-        } else {
+        boolean useRpc = rpcReaches && (byRpc || mapped && !httpReaches);
+        if (!useRpc && !(httpReaches && (!byRpc || mapped))) {
             if (!mismatchLogged && (rpcReaches || httpReaches)) {
                 mismatchLogged = true;
                 Log.line("server " + attempt.server + " speaks " + (httpReaches ? "HTTP" : "MessagePack-RPC")
                     + " only; requests of the other protocol that are not mapped cannot be sent to it");
             }
             dispatcher.ended(attempt, rpcReaches || httpReaches ? Outcome.NOT_SENT : Outcome.CONNECT_FAILED, null);
-        }
-    }
-
-    /** A request that relies on its key is not sent without it: the list may have changed since it was routed. */
-    private void sendIfKeyIsTold(Attempt attempt, boolean told, Upstream protocol) {
-        if (told || !attempt.exchange.reliesOnKey()) {
-            protocol.send(attempt);
-        } else {
+        } else if (withholdsKey(attempt, useRpc)) {
             dispatcher.events().count(NodeEvent.ATTEMPT_KEY_WITHHELD, attempt.exchange.id);
             dispatcher.ended(attempt, Outcome.NOT_SENT, null);
+        } else {
+            (useRpc ? rpc : http).send(attempt);
         }
     }
 
+    /** Whether the request relies on a key that this attempt would not tell: the list may have changed since it was routed. */
+    private boolean withholdsKey(Attempt attempt, boolean useRpc) {
+        Metadata head = attempt.exchange.head;
+        return attempt.exchange.reliesOnKey() && !(useRpc ? tellsKeyByRpc(head) : tellsKeyByHttp(head));
+    }
+
     @Override
     public boolean passOn(Attempt attempt) {
         return http.passOn(attempt);
--- a/src/test/java/onyxpaddle/serve/KeyedCallsTest.java
+++ b/src/test/java/onyxpaddle/serve/KeyedCallsTest.java
@@ -57,12 +57,7 @@
     private enum Callers { RPC, HTTP }
 
     private static String config(String servers, boolean envelope) {
-        return """
-            version: 1
-            name: rig
-            listeners:
-              in: {address: "127.0.0.1:0", protocol: messagepack-rpc}
-              web: {address: "127.0.0.1:0"}
+        return RpcRig.BOTH_LISTENERS + """
             classes:
               book: {effect: keyed, deadline: 5 s, memory: 10 s}
             pools:
--- a/src/test/java/onyxpaddle/serve/RpcRig.java
+++ b/src/test/java/onyxpaddle/serve/RpcRig.java
@@ -65,6 +65,15 @@
         }
     }
 
+    /** The head of a configuration with a listener {@code in} for MessagePack-RPC, and {@code web} for HTTP. */
+    static final String BOTH_LISTENERS = """
+        version: 1
+        name: rig
+        listeners:
+          in: {address: "127.0.0.1:0", protocol: messagepack-rpc}
+          web: {address: "127.0.0.1:0"}
+        """;
+
     interface Condition {
         boolean isMet() throws Exception;
     }
--- a/src/test/java/onyxpaddle/serve/SharedServersTest.java
+++ b/src/test/java/onyxpaddle/serve/SharedServersTest.java
@@ -30,12 +30,7 @@
     private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
     private static String config(String poolLines, String... servers) {
-        return """
-            version: 1
-            name: rig
-            listeners:
-              in: {address: "127.0.0.1:0", protocol: messagepack-rpc}
-              web: {address: "127.0.0.1:0"}
+        return RpcRig.BOTH_LISTENERS + """
             classes:
               look: {effect: safe, deadline: 5 s}
               book: {effect: unsafe, deadline: 5 s}
